--- /dev/null
+++ b/internal/state/raft/doc.go
@@ -0,0 +1,34 @@
+// Package raft is the consensus core of the replicated log: a deterministic
+// state machine without I/O, goroutines, clock reads or global randomness.
+// Its driver feeds it ticks, messages and proposals and carries out what Ready
+// returns.
+//
+// # Driver contract
+//
+// One goroutine at a time may use a Core. For each Ready the driver saves and
+// restores Snapshot, saves HardState and Entries with a sync, sends Messages,
+// applies Committed in order, and then calls Advance. Tick, Step and proposals
+// are allowed between Ready and Advance; a second Ready is not. Messages may be
+// lost, repeated and reordered.
+//
+// HardState is returned when term or vote changed, and also with new entries.
+// The commit index alone is never a reason for a sync: a leader tells it again
+// after a restart.
+//
+// # Membership
+//
+// A membership change takes effect when it is appended, on leaders and
+// followers, and is taken back when its entry is truncated. The log alone then
+// decides which members count, and a member that is slow to apply entries
+// cannot campaign under a membership that a majority has already left.
+// Changes add or remove one voter at a time, so that majorities before and
+// after a change overlap. A leader refuses a change until it has committed an
+// entry of its own term and while an earlier change is uncommitted; without the
+// first rule two leaders could each append a change to the same membership and
+// commit it with disjoint majorities.
+//
+// # Identities
+//
+// A member that lost its log must not use its old identifier again. Step
+// returns ErrLogLost where that becomes visible.
+package raft
--- /dev/null
+++ b/internal/state/raft/progress.go
@@ -0,0 +1,93 @@
+package raft
+
+import "slices"
+
+type progressState int
+
+const (
+	// stateProbe sends one append at a time until the logs are known to match.
+	stateProbe progressState = iota
+	// stateReplicate sends appends ahead of their acknowledgement.
+	stateReplicate
+	// stateSnapshot sends a snapshot and no entries.
+	stateSnapshot
+)
+
+// progress is what a leader knows of one member.
+type progress struct {
+	state progressState
+	// match is the last index known to be saved there; next is the first index
+	// to send.
+	match uint64
+	next  uint64
+	// commitSent is the newest commit index that an append carried.
+	commitSent uint64
+	// inflight holds the last index of each unacknowledged append.
+	inflight []uint64
+	// probeSent says that the one append of stateProbe is unanswered.
+	probeSent bool
+	// lastActive is the tick of the last message from the member.
+	lastActive uint64
+	// ackedRound is the newest heartbeat round that the member answered.
+	ackedRound uint64
+	outgoing   outgoingSnapshot
+}
+
+func (p *progress) probe() {
+	p.state = stateProbe
+	p.next = p.match + 1
+	p.inflight = nil
+	p.probeSent = false
+	p.outgoing = outgoingSnapshot{}
+}
+
+// acknowledge records that entries up to index are saved at the member.
+func (p *progress) acknowledge(index uint64) bool {
+	n := 0
+	for n < len(p.inflight) && p.inflight[n] <= index {
+		n++
+	}
+	p.inflight = slices.Delete(p.inflight, 0, n)
+	p.next = max(p.next, index+1)
+	if index <= p.match {
+		return false
+	}
+	p.match = index
+	return true
+}
+
+func (c *Core) isActive(p *progress) bool {
+	return c.ticks-p.lastActive < uint64(c.cfg.ElectionTicks)
+}
+
+// updateProgress makes the progress entries those of the current membership. A
+// leader that is being removed keeps its own.
+func (c *Core) updateProgress() {
+	if c.role != Leader {
+		return
+	}
+	m := c.members.current()
+	for id := range c.progress {
+		if id != c.cfg.ID && findMember(m, id) == nil {
+			delete(c.progress, id)
+		}
+	}
+	for _, x := range m.GetMembers() {
+		if c.progress[x.GetId()] == nil {
+			c.progress[x.GetId()] = &progress{next: c.log.lastIndex() + 1, lastActive: c.ticks}
+		}
+	}
+}
+
+// followers returns the identifiers of the other members in a fixed order, so
+// that the same events always give the same messages.
+func (c *Core) followers() []uint64 {
+	ids := make([]uint64, 0, len(c.progress))
+	for id := range c.progress {
+		if id != c.cfg.ID {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/state/raft/transfer.go
@@ -0,0 +1,71 @@
+package raft
+
+import (
+	"fmt"
+
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+)
+
+// transfer is a running hand-over of leadership.
+type transfer struct {
+	target uint64
+	ticks  int
+}
+
+// TransferLeadership hands leadership to a voter, or to the one that is best
+// caught up if target is zero. Proposals are refused until the hand-over is
+// done or an election timeout has passed. It does nothing if target leads.
+func (c *Core) TransferLeadership(target uint64) error {
+	if c.role != Leader {
+		return &NotLeaderError{Leader: c.leader}
+	}
+	if target == 0 {
+		target = c.bestSuccessor()
+	}
+	if target == c.cfg.ID {
+		return nil
+	}
+	if target == 0 || !c.isVoter(target) {
+		return fmt.Errorf("transfer leadership to member %016x: %w", target, ErrMember)
+	}
+	c.transfer = transfer{target: target}
+	c.continueTransfer()
+	return nil
+}
+
+// bestSuccessor returns the active voter with the longest matching log, or zero.
+func (c *Core) bestSuccessor() uint64 {
+	var best uint64
+	for _, id := range c.followers() {
+		p := c.progress[id]
+		if !c.isVoter(id) || !c.isActive(p) {
+			continue
+		}
+		if best == 0 || p.match > c.progress[best].match {
+			best = id
+		}
+	}
+	return best
+}
+
+// continueTransfer tells the target to campaign once it has the whole log.
+func (c *Core) continueTransfer() {
+	p := c.progress[c.transfer.target]
+	if c.transfer.target != 0 && p != nil && p.match == c.log.lastIndex() {
+		c.sendTimeoutNow(c.transfer.target)
+	}
+}
+
+func (c *Core) sendTimeoutNow(id uint64) {
+	c.send(&statev1.Message{Type: statev1.MessageType_MESSAGE_TYPE_TIMEOUT_NOW, To: id})
+}
+
+func (c *Core) tickTransfer() {
+	if c.transfer.target == 0 {
+		return
+	}
+	c.transfer.ticks++
+	if c.transfer.ticks >= c.cfg.ElectionTicks {
+		c.transfer = transfer{}
+	}
+}
--- /dev/null
+++ b/internal/state/wal/faultfs/faultfs.go
@@ -0,0 +1,338 @@
+// Package faultfs is an in-memory wal.FS for tests. It loses bytes and names
+// that were not synced, tears the last write, fails syncs, fills up and
+// corrupts files.
+package faultfs
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+
+	"github.com/radishloom/radishloom/internal/state/wal"
+)
+
+// ErrInjected is the cause of failures that a test asked for.
+var ErrInjected = errors.New("faultfs: injected failure")
+
+type inode struct {
+	data    []byte
+	durable []byte
+	// dropped says that a sync failed. As on Linux, later syncs succeed without
+	// writing what the failed one dropped.
+	dropped bool
+}
+
+// FS is a file system that lives through crashes. It is safe for concurrent
+// use.
+type FS struct {
+	mu       sync.Mutex
+	rand     func(n int) int
+	names    map[string]*inode
+	durable  map[string]*inode
+	locked   map[string]bool
+	epoch    int
+	failAt   int // number of the sync that fails
+	capacity int
+	syncs    int
+}
+
+// New returns an empty file system. Rand returns a number in [0, n) and decides
+// what is left after a crash.
+func New(rand func(n int) int) *FS {
+	return &FS{
+		rand:     rand,
+		names:    map[string]*inode{},
+		durable:  map[string]*inode{},
+		locked:   map[string]bool{},
+		capacity: 1 << 40,
+	}
+}
+
+// Crash ends the process that used the file system: open files become unusable,
+// locks are released, and what was not synced is lost in full or in part.
+func (f *FS) Crash() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.epoch++
+	f.locked = map[string]bool{}
+	left := map[string]*inode{}
+	for _, name := range f.allNames() {
+		n := f.durable[name]
+		if f.names[name] != n && f.rand(2) == 0 {
+			n = f.names[name]
+		}
+		if n != nil {
+			left[name] = n
+		}
+	}
+	f.names, f.durable = left, map[string]*inode{}
+	for _, name := range f.allNames() {
+		n := left[name]
+		f.durable[name] = n
+		n.data = f.survivors(n)
+		n.durable = bytes.Clone(n.data)
+		n.dropped = false
+	}
+}
+
+func (f *FS) allNames() []string {
+	var names []string
+	for name := range f.names {
+		names = append(names, name)
+	}
+	for name := range f.durable {
+		if f.names[name] == nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// survivors returns a file's content after a crash.
+func (f *FS) survivors(n *inode) []byte {
+	if !bytes.HasPrefix(n.data, n.durable) {
+		if f.rand(2) == 0 {
+			return n.data
+		}
+		return n.durable
+	}
+	extra := bytes.Clone(n.data[len(n.durable):])
+	extra = extra[:f.rand(len(extra)+1)]
+	if len(extra) > 0 && f.rand(4) == 0 {
+		clear(extra[:f.rand(len(extra))])
+	}
+	return append(bytes.Clone(n.durable), extra...)
+}
+
+// Wipe is a crash that loses all files.
+func (f *FS) Wipe() {
+	f.Crash()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.names, f.durable = map[string]*inode{}, map[string]*inode{}
+}
+
+// FailSync makes one sync fail after n more syncs. Later ones succeed again.
+func (f *FS) FailSync(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failAt = f.syncs + n + 1
+}
+
+// SetFree makes writes fail after n more bytes.
+func (f *FS) SetFree(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.capacity = f.used() + n
+}
+
+// Flip inverts one bit of a file, in memory and on the disk.
+func (f *FS) Flip(name string, offset int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.names[name]
+	n.data = bytes.Clone(n.data)
+	n.data[offset] ^= 1
+	n.durable = bytes.Clone(n.data)
+}
+
+// Put replaces a file, in memory and on the disk.
+func (f *FS) Put(name string, data []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := &inode{data: bytes.Clone(data), durable: bytes.Clone(data)}
+	f.names[name], f.durable[name] = n, n
+}
+
+// Syncs returns the number of syncs of files and folders so far.
+func (f *FS) Syncs() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.syncs
+}
+
+func (f *FS) used() int {
+	n := 0
+	for _, i := range f.names {
+		n += len(i.data)
+	}
+	return n
+}
+
+// MkdirAll implements wal.FS; folders always exist.
+func (f *FS) MkdirAll(string) error { return nil }
+
+// Create implements wal.FS.
+func (f *FS) Create(name string) (wal.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := &inode{}
+	f.names[name] = n
+	return &file{fs: f, inode: n, epoch: f.epoch}, nil
+}
+
+// OpenAppend implements wal.FS.
+func (f *FS) OpenAppend(name string) (wal.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.names[name]
+	if n == nil {
+		return nil, fmt.Errorf("open %s: %w", name, fs.ErrNotExist)
+	}
+	return &file{fs: f, inode: n, epoch: f.epoch}, nil
+}
+
+// ReadFile implements wal.FS.
+func (f *FS) ReadFile(name string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.names[name]
+	if n == nil {
+		return nil, fmt.Errorf("read %s: %w", name, fs.ErrNotExist)
+	}
+	return bytes.Clone(n.data), nil
+}
+
+// ReadDir implements wal.FS.
+func (f *FS) ReadDir(dir string) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name := range f.names {
+		if filepath.Dir(name) == filepath.Clean(dir) {
+			names = append(names, filepath.Base(name))
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// Rename implements wal.FS.
+func (f *FS) Rename(from, to string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.names[from]
+	if n == nil {
+		return fmt.Errorf("rename %s: %w", from, fs.ErrNotExist)
+	}
+	f.names[to] = n
+	delete(f.names, from)
+	return nil
+}
+
+// Remove implements wal.FS.
+func (f *FS) Remove(name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.names[name] == nil {
+		return fmt.Errorf("remove %s: %w", name, fs.ErrNotExist)
+	}
+	delete(f.names, name)
+	return nil
+}
+
+// SyncDir implements wal.FS.
+func (f *FS) SyncDir(dir string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.syncFails() {
+		return ErrInjected
+	}
+	for _, name := range f.allNames() {
+		if filepath.Dir(name) != filepath.Clean(dir) {
+			continue
+		}
+		if n := f.names[name]; n != nil {
+			f.durable[name] = n
+		} else {
+			delete(f.durable, name)
+		}
+	}
+	return nil
+}
+
+func (f *FS) syncFails() bool {
+	f.syncs++
+	return f.syncs == f.failAt
+}
+
+// Lock implements wal.FS.
+func (f *FS) Lock(name string) (io.Closer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.locked[name] {
+		return nil, fmt.Errorf("%s: %w", name, wal.ErrLocked)
+	}
+	f.locked[name] = true
+	return &lock{fs: f, name: name, epoch: f.epoch}, nil
+}
+
+type lock struct {
+	fs    *FS
+	name  string
+	epoch int
+}
+
+func (l *lock) Close() error {
+	l.fs.mu.Lock()
+	defer l.fs.mu.Unlock()
+	if l.epoch == l.fs.epoch {
+		delete(l.fs.locked, l.name)
+	}
+	return nil
+}
+
+type file struct {
+	fs    *FS
+	inode *inode
+	epoch int
+}
+
+func (h *file) Write(p []byte) (int, error) {
+	h.fs.mu.Lock()
+	defer h.fs.mu.Unlock()
+	if h.epoch != h.fs.epoch {
+		return 0, fs.ErrClosed
+	}
+	n := max(0, min(len(p), h.fs.capacity-h.fs.used()))
+	h.inode.data = append(h.inode.data, p[:n]...)
+	if n < len(p) {
+		return n, syscall.ENOSPC
+	}
+	return n, nil
+}
+
+func (h *file) Sync() error {
+	h.fs.mu.Lock()
+	defer h.fs.mu.Unlock()
+	if h.epoch != h.fs.epoch {
+		return fs.ErrClosed
+	}
+	if h.fs.syncFails() {
+		h.inode.dropped = true
+		return ErrInjected
+	}
+	if !h.inode.dropped {
+		h.inode.durable = bytes.Clone(h.inode.data)
+	}
+	return nil
+}
+
+func (h *file) Truncate(size int64) error {
+	h.fs.mu.Lock()
+	defer h.fs.mu.Unlock()
+	if h.epoch != h.fs.epoch {
+		return fs.ErrClosed
+	}
+	h.inode.data = bytes.Clone(h.inode.data[:size])
+	return nil
+}
+
+func (h *file) Close() error { return nil }
--- /dev/null
+++ b/internal/state/wal/recover.go
@@ -0,0 +1,421 @@
+package wal
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+)
+
+const segmentHeaderSize = 17
+
+// segmentHeader is the first record of a segment.
+type segmentHeader struct {
+	// base says that older segments are not needed.
+	base      bool
+	snapIndex uint64
+	snapTerm  uint64
+}
+
+func (h segmentHeader) encode(b []byte) []byte {
+	flag := byte(0)
+	if h.base {
+		flag = 1
+	}
+	b = append(b, flag)
+	b = binary.LittleEndian.AppendUint64(b, h.snapIndex)
+	return binary.LittleEndian.AppendUint64(b, h.snapTerm)
+}
+
+func decodeSegmentHeader(b []byte) (segmentHeader, bool) {
+	if len(b) != segmentHeaderSize {
+		return segmentHeader{}, false
+	}
+	return segmentHeader{
+		base:      b[0] == 1,
+		snapIndex: binary.LittleEndian.Uint64(b[1:]),
+		snapTerm:  binary.LittleEndian.Uint64(b[9:]),
+	}, true
+}
+
+// Open locks a folder, creating it if needed, and recovers its log. A folder
+// without a log gets a new member identifier, also if it holds an identity:
+// that one was never used, or its log is lost and it must not be used again.
+func Open(fs FS, dir string, o Options) (*Log, *Recovered, error) {
+	if o.SegmentBytes <= 0 {
+		o.SegmentBytes = defaultSegmentBytes
+	}
+	if err := fs.MkdirAll(dir); err != nil {
+		return nil, nil, fmt.Errorf("wal: %w", err)
+	}
+	if err := fs.SyncDir(filepath.Dir(dir)); err != nil {
+		return nil, nil, fmt.Errorf("wal: %w: %w", ErrSync, err)
+	}
+	lock, err := fs.Lock(filepath.Join(dir, lockName))
+	if err != nil {
+		return nil, nil, err
+	}
+	l := &Log{fs: fs, dir: dir, opts: o, lock: lock}
+	r, err := l.open()
+	if err != nil {
+		if l.file != nil {
+			err = errors.Join(err, l.file.Close())
+		}
+		return nil, nil, errors.Join(err, lock.Close())
+	}
+	return l, r, nil
+}
+
+func (l *Log) open() (*Recovered, error) {
+	segments, snapshots, hasIdentity, err := l.list()
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case len(segments) == 0 && len(snapshots) == 0:
+		return l.create()
+	case !hasIdentity:
+		return nil, fmt.Errorf("%s: %w", l.dir, ErrIdentityMissing)
+	case len(segments) == 0:
+		return nil, &CorruptError{File: l.snapshotPath(snapshots[len(snapshots)-1]), Reason: "a snapshot without a segment"}
+	}
+	if l.memberID, err = l.readIdentity(); err != nil {
+		return nil, err
+	}
+	return l.recover(segments, snapshots)
+}
+
+// list returns the numbers of segments and snapshots in ascending order and
+// removes files with temporary names.
+func (l *Log) list() (segments, snapshots []uint64, hasIdentity bool, err error) {
+	names, err := l.fs.ReadDir(l.dir)
+	if err != nil {
+		return nil, nil, false, fmt.Errorf("wal: %w", err)
+	}
+	for _, name := range names {
+		switch {
+		case strings.HasSuffix(name, tempSuffix):
+			if err := l.fs.Remove(filepath.Join(l.dir, name)); err != nil {
+				return nil, nil, false, fmt.Errorf("wal: %w", err)
+			}
+		case name == identityName:
+			hasIdentity = true
+		case strings.HasSuffix(name, segmentSuffix):
+			segments, err = appendNumber(segments, name, segmentSuffix)
+		case strings.HasSuffix(name, snapshotSuffix):
+			snapshots, err = appendNumber(snapshots, name, snapshotSuffix)
+		}
+		if err != nil {
+			return nil, nil, false, err
+		}
+	}
+	slices.Sort(segments)
+	slices.Sort(snapshots)
+	return segments, snapshots, hasIdentity, nil
+}
+
+func appendNumber(numbers []uint64, name, suffix string) ([]uint64, error) {
+	n, err := strconv.ParseUint(strings.TrimSuffix(name, suffix), 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("wal: unexpected file name %q: %w", name, err)
+	}
+	return append(numbers, n), nil
+}
+
+// create makes a new identity and then the first segment.
+func (l *Log) create() (*Recovered, error) {
+	id, err := newMemberID(l.opts.Random)
+	if err != nil {
+		return nil, err
+	}
+	l.memberID = id
+	identity := filepath.Join(l.dir, identityName)
+	if err := l.writeTemp(identity, encodeIdentity(id)); err != nil {
+		return nil, err
+	}
+	if err := l.publish(identity); err != nil {
+		return nil, err
+	}
+	if err := l.rebase(); err != nil {
+		return nil, err
+	}
+	return &Recovered{MemberID: id}, nil
+}
+
+// rebase starts a base segment with the state in memory.
+func (l *Log) rebase() error {
+	frame, err := l.headerFrame(true)
+	if err != nil {
+		return err
+	}
+	name := l.segmentPath(l.segment + 1)
+	if err := l.writeTemp(name, frame); err != nil {
+		return err
+	}
+	if err := l.publish(name); err != nil {
+		return err
+	}
+	l.base = l.segment + 1
+	return l.switchTo(l.base, int64(len(frame)))
+}
+
+// newMemberID draws an identifier that is not zero.
+func newMemberID(random io.Reader) (uint64, error) {
+	if random == nil {
+		random = rand.Reader
+	}
+	for {
+		var b [8]byte
+		if _, err := io.ReadFull(random, b[:]); err != nil {
+			return 0, fmt.Errorf("wal: draw member identifier: %w", err)
+		}
+		if id := binary.LittleEndian.Uint64(b[:]); id != 0 {
+			return id, nil
+		}
+	}
+}
+
+// The identity is one line of text: identifier and CRC32C of its 16 digits.
+func encodeIdentity(id uint64) []byte {
+	digits := fmt.Sprintf("%016x", id)
+	return fmt.Appendf(nil, "%s %08x\n", digits, crc32.Checksum([]byte(digits), castagnoli))
+}
+
+func (l *Log) readIdentity() (uint64, error) {
+	name := filepath.Join(l.dir, identityName)
+	b, err := l.fs.ReadFile(name)
+	if err != nil {
+		return 0, fmt.Errorf("wal: %w", err)
+	}
+	if len(b) < 16 {
+		return 0, &CorruptError{File: name, Reason: "too short"}
+	}
+	id, err := strconv.ParseUint(string(b[:16]), 16, 64)
+	if err != nil || id == 0 || string(b) != string(encodeIdentity(id)) {
+		return 0, &CorruptError{File: name, Reason: "checksum does not match"}
+	}
+	return id, nil
+}
+
+func encodeSnapshot(s *statev1.Snapshot, member uint64) ([]byte, error) {
+	b, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, frameHeader, frameHeader+proto.Size(s)), s)
+	if err != nil {
+		return nil, fmt.Errorf("wal: marshal snapshot: %w", err)
+	}
+	return b, finishFrame(b, member, s.GetIndex())
+}
+
+// readSnapshot reads the newest snapshot. It was synced before it got its
+// name, so any damage is corruption.
+func (l *Log) readSnapshot(index uint64) (*statev1.Snapshot, error) {
+	name := l.snapshotPath(index)
+	b, err := l.fs.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("wal: %w", err)
+	}
+	payload, seq, ok := parseFrame(b, l.memberID)
+	if !ok || seq != index || len(payload)+frameHeader != len(b) {
+		return nil, &CorruptError{File: name, Reason: "checksum does not match"}
+	}
+	s := &statev1.Snapshot{}
+	if err := proto.Unmarshal(payload, s); err != nil || s.GetIndex() != index {
+		return nil, &CorruptError{File: name, Reason: "not a snapshot"}
+	}
+	return s, nil
+}
+
+func (l *Log) recover(segments, snapshots []uint64) (*Recovered, error) {
+	r := &Recovered{MemberID: l.memberID}
+	if n := len(snapshots); n > 0 {
+		s, err := l.readSnapshot(snapshots[n-1])
+		if err != nil {
+			return nil, err
+		}
+		r.Snapshot = s
+	}
+	chain, err := l.readChain(segments)
+	if err != nil {
+		return nil, err
+	}
+	last := &chain[len(chain)-1]
+	for i := range chain {
+		end, err := l.replay(&chain[i], i == len(chain)-1)
+		if err != nil {
+			return nil, err
+		}
+		chain[i].end = end
+	}
+	r.TornBytes = int64(len(last.data)) - last.end
+	if err := l.reopen(last); err != nil {
+		return nil, err
+	}
+	if err := l.reconcile(r.Snapshot, last); err != nil {
+		return nil, err
+	}
+	r.HardState = l.hardState
+	r.Entries = append([]*statev1.LogEntry(nil), l.entries...)
+	l.removeReplaced()
+	return r, nil
+}
+
+// segmentData is a segment as it was read.
+type segmentData struct {
+	number uint64
+	name   string
+	data   []byte
+	header segmentHeader
+	end    int64 // of the valid frames
+}
+
+// readChain reads the segments from the newest base segment on.
+func (l *Log) readChain(numbers []uint64) ([]segmentData, error) {
+	var chain []segmentData
+	for i := len(numbers) - 1; i >= 0; i-- {
+		s := segmentData{number: numbers[i], name: l.segmentPath(numbers[i])}
+		data, err := l.fs.ReadFile(s.name)
+		if err != nil {
+			return nil, fmt.Errorf("wal: %w", err)
+		}
+		s.data = data
+		payload, _, ok := parseFrame(data, l.memberID)
+		kind, record, _, ok2 := nextRecord(payload)
+		h, ok3 := decodeSegmentHeader(record)
+		if !ok || !ok2 || !ok3 || kind != recordHeaderKind {
+			return nil, &CorruptError{File: s.name, Reason: "the first frame is no valid header of this member"}
+		}
+		s.header = h
+		if n := len(chain); n > 0 && chain[n-1].number != s.number+1 {
+			return nil, &CorruptError{File: s.name, Reason: fmt.Sprintf("segment %d is missing", s.number+1)}
+		}
+		chain = append(chain, s)
+		if h.base {
+			slices.Reverse(chain)
+			return chain, nil
+		}
+	}
+	return nil, &CorruptError{File: l.segmentPath(numbers[0]), Reason: "the segment before it is missing"}
+}
+
+// replay applies the frames of a segment and returns the end of the last valid
+// one.
+func (l *Log) replay(s *segmentData, last bool) (int64, error) {
+	if s.header.base {
+		l.base = s.number
+		l.snapIndex, l.snapTerm = s.header.snapIndex, s.header.snapTerm
+		_, l.seq, _ = parseFrame(s.data, l.memberID)
+	}
+	offset := 0
+	for offset < len(s.data) {
+		payload, seq, ok := parseFrame(s.data[offset:], l.memberID)
+		if !ok {
+			if !last || hasLaterFrame(s.data[offset:], l.memberID, l.seq) {
+				return 0, &CorruptError{File: s.name, Offset: int64(offset), Reason: "checksum does not match and later frames are valid"}
+			}
+			return int64(offset), nil
+		}
+		if seq != l.seq {
+			return 0, &CorruptError{File: s.name, Offset: int64(offset), Reason: fmt.Sprintf("frame %d, want %d", seq, l.seq)}
+		}
+		if reason := l.replayFrame(payload); reason != "" {
+			return 0, &CorruptError{File: s.name, Offset: int64(offset), Reason: reason}
+		}
+		l.seq++
+		offset += frameHeader + len(payload)
+	}
+	return int64(offset), nil
+}
+
+// replayFrame returns a reason if the frame makes no sense.
+func (l *Log) replayFrame(payload []byte) string {
+	for len(payload) > 0 {
+		kind, data, rest, ok := nextRecord(payload)
+		if !ok {
+			return "record is longer than its frame"
+		}
+		payload = rest
+		switch kind {
+		case recordHeaderKind:
+		case recordHardState:
+			hs := &statev1.HardState{}
+			if err := proto.Unmarshal(data, hs); err != nil {
+				return err.Error()
+			}
+			l.remember(hs, nil)
+		case recordEntry:
+			e := &statev1.LogEntry{}
+			if err := proto.Unmarshal(data, e); err != nil {
+				return err.Error()
+			}
+			entries := []*statev1.LogEntry{e}
+			if err := l.checkOrder(entries); err != nil {
+				return err.Error()
+			}
+			l.remember(nil, entries)
+		default:
+			return fmt.Sprintf("unknown record kind %d", kind)
+		}
+	}
+	return ""
+}
+
+// reopen cuts off a torn tail and continues the last segment.
+func (l *Log) reopen(last *segmentData) error {
+	f, err := l.fs.OpenAppend(last.name)
+	if err != nil {
+		return fmt.Errorf("wal: %w", err)
+	}
+	l.file, l.segment, l.size = f, last.number, last.end
+	if last.end == int64(len(last.data)) {
+		return nil
+	}
+	if err := f.Truncate(last.end); err != nil {
+		return fmt.Errorf("wal: truncate %s: %w", last.name, err)
+	}
+	if err := f.Sync(); err != nil {
+		return fmt.Errorf("wal: %s: %w: %w", last.name, ErrSync, err)
+	}
+	return nil
+}
+
+// reconcile finishes a SaveSnapshot that ended after the snapshot got its name
+// and before its base segment did.
+func (l *Log) reconcile(s *statev1.Snapshot, last *segmentData) error {
+	switch {
+	case s.GetIndex() < l.snapIndex:
+		return &CorruptError{File: l.snapshotPath(l.snapIndex), Reason: "the snapshot of " + last.name + " is missing"}
+	case s.GetIndex() == l.snapIndex:
+		return nil
+	}
+	l.entries = tailAfter(s, l.snapIndex, l.entries)
+	l.snapIndex, l.snapTerm = s.GetIndex(), s.GetTerm()
+	return l.rebase()
+}
+
+// removeReplaced removes segments before the newest base segment and older
+// snapshots. Files that stay are removed by the next Open.
+func (l *Log) removeReplaced() {
+	segments, snapshots, _, err := l.list()
+	if err != nil {
+		return
+	}
+	for _, n := range segments {
+		if n < l.base {
+			_ = l.fs.Remove(l.segmentPath(n))
+		}
+	}
+	for _, n := range snapshots {
+		if n < l.snapIndex {
+			_ = l.fs.Remove(l.snapshotPath(n))
+		}
+	}
+}
