--- /dev/null
+++ b/internal/coordination/admission/limits.go
@@ -0,0 +1,148 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// Gate bounds the open requests of each customer and of the VM.
+type Gate struct {
+	limit    int
+	open     int
+	customer map[string]int
+}
+
+// NewGate returns a gate of limit open requests.
+func NewGate(limit int) *Gate {
+	return &Gate{limit: limit, customer: make(map[string]int)}
+}
+
+// Open is the number of open requests.
+func (g *Gate) Open() int { return g.open }
+
+// Enter counts a request in, or returns the code of its refusal. A customer
+// limit of zero allows half of the VM's limit, so that one customer cannot
+// lock out the others.
+func (g *Gate) Enter(customer string, customerLimit int) resultcode.Code {
+	if customerLimit == 0 {
+		customerLimit = max(1, g.limit/2)
+	}
+	if g.customer[customer] >= customerLimit {
+		return resultcode.TooManyOpen
+	}
+	if g.open >= g.limit {
+		return resultcode.VMOverloaded
+	}
+	g.open++
+	g.customer[customer]++
+	return resultcode.OK
+}
+
+// Leave counts a request out.
+func (g *Gate) Leave(customer string) {
+	g.open--
+	g.customer[customer]--
+	if g.customer[customer] == 0 {
+		delete(g.customer, customer)
+	}
+}
+
+// Level is a priority with the share of each endpoint that is reserved for it
+// and for higher ones.
+type Level struct {
+	Priority     int32
+	SharePercent int
+}
+
+// Reserve tells how much of an endpoint's window each priority may fill.
+type Reserve struct {
+	levels []Level // by rising priority, one for each
+}
+
+// NewReserve merges levels of the same priority by taking the larger share.
+func NewReserve(levels []Level) Reserve {
+	sorted := slices.Clone(levels)
+	slices.SortFunc(sorted, func(a, b Level) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(b.SharePercent, a.SharePercent))
+	})
+	sorted = slices.CompactFunc(sorted, func(a, b Level) bool { return a.Priority == b.Priority })
+	return Reserve{levels: sorted}
+}
+
+// Limit is the number of requests in flight at which a priority gets no
+// further slot of a window. The lowest priority always has one slot, and each
+// priority with a reserved share has at least one slot more than the next
+// lower one: with many entries a window is a single slot, which a low priority
+// would otherwise occupy.
+func (r Reserve) Limit(window int, priority int32) int {
+	above := 0
+	for _, l := range r.levels {
+		if l.Priority > priority {
+			above += l.SharePercent
+		}
+	}
+	limit := 0
+	for _, l := range r.levels {
+		if l.Priority > priority {
+			break
+		}
+		limit = r.step(window, l, limit)
+	}
+	return max(limit, 1, window-reserved(window, above))
+}
+
+// step returns the limit of a level, given that of the next lower one.
+func (r Reserve) step(window int, l Level, lower int) int {
+	above := 0
+	for _, h := range r.levels {
+		if h.Priority > l.Priority {
+			above += h.SharePercent
+		}
+	}
+	limit := max(1, window-reserved(window, above))
+	if l.SharePercent > 0 {
+		limit = max(limit, max(1, lower)+1)
+	}
+	return max(limit, lower)
+}
+
+// reserved rounds up, so that a small share is at least one slot.
+func reserved(window, percent int) int {
+	return (window*min(percent, 100) + 99) / 100
+}
+
+// ServiceTimes estimates for each class how long a request takes at least: it
+// follows the lower tenth of the measured times. A request that could not even
+// finish that fast is refused early; a mean would refuse requests that still
+// had a chance.
+type ServiceTimes struct {
+	estimate map[string]time.Duration
+}
+
+// NewServiceTimes returns an empty estimate: zero for each class.
+func NewServiceTimes() *ServiceTimes {
+	return &ServiceTimes{estimate: make(map[string]time.Duration)}
+}
+
+// Observe adds a measured time.
+func (s *ServiceTimes) Observe(class string, d time.Duration) {
+	e, known := s.estimate[class]
+	if !known {
+		s.estimate[class] = d / 2
+		return
+	}
+	// Steps of 4.5% down and 0.5% up balance where a tenth of the times lies
+	// below the estimate.
+	if d < e {
+		e -= e * 45 / 1000
+	} else {
+		e += e*5/1000 + 1
+	}
+	s.estimate[class] = e
+}
+
+// Estimate returns the least time that a request of the class needs.
+func (s *ServiceTimes) Estimate(class string) time.Duration { return s.estimate[class] }
--- /dev/null
+++ b/internal/coordination/admission/queue.go
@@ -0,0 +1,318 @@
+// Package admission decides in which order waiting requests are dispatched,
+// which ones are refused early, and how many may be open.
+//
+// Every type is deterministic and not safe for concurrent use. Times are
+// durations since the start of the process.
+package admission
+
+import (
+	"cmp"
+	"container/heap"
+	"container/list"
+	"slices"
+	"time"
+)
+
+// Item is one waiting request. The queue owns it from Push until it is taken,
+// removed, expired or evicted.
+type Item struct {
+	ID uint64
+	// Class groups items that the same endpoints can take under the same
+	// conditions.
+	Class    string
+	Customer string
+	// Weight is the customer's share; zero counts as 1.
+	Weight   uint32
+	Priority int32
+	// Tokens is the cost that the customer's share is charged with.
+	Tokens uint64
+	// LatestStart is the last time at which a dispatch can meet the deadline.
+	LatestStart time.Duration
+	// Value belongs to the caller.
+	Value any
+
+	seq     uint64
+	flow    *flow
+	element *list.Element // in flow.arrivals
+	order   int           // position in the heap of the lane
+	expiry  int           // position in the expiry heap
+}
+
+// flow is one customer within one priority. Its start tag is shared by all of
+// its lanes, so that a customer has one share over all classes.
+type flow struct {
+	customer string
+	start    float64
+	arrivals *list.List // of *Item, oldest first
+}
+
+// lane holds the items of one flow and one class, earliest deadline first.
+type lane struct {
+	flow  *flow
+	items itemHeap
+}
+
+// level holds the lanes of one class and one priority.
+type level struct {
+	priority int32
+	lanes    []*lane
+}
+
+// share is the virtual time and the flows of one priority.
+type share struct {
+	priority int32
+	virtual  float64
+	flows    map[string]*flow
+	waiting  int
+}
+
+// Queue orders items by priority, then by start-time fair queueing between
+// customers on tokens over weight, then by earliest deadline.
+type Queue struct {
+	limit   int
+	seq     uint64
+	classes map[string][]*level // levels by falling priority
+	shares  []*share            // by falling priority
+	expiry  expiryHeap
+
+	// unfair makes the order first come, first served. Tests set it to show
+	// that they detect an unfair queue.
+	unfair bool
+}
+
+// NewQueue returns a queue of at most limit items.
+func NewQueue(limit int) *Queue {
+	return &Queue{limit: limit, classes: make(map[string][]*level)}
+}
+
+// Len is the number of waiting items.
+func (q *Queue) Len() int { return len(q.expiry) }
+
+// Waiting says whether an item of the class waits.
+func (q *Queue) Waiting(class string) bool { return len(q.classes[class]) > 0 }
+
+// Push adds an item. If the queue is full it returns the item that has to go,
+// which can be the new one: the newest item of the customer with the most
+// items within the lowest waiting priority. A customer that fills the queue
+// thus loses its own items, and a low priority never displaces a higher one.
+func (q *Queue) Push(it *Item) (evicted *Item) {
+	q.insert(it)
+	if q.Len() <= q.limit {
+		return nil
+	}
+	lowest := q.shares[len(q.shares)-1]
+	for i := len(q.shares) - 1; i >= 0 && lowest.waiting == 0; i-- {
+		lowest = q.shares[i]
+	}
+	var longest *flow
+	for _, f := range lowest.flows {
+		if longest == nil || longerBacklog(f, longest) {
+			longest = f
+		}
+	}
+	evicted = longest.arrivals.Back().Value.(*Item)
+	q.Remove(evicted)
+	return evicted
+}
+
+// longerBacklog breaks ties by name, so that equal queues decide alike.
+func longerBacklog(a, b *flow) bool {
+	if a.arrivals.Len() != b.arrivals.Len() {
+		return a.arrivals.Len() > b.arrivals.Len()
+	}
+	return a.customer < b.customer
+}
+
+func (q *Queue) insert(it *Item) {
+	q.seq++
+	it.seq = q.seq
+	s := q.share(it.Priority)
+	f := s.flows[it.Customer]
+	if f == nil {
+		f = &flow{customer: it.Customer, arrivals: list.New()}
+		s.flows[it.Customer] = f
+	}
+	if f.arrivals.Len() == 0 {
+		f.start = max(f.start, s.virtual)
+	}
+	s.waiting++
+	it.flow = f
+	it.element = f.arrivals.PushBack(it)
+	l := q.lane(it)
+	heap.Push(&l.items, it)
+	heap.Push(&q.expiry, it)
+}
+
+func (q *Queue) share(priority int32) *share {
+	i, found := slices.BinarySearchFunc(q.shares, priority, func(s *share, p int32) int { return cmp.Compare(p, s.priority) })
+	if !found {
+		q.shares = slices.Insert(q.shares, i, &share{priority: priority, flows: make(map[string]*flow)})
+	}
+	return q.shares[i]
+}
+
+func (q *Queue) lane(it *Item) *lane {
+	levels := q.classes[it.Class]
+	i, found := slices.BinarySearchFunc(levels, it.Priority, func(l *level, p int32) int { return cmp.Compare(p, l.priority) })
+	if !found {
+		levels = slices.Insert(levels, i, &level{priority: it.Priority})
+		q.classes[it.Class] = levels
+	}
+	for _, l := range levels[i].lanes {
+		if l.flow == it.flow {
+			return l
+		}
+	}
+	l := &lane{flow: it.flow}
+	levels[i].lanes = append(levels[i].lanes, l)
+	return l
+}
+
+// Best returns the item that is due first among the classes, without the pairs
+// of class and priority that blocked reports. It is nil if there is none.
+func (q *Queue) Best(classes []string, blocked func(class string, priority int32) bool) *Item {
+	var best *Item
+	for _, class := range classes {
+		for _, lv := range q.classes[class] {
+			if best != nil && lv.priority < best.Priority {
+				break
+			}
+			if blocked != nil && blocked(class, lv.priority) {
+				continue
+			}
+			for _, l := range lv.lanes {
+				if head := l.items[0]; best == nil || q.before(head, best) {
+					best = head
+				}
+			}
+		}
+	}
+	return best
+}
+
+// before says whether a is due before b.
+func (q *Queue) before(a, b *Item) bool {
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
+	}
+	if q.unfair {
+		return a.seq < b.seq
+	}
+	if a.flow != b.flow && a.flow.start != b.flow.start {
+		return a.flow.start < b.flow.start
+	}
+	if a.LatestStart != b.LatestStart {
+		return a.LatestStart < b.LatestStart
+	}
+	return a.seq < b.seq
+}
+
+// Take removes an item that is dispatched and charges its customer.
+func (q *Queue) Take(it *Item) {
+	s := q.share(it.Priority)
+	s.virtual = max(s.virtual, it.flow.start)
+	it.flow.start += float64(it.Tokens) / weight(it.Weight)
+	q.Remove(it)
+}
+
+// Settle corrects the charge of a taken item once its real cost is known.
+func (q *Queue) Settle(it *Item, tokens uint64) {
+	it.flow.start += (float64(tokens) - float64(it.Tokens)) / weight(it.Weight)
+}
+
+func weight(w uint32) float64 { return float64(max(1, w)) }
+
+// Remove takes an item out without charging it, for example because its caller
+// left.
+func (q *Queue) Remove(it *Item) {
+	q.share(it.Priority).waiting--
+	it.flow.arrivals.Remove(it.element)
+	heap.Remove(&q.expiry, it.expiry)
+	levels := q.classes[it.Class]
+	i := slices.IndexFunc(levels, func(l *level) bool { return l.priority == it.Priority })
+	lv := levels[i]
+	k := slices.IndexFunc(lv.lanes, func(l *lane) bool { return l.flow == it.flow })
+	heap.Remove(&lv.lanes[k].items, it.order)
+	if len(lv.lanes[k].items) > 0 {
+		return
+	}
+	lv.lanes = slices.Delete(lv.lanes, k, k+1)
+	if len(lv.lanes) > 0 {
+		return
+	}
+	q.classes[it.Class] = slices.Delete(levels, i, i+1)
+	if len(q.classes[it.Class]) == 0 {
+		delete(q.classes, it.Class)
+	}
+}
+
+// Expire removes and returns the items that can no longer meet their deadline.
+func (q *Queue) Expire(now time.Duration) []*Item {
+	var out []*Item
+	for len(q.expiry) > 0 && q.expiry[0].LatestStart < now {
+		it := q.expiry[0]
+		q.Remove(it)
+		out = append(out, it)
+	}
+	return out
+}
+
+// itemHeap orders the items of one lane by latest start.
+type itemHeap []*Item
+
+func (h itemHeap) Len() int { return len(h) }
+func (h itemHeap) Less(i, j int) bool {
+	if h[i].LatestStart != h[j].LatestStart {
+		return h[i].LatestStart < h[j].LatestStart
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h itemHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].order, h[j].order = i, j
+}
+
+func (h *itemHeap) Push(x any) {
+	it := x.(*Item)
+	it.order = len(*h)
+	*h = append(*h, it)
+}
+
+func (h *itemHeap) Pop() any {
+	last := len(*h) - 1
+	it := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return it
+}
+
+// expiryHeap orders all items by latest start.
+type expiryHeap []*Item
+
+func (h expiryHeap) Len() int { return len(h) }
+func (h expiryHeap) Less(i, j int) bool {
+	if h[i].LatestStart != h[j].LatestStart {
+		return h[i].LatestStart < h[j].LatestStart
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].expiry, h[j].expiry = i, j
+}
+
+func (h *expiryHeap) Push(x any) {
+	it := x.(*Item)
+	it.expiry = len(*h)
+	*h = append(*h, it)
+}
+
+func (h *expiryHeap) Pop() any {
+	last := len(*h) - 1
+	it := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return it
+}
--- /dev/null
+++ b/internal/coordination/entry/admit.go
@@ -0,0 +1,178 @@
+package entry
+
+import (
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/coordination/quarantine"
+	"github.com/radishloom/radishloom/internal/coordination/routing"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// admit checks a request and counts it in. An error means that it was not
+// counted in and nothing was sent.
+func (s *Server) admit(r *Request) (*call, error) {
+	if s.draining.Load() {
+		return nil, resultcode.New(resultcode.Draining, "this VM takes no new requests")
+	}
+	c, err := s.resolve(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.judge(c); err != nil {
+		return nil, err
+	}
+	code := s.schedule.enter(c.customerName(), int(c.customer.GetMaxOpenRequests()))
+	if code != resultcode.OK {
+		e := resultcode.New(code, "too many open requests at this VM")
+		e.RetryAfter = time.Second
+		return nil, e
+	}
+	return c, nil
+}
+
+// resolve authenticates the request and finds its route, profile and group.
+func (s *Server) resolve(r *Request) (*call, error) {
+	index := s.replica.Index()
+	if index == nil {
+		return nil, resultcode.New(resultcode.NoFreshState, "no configuration received yet")
+	}
+	if s.configured.Load() < index.Version() {
+		s.reconfigure()
+	}
+	if r.Route == nil {
+		return nil, resultcode.New(resultcode.NoRoute, "the request has no route")
+	}
+	c := &call{Request: r, index: index, arrived: s.now(), withdrawn: make(chan struct{})}
+	c.route = index.Route(r.Route.Name)
+	if c.route == nil {
+		return nil, resultcode.New(resultcode.NoRoute, "route %q was removed", r.Route.Name)
+	}
+	if err := s.authenticate(c); err != nil {
+		return nil, err
+	}
+	c.profile = index.Profile(c.route.Profile)
+	if c.profile == nil {
+		c.profile = &statev1.Profile{}
+	}
+	deadline := time.Duration(c.profile.DeadlineMs) * time.Millisecond
+	if deadline == 0 {
+		deadline = defaultDeadline
+	}
+	c.deadline = c.arrived + deadline
+	return c, c.target()
+}
+
+// target finds the group of endpoints.
+func (c *call) target() error {
+	if !c.route.Idempotent && c.route.RequireIdempotencyKey && c.IdempotencyKey == "" {
+		return resultcode.New(resultcode.IdempotencyKeyRequired, "route %q needs an idempotency key", c.route.Name)
+	}
+	if !c.model() {
+		c.pool, c.group = "service:"+c.route.Pool, "service:"+c.route.Pool
+		return nil
+	}
+	if c.PromptTokens < 0 || c.MaxTokens < 0 {
+		return resultcode.New(resultcode.BadRequest, "token counts must not be negative")
+	}
+	c.pool, c.group = modelPool, modelGroup(c.route.Model)
+	if c.Model != "" && c.Model != c.route.Model {
+		m := c.index.Model(c.route.Model)
+		if m == nil || !slices.Contains(m.Adapters, c.Model) {
+			return resultcode.New(resultcode.ModelUnknown, "route %q serves no model %q", c.route.Name, c.Model)
+		}
+		c.adapter = c.Model
+	}
+	c.prefixes = routing.Prefixes(c.Body)
+	return nil
+}
+
+func modelGroup(model string) string { return "model:" + model }
+
+func (s *Server) authenticate(c *call) error {
+	if c.route.Open {
+		return nil
+	}
+	if !s.replica.Fresh() {
+		return resultcode.New(resultcode.NoFreshState, "the freshness lease has expired")
+	}
+	if c.Key == "" {
+		return resultcode.New(resultcode.KeyMissing, "route %q needs a key", c.route.Name)
+	}
+	key, ok := c.index.Authenticate(c.Key)
+	if !ok {
+		return resultcode.New(resultcode.KeyUnknown, "the key is not known")
+	}
+	c.customer = c.index.Customer(key.Customer)
+	if c.customer == nil {
+		return resultcode.New(resultcode.KeyUnknown, "the key's customer is not configured")
+	}
+	return nil
+}
+
+// recheck repeats the checks of admission right before a send.
+func (s *Server) recheck(c *call) error {
+	if c.route.Open || s.faults.skipRecheck {
+		return nil
+	}
+	if !s.replica.Fresh() {
+		return resultcode.New(resultcode.NoFreshState, "the freshness lease has expired")
+	}
+	if !s.keyValid(c, s.replica.Index()) {
+		return resultcode.New(resultcode.KeyWithdrawn, "the key was withdrawn")
+	}
+	return nil
+}
+
+// keyValid says whether the key still belongs to the customer it was admitted
+// for.
+func (s *Server) keyValid(c *call, index Index) bool {
+	if index == nil {
+		return false
+	}
+	key, ok := index.Authenticate(c.Key)
+	return ok && key.Customer == c.customer.Name
+}
+
+// judge refuses requests that crashed endpoints.
+func (s *Server) judge(c *call) error {
+	name := c.route.Name
+	if !c.model() {
+		// Without a body, different reads of a service would look alike.
+		name = strings.Join([]string{name, c.Method, c.Path, c.RawQuery}, "\x00")
+	}
+	c.fingerprint = quarantine.FingerprintOf(c.customerName(), name, c.Body)
+	s.suspects.mu.Lock()
+	c.verdict = s.suspects.tracker.Judge(c.fingerprint)
+	s.suspects.mu.Unlock()
+	if c.verdict == quarantine.Refused {
+		return resultcode.New(resultcode.RequestCrashes, "endpoints died while they ran this request")
+	}
+	return nil
+}
+
+func containsFold(list []string, name string) bool {
+	return slices.ContainsFunc(list, func(s string) bool { return strings.EqualFold(s, name) })
+}
+
+// cleanQuery removes parameters by their decoded name and leaves the others as
+// they were sent.
+func cleanQuery(raw string, names []string) string {
+	if raw == "" || len(names) == 0 {
+		return raw
+	}
+	var kept []string
+	for part := range strings.SplitSeq(raw, "&") {
+		name, _, _ := strings.Cut(part, "=")
+		if decoded, err := url.QueryUnescape(name); err == nil {
+			name = decoded
+		}
+		if !slices.Contains(names, name) {
+			kept = append(kept, part)
+		}
+	}
+	return strings.Join(kept, "&")
+}
--- a/internal/coordination/entry/serve.go
+++ b/internal/coordination/entry/serve.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
-	"github.com/radishloom/radishloom/internal/coordination/engine"
+	"github.com/radishloom/radishloom/internal/coordination/quarantine"
+	"github.com/radishloom/radishloom/internal/coordination/quota"
+	"github.com/radishloom/radishloom/internal/coordination/retry"
+	"github.com/radishloom/radishloom/internal/coordination/routing"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
@@ -18,6 +21,9 @@
 	defaultDeadline = 60 * time.Second
 	// defaultSilence bounds the silence of an endpoint if the profile does not.
 	defaultSilence = 10 * time.Second
+	// maxRun bounds a non-idempotent call, which neither its caller nor its
+	// deadline cancels. The bound on silence normally ends it far earlier.
+	maxRun = 10 * time.Minute
 )
 
 // call is one request on its way.
@@ -27,263 +33,314 @@
 	route    *statev1.Route
 	profile  *statev1.Profile
 	customer *statev1.Customer // nil on open routes
+	arrived  time.Duration
 	deadline time.Duration
-	held     uint64
-	charged  uint64
+	pool     string // queue
+	group    string // model or service pool
+	adapter  string
+	prefixes []uint64
+
+	fingerprint quarantine.Fingerprint
+	verdict     quarantine.Verdict
+	hold        quota.Hold
+	claim       *claim
+	record      *recording
+	exclude     []string
+	retries     int
+	// uncertain is the failure of an attempt that may have run. A later refusal
+	// of the same request must not say "not run".
+	uncertain *resultcode.Error
+	started   bool // a part of the answer was passed to the ResponseWriter
+	// withdrawn is closed when the key of an open stream was withdrawn.
+	withdrawn chan struct{}
+}
+
+func (c *call) customerName() string {
+	if c.customer == nil {
+		return ""
+	}
+	return c.customer.Name
+}
+
+func (c *call) model() bool { return c.route.Kind == statev1.RouteKind_ROUTE_KIND_MODEL }
+
+func (c *call) silence() time.Duration {
+	if c.profile.SilenceMs == 0 {
+		return defaultSilence
+	}
+	return time.Duration(c.profile.SilenceMs) * time.Millisecond
 }
 
 // Serve returns nil when the whole answer was written, else a
 // *resultcode.Error. Before Start nothing was written.
 func (s *Server) Serve(ctx context.Context, r *Request, w ResponseWriter) error {
 	s.open.Add(1)
-	defer s.open.Add(-1)
-	if s.draining.Load() {
-		return resultcode.New(resultcode.Draining, "this VM takes no new requests")
-	}
-	c, err := s.prepare(r)
+	c, err := s.admit(r)
 	if err != nil {
+		s.open.Add(-1)
+		s.refused(r, "", err)
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.deadline-s.now())
-	defer cancel()
-	if err := s.hold(ctx, c); err != nil {
-		return err
+	if c.route.Idempotent || s.faults.cancelClaimed {
+		err = s.run(ctx, c, w)
+		s.leave(c)
+	} else {
+		err = s.detachable(ctx, c, w)
 	}
-	defer s.releaseHold(c)
-	return s.run(ctx, c, w)
+	if err != nil {
+		s.refused(r, c.customerName(), err)
+		return refusal(err)
+	}
+	s.observer.Served(c.route.Name, c.customerName(), s.now()-c.arrived, c.hold.Charged)
+	return nil
 }
 
-// prepare authenticates the request and resolves its route and profile.
-func (s *Server) prepare(r *Request) (*call, error) {
-	index := s.replica.Index()
-	if index == nil {
-		return nil, resultcode.New(resultcode.NoFreshState, "no configuration received yet")
+func (s *Server) refused(r *Request, customer string, err error) {
+	route := ""
+	if r.Route != nil {
+		route = r.Route.Name
 	}
-	if r.Route == nil {
-		return nil, resultcode.New(resultcode.NoRoute, "the request has no route")
-	}
-	c := &call{Request: r, index: index, route: index.Route(r.Route.Name)}
-	if c.route == nil {
-		return nil, resultcode.New(resultcode.NoRoute, "route %q was removed", r.Route.Name)
-	}
-	if err := s.authenticate(c); err != nil {
-		return nil, err
-	}
-	c.profile = index.Profile(c.route.Profile)
-	if c.profile == nil {
-		c.profile = &statev1.Profile{}
-	}
-	deadline := time.Duration(c.profile.DeadlineMs) * time.Millisecond
-	if deadline == 0 {
-		deadline = defaultDeadline
-	}
-	c.deadline = s.now() + deadline
-	return c, nil
+	s.observer.Refused(route, customer, resultcode.Of(err))
 }
 
-func (s *Server) authenticate(c *call) error {
-	if c.route.Open {
-		return nil
-	}
-	if !s.replica.Fresh() {
-		return resultcode.New(resultcode.NoFreshState, "the freshness lease has expired")
+// leave undoes admit.
+func (s *Server) leave(c *call) {
+	if c.hold.Tokens > 0 {
+		s.tokens.release(c.customerName(), &c.hold)
 	}
-	if c.Key == "" {
-		return resultcode.New(resultcode.KeyMissing, "route %q needs a key", c.route.Name)
-	}
-	key, ok := c.index.Authenticate(c.Key)
-	if !ok {
-		return resultcode.New(resultcode.KeyUnknown, "the key is not known")
-	}
-	c.customer = c.index.Customer(key.Customer)
-	if c.customer == nil {
-		return resultcode.New(resultcode.KeyUnknown, "the key's customer is not configured")
-	}
-	return nil
+	s.schedule.leave(c.customerName())
+	s.open.Add(-1)
 }
 
-// hold reserves the tokens of a model request.
-func (s *Server) hold(ctx context.Context, c *call) error {
-	if c.customer == nil || c.route.Kind != statev1.RouteKind_ROUTE_KIND_MODEL {
-		return nil
-	}
-	need := uint64(c.PromptTokens + c.MaxTokens)
-	if need > c.customer.BurstTokens {
-		return resultcode.New(resultcode.LargerThanBurst, "%d tokens exceed the burst of %d", need, c.customer.BurstTokens)
-	}
-	for {
-		arrived := s.replica.TokensArrived()
-		if s.replica.Hold(c.customer.Name, need) {
-			c.held = need
-			return nil
-		}
-		s.replica.Want(c.customer.Name, need)
-		select {
-		case <-arrived:
-		case <-ctx.Done():
-			return resultcode.New(resultcode.RateExceeded, "no tokens before the deadline")
+// detachable runs a non-idempotent call on its own goroutine, so that it runs
+// to its end and its claim is finished when the caller leaves.
+func (s *Server) detachable(ctx context.Context, c *call, w ResponseWriter) error {
+	out := &relay{w: w}
+	done := make(chan error, 1)
+	go func() {
+		err := s.run(ctx, c, out)
+		s.leave(c)
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		if err == nil && out.detach() {
+			return resultcode.New(resultcode.CallerGone, "the caller stopped reading")
 		}
+		return err
+	case <-ctx.Done():
+		out.detach()
+		return resultcode.Wrap(resultcode.CallerGone, ctx.Err(), "the caller left")
+	case <-c.withdrawn:
+		out.detach()
+		return resultcode.New(resultcode.KeyWithdrawnMidStream, "the key was withdrawn")
 	}
 }
 
-func (s *Server) releaseHold(c *call) {
-	if c.held > 0 {
-		s.replica.Release(c.customer.Name, c.held, c.charged)
-	}
+// relay passes an answer on until its caller is gone. Its methods never fail,
+// so that the call behind it goes on.
+type relay struct {
+	mu   sync.Mutex
+	w    ResponseWriter
+	gone bool
 }
 
-// charge turns held tokens into spent ones, never more than were held.
-func (s *Server) charge(c *call, tokens uint64) {
-	tokens = min(tokens, c.held-c.charged)
-	if tokens == 0 {
-		return
-	}
-	c.charged += tokens
-	s.replica.Charge(c.customer.Name, tokens)
+// detach stops the relay; it reports whether the caller was gone before.
+func (r *relay) detach() (gone bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	gone, r.gone = r.gone, true
+	return gone
 }
 
-func (s *Server) candidates(c *call) []*statev1.Endpoint {
-	if c.route.Kind == statev1.RouteKind_ROUTE_KIND_SERVICE {
-		return c.index.Pool(c.route.Pool)
-	}
-	residency := s.replica.Residency()
-	var out []*statev1.Endpoint
-	for _, e := range c.index.Engines() {
-		ready := e.PinnedModels
-		if r := residency[e.Name]; r != nil {
-			ready = r.ReadyModels
-		}
-		if slices.Contains(ready, c.route.Model) {
-			out = append(out, e)
-		}
+func (r *relay) do(f func() error) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.gone && f() != nil {
+		r.gone = true
 	}
-	return out
+	return nil
+}
+
+// Start implements ResponseWriter.
+func (r *relay) Start(status int, header http.Header) error {
+	return r.do(func() error { return r.w.Start(status, header) })
 }
 
+// Event implements ResponseWriter.
+func (r *relay) Event(data []byte) error {
+	return r.do(func() error { return r.w.Event(data) })
+}
+
+// Write implements ResponseWriter.
+func (r *relay) Write(p []byte) error {
+	return r.do(func() error { return r.w.Write(p) })
+}
+
+// run takes an admitted request to its answer. ctx is the caller's.
 func (s *Server) run(ctx context.Context, c *call, w ResponseWriter) error {
-	chosen, err := s.schedule.acquire(ctx, s.candidates(c))
-	if err != nil {
-		return err
+	ctx, cancel := context.WithTimeout(ctx, c.deadline-s.now())
+	defer cancel()
+	if !c.route.Idempotent && c.IdempotencyKey != "" {
+		stored, err := s.beginClaim(ctx, c)
+		if err != nil {
+			return err
+		}
+		if stored != nil {
+			return s.replay(c, stored, w)
+		}
+		c.record = &recording{}
 	}
-	defer s.schedule.release(chosen.Name)
-	if err := s.recheck(c); err != nil {
-		return err
+	err := s.holdTokens(ctx, c)
+	if err == nil {
+		err = s.attempts(ctx, c, w)
 	}
-	to := engine.Target{Name: chosen.Name, Address: chosen.Address}
+	s.settleClaim(c, err)
+	return err
+}
+
+func (s *Server) replay(c *call, a *statev1.StoredAnswer, w ResponseWriter) error {
+	s.observer.Replayed(c.route.Name)
+	return replay(a, w)
+}
+
+// settleClaim ends the claim as the request ended, unless that was done.
+func (s *Server) settleClaim(c *call, err error) {
 	switch {
-	case c.route.Kind == statev1.RouteKind_ROUTE_KIND_SERVICE:
-		return s.service(ctx, c, to, w)
-	case c.Stream:
-		return s.stream(ctx, c, to, w)
+	case c.claim == nil:
+	case err == nil:
+		s.endClaim(c, statev1.ClaimOutcome_CLAIM_OUTCOME_RAN, c.record.answer())
+	case c.uncertain == nil && c.claimNotRun(err):
+		s.endClaim(c, statev1.ClaimOutcome_CLAIM_OUTCOME_NOT_RUN, nil)
 	default:
-		return s.whole(ctx, c, to, w)
+		s.endClaim(c, statev1.ClaimOutcome_CLAIM_OUTCOME_MAY_HAVE_RUN, nil)
 	}
 }
 
-// recheck repeats the checks of admission right before a send.
-func (s *Server) recheck(c *call) error {
-	if c.route.Open {
+// claimNotRun is true only if no attempt can have run: every failure after a
+// send whose code does not say so is kept in uncertain.
+func (c *call) claimNotRun(err error) bool {
+	code := resultcode.Of(err)
+	return code.Info().Run == resultcode.NotRun || code == resultcode.CallerGone
+}
+
+func (s *Server) holdTokens(ctx context.Context, c *call) error {
+	need := uint64(c.PromptTokens + c.MaxTokens)
+	if c.customer == nil || !c.model() || need == 0 {
 		return nil
 	}
-	if !s.replica.Fresh() {
-		return resultcode.New(resultcode.NoFreshState, "the freshness lease has expired")
-	}
-	key, ok := s.replica.Index().Authenticate(c.Key)
-	if !ok || key.Customer != c.customer.Name {
-		return resultcode.New(resultcode.KeyWithdrawn, "the key was withdrawn")
+	began := s.now()
+	until := c.deadline - s.leastTime(c)
+	if err := s.tokens.hold(ctx, c.customer, c.profile.Priority, need, until); err != nil {
+		return err
 	}
+	c.hold.Tokens = need
+	s.observer.TokensWaited(c.customer.Name, s.now()-began)
 	return nil
 }
 
-func (c *call) silence() time.Duration {
-	if c.profile.SilenceMs == 0 {
-		return defaultSilence
+// charge turns held tokens into spent ones.
+func (s *Server) charge(c *call, tokens uint64) {
+	if n := c.hold.Charge(tokens); n > 0 {
+		s.replica.Charge(c.customer.Name, n)
 	}
-	return time.Duration(c.profile.SilenceMs) * time.Millisecond
 }
 
-func (c *call) engineRequest() engine.Request {
-	return engine.Request{
-		ID: c.ID, Path: c.Path, Body: c.Body, Priority: c.profile.Priority, Stream: c.Stream,
-		Silence: c.silence(), FreshConnection: !c.route.Idempotent,
-	}
+// leastTime is the estimate of the route, but never more than three quarters
+// of the deadline: otherwise a slow time would refuse every later request, and
+// nothing would be measured any more.
+func (s *Server) leastTime(c *call) time.Duration {
+	return min(s.schedule.leastTime(c.route.Name), (c.deadline-c.arrived)*3/4)
 }
 
-func (s *Server) whole(ctx context.Context, c *call, to engine.Target, w ResponseWriter) error {
-	answer, err := s.config.Engine.Do(ctx, to, c.engineRequest())
-	if err != nil {
-		return refusal(err)
-	}
-	if answer.Tokens > 0 {
-		s.charge(c, uint64(answer.Tokens))
-	} else {
-		s.charge(c, c.held)
-	}
-	if err := w.Start(answer.Status, answer.Header); err != nil {
-		return callerGone(err)
-	}
-	if err := w.Write(answer.Body); err != nil {
-		return callerGone(err)
-	}
-	return nil
-}
-
-func (s *Server) stream(ctx context.Context, c *call, to engine.Target, w ResponseWriter) error {
-	stream, err := s.config.Engine.Open(ctx, to, c.engineRequest())
-	if err != nil {
-		return refusal(err)
-	}
-	defer stream.Close()
-	started := false
+// attempts sends the request until it is answered or retries do not help.
+func (s *Server) attempts(ctx context.Context, c *call, w ResponseWriter) error {
+	key := retry.Key{Customer: c.customerName(), Pool: c.group}
+	s.retries.mu.Lock()
+	s.retries.decider.Request(s.now(), key)
+	s.retries.mu.Unlock()
+	s.demand.add(c, 1, 0)
 	for {
-		event, err := stream.Next(ctx)
+		wait := s.waiterFor(c)
+		began := s.now()
+		ticket, err := s.schedule.acquire(ctx, wait)
+		s.observer.Queued(c.route.Name, s.now()-began)
 		if err != nil {
-			return refusal(err)
+			return c.final(s, err)
 		}
-		if !started {
-			started = true
-			s.charge(c, uint64(c.PromptTokens))
-			if err := w.Start(http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}}); err != nil {
-				return callerGone(err)
-			}
-		}
-		s.charge(c, uint64(event.Tokens))
-		if event.Final {
+		err = s.attempt(ctx, c, w, wait, ticket)
+		if err == nil {
 			return nil
 		}
-		if err := w.Event(event.Data); err != nil {
-			return callerGone(err)
+		if !s.again(ctx, c, key, ticket.Endpoint, &err) {
+			return c.final(s, err)
 		}
 	}
 }
 
-func (s *Server) service(ctx context.Context, c *call, to engine.Target, w ResponseWriter) error {
-	answer, err := s.config.Service.Do(ctx, to, engine.ServiceRequest{
-		ID: c.ID, Method: c.Method, Path: c.Path, RawQuery: c.RawQuery, Header: c.Header, Body: c.Body,
-		Silence: c.silence(), FreshConnection: !c.route.Idempotent,
-	})
-	if err != nil {
-		return refusal(err)
-	}
-	defer answer.Body.Close()
-	if err := w.Start(answer.Status, answer.Header); err != nil {
-		return callerGone(err)
+// final returns the error of the caller: an attempt that may have run weighs
+// more than a later refusal.
+func (c *call) final(s *Server, err error) error {
+	if c.uncertain != nil && !s.faults.forgetUncertain && resultcode.Of(err).Info().Run == resultcode.NotRun {
+		return c.uncertain
 	}
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := answer.Body.Read(buffer)
-		if n > 0 {
-			if err := w.Write(buffer[:n]); err != nil {
-				return callerGone(err)
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return refusal(err)
+	return err
+}
+
+// again waits for a retry if there is to be one; else it sets the code of the
+// refusal.
+func (s *Server) again(ctx context.Context, c *call, key retry.Key, endpoint string, err *error) bool {
+	code := resultcode.Of(*err)
+	a := retry.Attempt{
+		Code: code, Idempotent: c.route.Idempotent, Keyed: c.claim != nil,
+		Started: c.started, Retries: c.retries, Deadline: c.deadline,
+	}
+	exclude := append(c.exclude, endpoint)
+	if !retry.Eligible(a) || !s.schedule.another(c.group, exclude) {
+		return false
+	}
+	s.retries.mu.Lock()
+	d := s.retries.decider.Decide(s.now(), key, a)
+	s.retries.mu.Unlock()
+	if d.SpentBudget {
+		s.observer.RetryDenied(c.route.Name, code)
+	}
+	if !d.Again {
+		if d.Code != code {
+			*err = resultcode.Wrap(d.Code, *err, "no retry: the retry budget is used up")
 		}
+		return false
+	}
+	select {
+	case <-time.After(d.Pause):
+	case <-ctx.Done():
+		return false
 	}
+	s.observer.Retried(c.route.Name, code)
+	c.exclude = exclude
+	c.retries++
+	return true
+}
+
+// waiterFor describes the request to the scheduler.
+func (s *Server) waiterFor(c *call) *waiter {
+	w := &waiter{pool: c.pool}
+	w.query = routing.Query{
+		Group: c.group, Adapter: c.adapter, Prefixes: c.prefixes, Exclude: c.exclude,
+		Alone: c.verdict == quarantine.Alone, MayProbe: c.route.Idempotent,
+	}
+	w.item.Class = c.group + "\x00" + c.adapter
+	if w.query.Alone || len(c.exclude) > 0 || !c.route.Idempotent {
+		// Requests with conditions of their own must not block others behind
+		// them, so they get their own class.
+		w.item.Class = s.unique()
+	}
+	w.item.Customer = c.customerName()
+	w.item.Weight = c.customer.GetWeight()
+	w.item.Priority = c.profile.Priority
+	w.item.Tokens = uint64(max(1, c.PromptTokens+c.MaxTokens))
+	w.item.LatestStart = c.deadline - s.leastTime(c)
+	return w
 }
 
 // refusal returns err as a *resultcode.Error.
@@ -298,3 +355,34 @@
 func callerGone(err error) error {
 	return resultcode.Wrap(resultcode.CallerGone, err, "the caller stopped reading")
 }
+
+// clean removes every key source of the route once more from what a service
+// will see; the protocol layer did it already.
+func clean(c *call) (query string, header http.Header) {
+	header = c.Header.Clone()
+	header.Del("Authorization")
+	for _, name := range c.route.KeyHeaders {
+		header.Del(name)
+	}
+	if len(c.route.KeyCookies) > 0 {
+		cleanCookies(header, c.route.KeyCookies)
+	}
+	return cleanQuery(c.RawQuery, c.route.KeyQueryParams), header
+}
+
+func cleanCookies(header http.Header, names []string) {
+	var kept []string
+	for _, line := range header.Values("Cookie") {
+		for part := range strings.SplitSeq(line, ";") {
+			part = strings.TrimSpace(part)
+			name, _, _ := strings.Cut(part, "=")
+			if part != "" && !containsFold(names, name) {
+				kept = append(kept, part)
+			}
+		}
+	}
+	header.Del("Cookie")
+	if len(kept) > 0 {
+		header.Set("Cookie", strings.Join(kept, "; "))
+	}
+}
--- /dev/null
+++ b/internal/coordination/entry/stream.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/radishloom/radishloom/internal/coordination/engine"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+const (
+	// maxResumes bounds the resumes of a stream without an event in between.
+	maxResumes  = 2
+	resumePause = 20 * time.Millisecond
+)
+
+// streams are the open streams of keyed requests, so that they can be ended
+// when their key is withdrawn.
+type streams struct {
+	mu   sync.Mutex
+	open map[*call]context.CancelCauseFunc
+}
+
+func (s *streams) add(c *call, cancel context.CancelCauseFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[c] = cancel
+}
+
+func (s *streams) remove(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+// endWithdrawn ends the streams whose key the index no longer knows.
+func (s *Server) endWithdrawn(index Index) {
+	s.streams.mu.Lock()
+	var ended []*call
+	for c, cancel := range s.streams.open {
+		if s.keyValid(c, index) {
+			continue
+		}
+		ended = append(ended, c)
+		if c.route.Idempotent {
+			cancel(resultcode.New(resultcode.KeyWithdrawnMidStream, "the key was withdrawn"))
+		} else {
+			close(c.withdrawn) // the call itself runs to its end
+		}
+	}
+	for _, c := range ended {
+		delete(s.streams.open, c)
+	}
+	s.streams.mu.Unlock()
+}
+
+// reader follows one streamed answer over any number of connections.
+type reader struct {
+	s       *Server
+	c       *call
+	a       *attempt
+	request engine.Request
+	stream  engine.Stream
+	next    int // number of the next event
+	resumes int // since the last event
+	last    time.Duration
+}
+
+func (s *Server) sendStream(ctx context.Context, c *call, w ResponseWriter, a *attempt) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if c.customer != nil {
+		s.streams.add(c, cancel)
+		defer s.streams.remove(c)
+	}
+	r := &reader{s: s, c: c, a: a, request: s.engineRequest(c, a)}
+	var err error
+	r.stream, err = s.config.Engine.Open(ctx, a.to, r.request)
+	if err != nil {
+		return cancelled(ctx, err)
+	}
+	defer func() { _ = r.stream.Close() }()
+	err = r.copy(ctx, w)
+	if err != nil && !c.started {
+		// The engine has read the prompt, as far as is known.
+		s.charge(c, promptLeft(c))
+	}
+	return err
+}
+
+// copy passes events on until the final one.
+func (r *reader) copy(ctx context.Context, w ResponseWriter) error {
+	for {
+		event, err := r.read(ctx)
+		if err != nil {
+			if err = r.resume(ctx, cancelled(ctx, err)); err != nil {
+				return err
+			}
+			continue
+		}
+		if event.Seq < r.next && !event.Final && !r.s.faults.blindResume {
+			continue // repeated after a resume
+		}
+		if err := r.pass(w, event); err != nil {
+			return err
+		}
+		if event.Final {
+			return nil
+		}
+	}
+}
+
+// read returns the next event; a gap in the numbers is a broken stream.
+func (r *reader) read(ctx context.Context) (engine.Event, error) {
+	event, err := r.stream.Next(ctx)
+	if errors.Is(err, io.EOF) {
+		return event, resultcode.New(resultcode.AnswerIncomplete, "the stream ended without its end marker")
+	}
+	if err == nil && event.Seq > r.next {
+		return event, resultcode.New(resultcode.StreamBroken, "event %d came in place of event %d", event.Seq, r.next)
+	}
+	return event, err
+}
+
+func (r *reader) pass(w ResponseWriter, event engine.Event) error {
+	s, c := r.s, r.c
+	now := s.now()
+	if !c.started {
+		c.started = true
+		s.answering(c, r.a)
+		s.charge(c, promptLeft(c))
+		header := http.Header{"Content-Type": {"text/event-stream"}}
+		if c.record != nil {
+			c.record.status, c.record.header, c.record.events = http.StatusOK, header, true
+		}
+		if err := w.Start(http.StatusOK, header); err != nil {
+			return callerGone(err)
+		}
+	} else {
+		s.observer.TokenGap(c.route.Name, now-r.last)
+	}
+	r.last = now
+	r.resumes = 0
+	s.charge(c, uint64(max(0, event.Tokens)))
+	s.demand.add(c, 0, uint64(max(0, event.Tokens)))
+	if event.Final {
+		return nil
+	}
+	r.next++
+	if c.record != nil {
+		c.record.event(event.Data)
+	}
+	if err := w.Event(event.Data); err != nil {
+		return callerGone(err)
+	}
+	return nil
+}
+
+// resume opens a new connection to the same endpoint at the next event. If
+// nothing was received yet, there is nothing to resume and the error stands:
+// the retry rules decide. Otherwise a failure is StreamBroken.
+func (r *reader) resume(ctx context.Context, cause error) error {
+	if !resumable(cause) || r.next == 0 || ctx.Err() != nil {
+		return cause
+	}
+	_ = r.stream.Close()
+	for r.resumes < maxResumes {
+		r.resumes++
+		if err := r.s.recheck(r.c); resultcode.Of(err) == resultcode.KeyWithdrawn {
+			return resultcode.New(resultcode.KeyWithdrawnMidStream, "the key was withdrawn")
+		} else if err != nil {
+			return resultcode.Wrap(resultcode.StreamBroken, err, "the stream broke and the key cannot be checked")
+		}
+		request := r.request
+		request.ResumeFrom = r.next
+		request.FreshConnection = true
+		stream, err := r.s.config.Engine.Open(ctx, r.a.to, request)
+		if err == nil {
+			r.stream = stream
+			r.s.observer.Resumed(r.c.route.Name, true)
+			return nil
+		}
+		if ctx.Err() != nil {
+			return cancelled(ctx, err)
+		}
+		select {
+		case <-time.After(resumePause):
+		case <-ctx.Done():
+			return cancelled(ctx, cause)
+		}
+	}
+	r.s.observer.Resumed(r.c.route.Name, false)
+	return resultcode.Wrap(resultcode.StreamBroken, cause, "the stream broke after %d events and could not be resumed", r.next)
+}
+
+func resumable(err error) bool {
+	switch resultcode.Of(err) {
+	case resultcode.EndpointLost, resultcode.EndpointSilent, resultcode.AnswerIncomplete,
+		resultcode.AnswerMismatch, resultcode.StreamBroken:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/coordination/retry/retry.go
@@ -0,0 +1,169 @@
+// Package retry decides whether a failed attempt is sent again, and keeps the
+// retry budgets.
+//
+// It is deterministic and not safe for concurrent use. Times are durations
+// since the start of the process.
+package retry
+
+import (
+	"time"
+
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+const (
+	// MaxRetries bounds the retries of one request.
+	MaxRetries = 2
+	// budgetPercent and budgetBase bound the retries of a customer and pool to
+	// a tenth of its recent requests plus ten, so that a failing pool sees at
+	// most 10% more load.
+	budgetPercent = 10
+	budgetBase    = 10
+	// window is how long a request or retry counts. Without an end, a long calm
+	// time would save up budget for a retry storm.
+	window   = 20 * time.Second
+	buckets  = 10
+	minPause = 10 * time.Millisecond
+	maxPause = 50 * time.Millisecond
+)
+
+// Key names a budget.
+type Key struct {
+	Customer string
+	Pool     string
+}
+
+// Attempt describes a failed attempt.
+type Attempt struct {
+	Code resultcode.Code
+	// Idempotent routes may be retried whatever the failure.
+	Idempotent bool
+	// Keyed says that a claim protects the request.
+	Keyed bool
+	// Started says that a part of the answer reached the caller.
+	Started bool
+	// Retries is how many retries the request had.
+	Retries  int
+	Deadline time.Duration
+}
+
+// Decision is what to do after a failed attempt. If Again is false, Code is
+// the code that the caller gets.
+type Decision struct {
+	Again bool
+	Pause time.Duration
+	Code  resultcode.Code
+	// SpentBudget says that only the budget stood against a retry.
+	SpentBudget bool
+}
+
+// Decider makes retry decisions.
+type Decider struct {
+	rand    func(n int) int
+	budgets map[Key]*budget
+
+	// unlimited ignores the budgets. Tests set it to show that they detect it.
+	unlimited bool
+}
+
+// budget counts requests and retries in buckets of the window.
+type budget struct {
+	bucket   int64 // number of the newest bucket
+	requests [buckets]int
+	retries  [buckets]int
+}
+
+// New returns a Decider that draws jitter from rand(n), a number below n.
+func New(rand func(n int) int) *Decider {
+	return &Decider{rand: rand, budgets: make(map[Key]*budget)}
+}
+
+// Request counts a new request towards its budget.
+func (d *Decider) Request(now time.Duration, k Key) {
+	b := d.budget(now, k)
+	b.requests[b.bucket%buckets]++
+}
+
+func (d *Decider) budget(now time.Duration, k Key) *budget {
+	b := d.budgets[k]
+	if b == nil {
+		b = &budget{}
+		d.budgets[k] = b
+	}
+	b.advance(int64(now / (window / buckets)))
+	return b
+}
+
+// advance empties the buckets that have left the window.
+func (b *budget) advance(bucket int64) {
+	for n := min(bucket-b.bucket, buckets); n > 0; n-- {
+		b.bucket++
+		b.requests[b.bucket%buckets] = 0
+		b.retries[b.bucket%buckets] = 0
+	}
+	if bucket > b.bucket {
+		b.requests, b.retries = [buckets]int{}, [buckets]int{}
+		b.bucket = bucket
+	}
+}
+
+func (b *budget) spend() bool {
+	requests, retries := 0, 0
+	for i := range buckets {
+		requests += b.requests[i]
+		retries += b.retries[i]
+	}
+	if retries >= budgetBase+requests*budgetPercent/100 {
+		return false
+	}
+	b.retries[b.bucket%buckets]++
+	return true
+}
+
+// Eligible says whether an attempt may be sent again at all, budgets aside.
+func Eligible(a Attempt) bool {
+	if a.Started || a.Retries >= MaxRetries {
+		return false
+	}
+	switch a.Code {
+	case resultcode.EndpointSilentNotRun:
+		return true
+	case resultcode.EndpointRefused:
+		return a.Idempotent || a.Keyed
+	case resultcode.EndpointLost, resultcode.EndpointSilent, resultcode.AnswerIncomplete,
+		resultcode.AnswerMismatch, resultcode.StreamBroken:
+		return a.Idempotent
+	default:
+		return false
+	}
+}
+
+// Decide says whether a failed attempt is sent again, and after which pause.
+func (d *Decider) Decide(now time.Duration, k Key, a Attempt) Decision {
+	refuse := Decision{Code: a.Code}
+	if !Eligible(a) {
+		return refuse
+	}
+	pause := minPause + time.Duration(d.rand(int(maxPause-minPause)+1))
+	if now+pause >= a.Deadline {
+		return refuse
+	}
+	if !d.budget(now, k).spend() && !d.unlimited {
+		refuse.SpentBudget = true
+		if a.Code.Info().Run == resultcode.NotRun {
+			refuse.Code = resultcode.RetryBudgetSpent
+		}
+		return refuse
+	}
+	return Decision{Again: true, Pause: pause}
+}
+
+// Sweep drops budgets that have not been used for a whole window.
+func (d *Decider) Sweep(now time.Duration) {
+	bucket := int64(now / (window / buckets))
+	for k, b := range d.budgets {
+		if bucket-b.bucket >= buckets {
+			delete(d.budgets, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/routing/pick.go
@@ -0,0 +1,354 @@
+package routing
+
+import (
+	"slices"
+	"time"
+)
+
+// Query describes a request that needs an endpoint.
+type Query struct {
+	// ID identifies the request in reservations of an endpoint.
+	ID uint64
+	// Group is the model or service pool.
+	Group   string
+	Adapter string
+	// Prefixes are the hashes of the prompt's prefixes, shortest first.
+	Prefixes []uint64
+	// Exclude names endpoints that this request already failed on.
+	Exclude []string
+	// Prefer names an endpoint to take if it can be used.
+	Prefer string
+	// Alone asks for an endpoint without other requests of this entry.
+	Alone bool
+	// MayProbe allows an ejected endpoint to be tried with this request.
+	MayProbe bool
+	// Limit turns a window into the number of requests in flight up to which
+	// this request may be added; nil takes the whole window.
+	Limit func(window int) int
+	// ReserveUntil ends a reservation for Alone.
+	ReserveUntil time.Duration
+}
+
+// Ticket is the assignment of a request to an endpoint, to be given back with
+// Done.
+type Ticket struct {
+	Endpoint string
+	Address  string
+	at       time.Duration
+	probe    bool
+	alone    bool
+	adapter  string
+	loads    bool // counts as an adapter load in flight
+	target   *endpoint
+}
+
+// Probe says that the request probes an ejected endpoint.
+func (t *Ticket) Probe() bool { return t.probe }
+
+// Outcome is what an attempt says of its endpoint.
+type Outcome int
+
+// Outcomes.
+const (
+	// Neutral: the caller left, or the request was stopped here.
+	Neutral Outcome = iota
+	Success
+	Failure
+	// Refused: the endpoint said that it does not take the request.
+	Refused
+)
+
+// smallGroup is the size up to which all endpoints are looked at; above it,
+// candidates are drawn at random first.
+const (
+	smallGroup = 16
+	draws      = 8
+)
+
+// HasGroup says whether any endpoint takes the group, usable or not.
+func (t *Table) HasGroup(group string) bool { return len(t.groups[group]) > 0 }
+
+// Pick chooses an endpoint and counts the request in: of two random candidates
+// the one with the shorter expected wait. It returns nil if none can take the
+// request now.
+func (t *Table) Pick(now time.Duration, q Query) *Ticket {
+	group := t.groups[q.Group]
+	skip := t.skipped(group)
+	usable := func(e *endpoint) bool { return t.usable(now, e, &q, skip) }
+	if q.Prefer != "" {
+		if e := t.endpoints[q.Prefer]; e != nil && slices.Contains(group, e) && usable(e) {
+			return t.begin(now, e, &q)
+		}
+	}
+	if q.MayProbe && t.ejected > 0 {
+		for _, e := range group {
+			if e.probeDue(now) && usable(e) {
+				return t.begin(now, e, &q)
+			}
+		}
+	}
+	if q.Alone {
+		return t.pickAlone(now, group, &q, usable)
+	}
+	a, b := t.draw(group, usable)
+	if a == nil {
+		return nil
+	}
+	if b != nil && t.score(now, b, &q) < t.score(now, a, &q) {
+		a = b
+	}
+	return t.begin(now, a, &q)
+}
+
+// draw returns up to two different usable endpoints, chosen at random.
+func (t *Table) draw(group []*endpoint, usable func(e *endpoint) bool) (a, b *endpoint) {
+	if len(group) > smallGroup {
+		for range draws {
+			e := group[t.rand(len(group))]
+			if e == a || !usable(e) {
+				continue
+			}
+			if a != nil {
+				return a, e
+			}
+			a = e
+		}
+	}
+	// Reservoir sampling of two over all endpoints.
+	a, b = nil, nil
+	seen := 0
+	for _, e := range group {
+		if !usable(e) {
+			continue
+		}
+		seen++
+		switch {
+		case seen == 1:
+			a = e
+		case seen == 2:
+			b = e
+		default:
+			switch t.rand(seen) {
+			case 0:
+				a = e
+			case 1:
+				b = e
+			}
+		}
+	}
+	if b != nil && t.rand(2) == 1 {
+		a, b = b, a
+	}
+	return a, b
+}
+
+// pickAlone takes an idle endpoint, or reserves the least busy one until it is
+// idle. At most half of a group is reserved.
+func (t *Table) pickAlone(now time.Duration, group []*endpoint, q *Query, usable func(e *endpoint) bool) *Ticket {
+	var best *endpoint
+	reserved := 0
+	for _, e := range group {
+		if e.reservedFor != 0 && e.reservedUntil >= now {
+			reserved++
+			if e.reservedFor == q.ID {
+				best = e
+				break
+			}
+		}
+		if e.leaving == 0 && !e.exclusive && !e.ejected && !slices.Contains(q.Exclude, e.spec.Name) &&
+			(e.reservedFor == 0 || e.reservedUntil < now) && (best == nil || e.inFlight < best.inFlight) {
+			best = e
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	if best.inFlight == 0 && usable(best) {
+		return t.begin(now, best, q)
+	}
+	if best.reservedFor != q.ID && 2*reserved < len(group) {
+		best.reservedFor, best.reservedUntil = q.ID, q.ReserveUntil
+	}
+	return nil
+}
+
+// Forget drops the reservations of a request that no longer waits.
+func (t *Table) Forget(group string, id uint64) {
+	for _, e := range t.groups[group] {
+		if e.reservedFor == id {
+			e.reservedFor = 0
+		}
+	}
+}
+
+// skipped returns the endpoints of a group that count as ejected: at most half
+// of those that are not leaving. Beyond half, the endpoints whose probe is due
+// first are used as if live.
+func (t *Table) skipped(group []*endpoint) map[*endpoint]bool {
+	if t.ejected == 0 {
+		return nil
+	}
+	var ejected []*endpoint
+	staying := 0
+	for _, e := range group {
+		if e.leaving != 0 {
+			continue
+		}
+		staying++
+		if e.ejected {
+			ejected = append(ejected, e)
+		}
+	}
+	slices.SortStableFunc(ejected, func(a, b *endpoint) int { return int(b.probeAt - a.probeAt) })
+	skip := make(map[*endpoint]bool)
+	for _, e := range ejected[:min(len(ejected), staying/2)] {
+		skip[e] = true
+	}
+	return skip
+}
+
+func (e *endpoint) probeDue(now time.Duration) bool {
+	return e.ejected && !e.probing && now >= e.probeAt
+}
+
+func (t *Table) usable(now time.Duration, e *endpoint, q *Query, skip map[*endpoint]bool) bool {
+	if slices.Contains(q.Exclude, e.spec.Name) || e.exclusive {
+		return false
+	}
+	if q.Alone && e.inFlight > 0 {
+		return false
+	}
+	if !t.careless {
+		if e.leaving != 0 {
+			return false
+		}
+		if skip[e] && (!q.MayProbe || !e.probeDue(now)) {
+			return false
+		}
+	}
+	if e.reservedFor != 0 && e.reservedFor != q.ID && e.reservedUntil >= now {
+		return false
+	}
+	limit := int(e.window)
+	if q.Limit != nil {
+		limit = q.Limit(limit)
+	}
+	if e.inFlight >= limit {
+		e.limited = true
+		return false
+	}
+	return !t.loads(e, q.Adapter) || t.adapterLimit == 0 || t.adapterLoads < t.adapterLimit
+}
+
+// loads says whether the request makes the endpoint load its adapter.
+func (t *Table) loads(e *endpoint, adapter string) bool {
+	return adapter != "" && !e.adapters[adapter] && e.loading[adapter] == 0
+}
+
+func (t *Table) score(now time.Duration, e *endpoint, q *Query) time.Duration {
+	score := e.expectedWait(now)
+	if e.spec.Remote {
+		score += remoteCost
+	}
+	if t.loads(e, q.Adapter) {
+		score += adapterCost
+	}
+	return score - e.prefixes.gain(q.Prefixes)
+}
+
+func (t *Table) begin(now time.Duration, e *endpoint, q *Query) *Ticket {
+	k := &Ticket{Endpoint: e.spec.Name, Address: e.spec.Address, at: now, alone: q.Alone, adapter: q.Adapter, target: e}
+	e.inFlight++
+	if e.probeDue(now) {
+		e.probing, k.probe = true, true
+	}
+	if q.Alone {
+		e.exclusive = true
+	}
+	if e.reservedFor == q.ID {
+		e.reservedFor = 0
+	}
+	if q.Adapter != "" && !e.adapters[q.Adapter] {
+		k.loads = true
+		if e.loading[q.Adapter] == 0 {
+			t.adapterLoads++
+		}
+		e.loading[q.Adapter]++
+	}
+	e.prefixes.expect(q.Prefixes)
+	return k
+}
+
+// FirstByte notes that the answer began: the adapter is loaded. It reports
+// whether that ended an adapter load.
+func (t *Table) FirstByte(k *Ticket) bool { return t.loaded(k, true) }
+
+func (t *Table) loaded(k *Ticket, success bool) (ended bool) {
+	if !k.loads {
+		return false
+	}
+	k.loads = false
+	e := k.target
+	if success {
+		e.adapters[k.adapter] = true
+	}
+	e.loading[k.adapter]--
+	if e.loading[k.adapter] > 0 {
+		return false
+	}
+	delete(e.loading, k.adapter)
+	t.adapterLoads--
+	return true
+}
+
+// Done counts a request out. Outcomes of attempts from before an ejection
+// neither restore the endpoint nor prolong its ejection.
+func (t *Table) Done(now time.Duration, k *Ticket, o Outcome) {
+	e := k.target
+	e.inFlight--
+	t.loaded(k, o == Success)
+	if k.alone {
+		e.exclusive = false
+	}
+	if k.probe {
+		e.probing = false
+	}
+	if e.ejected && k.at < e.ejectedAt {
+		return
+	}
+	switch o {
+	case Success:
+		e.service += (now - k.at - e.service) / 8
+		t.restore(e)
+	case Refused:
+		e.window = max(1, e.window*decrease)
+		t.fail(now, e)
+	case Failure:
+		t.fail(now, e)
+	case Neutral:
+	}
+}
+
+func (t *Table) restore(e *endpoint) {
+	e.failures = 0
+	if e.ejected {
+		e.ejected = false
+		t.countEjected()
+	}
+}
+
+func (t *Table) fail(now time.Duration, e *endpoint) {
+	e.failures++
+	if e.ejected {
+		e.backoff = min(2*e.backoff, lastProbe)
+		e.probeAt = now + e.backoff
+		return
+	}
+	if e.failures < failuresToEject {
+		return
+	}
+	e.ejected, e.ejectedAt = true, now
+	e.backoff = firstProbe
+	e.probeAt = now + e.backoff
+	t.countEjected()
+}
--- /dev/null
+++ b/internal/coordination/routing/table.go
@@ -0,0 +1,304 @@
+// Package routing chooses the endpoint of each request and keeps what is known
+// of every endpoint: load, health, residency, cached prefixes, and whether it
+// is leaving.
+//
+// It is deterministic and not safe for concurrent use. Times are durations
+// since the start of the process.
+package routing
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/radishloom/radishloom/internal/coordination/engine"
+)
+
+const (
+	// failuresToEject is the number of failures in a row that eject.
+	failuresToEject = 3
+	firstProbe      = time.Second
+	lastProbe       = 30 * time.Second
+	// defaultSlots is used until the configuration or a report states them.
+	defaultSlots = 8
+	// defaultService is the time of one request until any was measured.
+	defaultService = 500 * time.Millisecond
+	// reportHalfLife halves the weight of the others' load in a report. Reports
+	// lag by some seconds, and an old one says little of the present queue.
+	reportHalfLife = 2 * time.Second
+	// decrease is the factor of the window when an endpoint queues or refuses.
+	decrease = 0.7
+	// remoteCost is added for another data centre: about a round trip.
+	remoteCost = 2 * time.Millisecond
+	// adapterCost is a typical load time of an adapter that is not resident.
+	adapterCost = 10 * time.Millisecond
+)
+
+// Spec is the configured part of an endpoint.
+type Spec struct {
+	Name    string
+	Address string
+	// Groups are the classes of requests that the endpoint takes now: models
+	// that are ready, or its service pool.
+	Groups []string
+	Slots  int
+	Remote bool // in another data centre than this entry
+}
+
+// LeavingSource is who said that an endpoint is leaving.
+type LeavingSource uint8
+
+// Sources.
+const (
+	FromPlatform LeavingSource = 1 << iota
+	FromEndpoint
+	FromOperator
+)
+
+// State is the health of an endpoint as this entry sees it.
+type State int
+
+// States.
+const (
+	Live State = iota
+	Suspect
+	Ejected
+	Leaving
+)
+
+// String returns the name in the administration API.
+func (s State) String() string {
+	return [...]string{"live", "suspect", "ejected", "leaving"}[s]
+}
+
+type endpoint struct {
+	spec     Spec
+	leaving  LeavingSource
+	inFlight int
+	window   float64
+	limited  bool // the window was full since the last report
+	service  time.Duration
+
+	failures  int
+	ejected   bool
+	ejectedAt time.Duration
+	probeAt   time.Duration
+	backoff   time.Duration
+	probing   bool
+
+	reported   bool
+	reportedAt time.Duration
+	others     int // requests of other entries in the last report
+	running    int
+
+	adapters map[string]bool
+	loading  map[string]int
+	prefixes prefixView
+
+	exclusive     bool
+	reservedFor   uint64
+	reservedUntil time.Duration
+}
+
+// Table holds the endpoints.
+type Table struct {
+	rand         func(n int) int
+	endpoints    map[string]*endpoint
+	groups       map[string][]*endpoint
+	liveEntries  int
+	adapterLimit int
+	adapterLoads int
+	ejected      int
+
+	// careless ignores leaving and ejected. Tests set it to show that they
+	// detect it.
+	careless bool
+}
+
+// New returns an empty table that draws candidates from rand(n), a number
+// below n.
+func New(rand func(n int) int) *Table {
+	return &Table{rand: rand, endpoints: make(map[string]*endpoint), groups: make(map[string][]*endpoint), liveEntries: 1}
+}
+
+// Configure replaces the endpoints. Endpoints that keep their name and address
+// keep what is known of them. AdapterLoads is the fleet's limit on adapter
+// loads in flight, of which each live entry takes an equal part.
+func (t *Table) Configure(specs []Spec, liveEntries, adapterLoads int) {
+	t.liveEntries = max(1, liveEntries)
+	t.adapterLimit = 0
+	if adapterLoads > 0 {
+		t.adapterLimit = max(1, adapterLoads/t.liveEntries)
+	}
+	next := make(map[string]*endpoint, len(specs))
+	groups := make(map[string][]*endpoint)
+	for _, spec := range specs {
+		e := t.endpoints[spec.Name]
+		if e == nil || e.spec.Address != spec.Address {
+			e = t.newEndpoint(spec)
+		}
+		if spec.Slots == 0 {
+			spec.Slots = e.spec.Slots // as reported
+		}
+		e.spec = spec
+		e.window = min(max(1, e.window), float64(e.slots()))
+		next[spec.Name] = e
+		for _, g := range spec.Groups {
+			groups[g] = append(groups[g], e)
+		}
+	}
+	t.endpoints, t.groups = next, groups
+	t.countEjected()
+}
+
+func (t *Table) newEndpoint(spec Spec) *endpoint {
+	e := &endpoint{spec: spec, service: defaultService, adapters: make(map[string]bool), loading: make(map[string]int)}
+	e.window = max(1, float64(e.slots())/float64(t.liveEntries))
+	return e
+}
+
+func (e *endpoint) slots() int {
+	if e.spec.Slots > 0 {
+		return e.spec.Slots
+	}
+	return defaultSlots
+}
+
+func (t *Table) countEjected() {
+	t.ejected = 0
+	for _, e := range t.endpoints {
+		if e.ejected {
+			t.ejected++
+		}
+	}
+}
+
+// SetLeaving notes whether a source says that the endpoint is leaving.
+func (t *Table) SetLeaving(name string, source LeavingSource, leaving bool) {
+	e := t.endpoints[name]
+	if e == nil {
+		return
+	}
+	if leaving {
+		e.leaving |= source
+	} else {
+		e.leaving &^= source
+	}
+}
+
+// Report takes the endpoint's own report, and adjusts its window: one slot
+// more if the window was the limit and nothing queued, fewer if work queued.
+// A report never restores an ejected endpoint.
+func (t *Table) Report(now time.Duration, name string, l *engine.Load) {
+	e := t.endpoints[name]
+	if e == nil {
+		return
+	}
+	if e.spec.Slots == 0 && l.Slots > 0 {
+		e.spec.Slots = l.Slots
+		e.window = max(1, float64(l.Slots)/float64(t.liveEntries))
+	}
+	switch {
+	case l.Waiting > 0:
+		e.window = max(1, e.window*decrease)
+	case e.limited:
+		e.window = min(float64(e.slots()), e.window+1)
+	}
+	e.limited = false
+	e.reported, e.reportedAt = true, now
+	e.running = l.Running + l.Waiting
+	e.others = max(0, e.running-e.inFlight)
+	clear(e.adapters)
+	for _, a := range l.Adapters {
+		e.adapters[a] = true
+	}
+	t.SetLeaving(name, FromEndpoint, l.Leaving)
+}
+
+// OthersRunning says whether requests of other entries may run on the endpoint
+// now; without a recent report it is not known and taken as true.
+func (t *Table) OthersRunning(now time.Duration, name string) bool {
+	e := t.endpoints[name]
+	return e == nil || !e.reported || now-e.reportedAt > 2*reportHalfLife || e.others > 0
+}
+
+// CacheEvents takes an engine's cache events in order.
+func (t *Table) CacheEvents(name string, events []engine.CacheEvent) {
+	if e := t.endpoints[name]; e != nil {
+		e.prefixes.apply(events)
+	}
+}
+
+// CacheSeq is the sequence number of the last cache event.
+func (t *Table) CacheSeq(name string) uint64 {
+	if e := t.endpoints[name]; e != nil {
+		return e.prefixes.seq
+	}
+	return 0
+}
+
+// Groups returns what the endpoint takes now; callers must not change it.
+func (t *Table) Groups(name string) []string {
+	if e := t.endpoints[name]; e != nil {
+		return e.spec.Groups
+	}
+	return nil
+}
+
+// Another says whether the group has an endpoint that is not excluded and not
+// leaving, so that a retry has somewhere to go.
+func (t *Table) Another(group string, exclude []string) bool {
+	for _, e := range t.groups[group] {
+		if e.leaving == 0 && !slices.Contains(exclude, e.spec.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+// Status is what an entry knows of an endpoint.
+type Status struct {
+	Name     string
+	State    State
+	InFlight int
+	Window   int
+}
+
+// Status returns the endpoints in order of name.
+func (t *Table) Status() []Status {
+	out := make([]Status, 0, len(t.endpoints))
+	for name, e := range t.endpoints {
+		out = append(out, Status{Name: name, State: e.state(), InFlight: e.inFlight, Window: int(e.window)})
+	}
+	slices.SortFunc(out, func(a, b Status) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (e *endpoint) state() State {
+	switch {
+	case e.leaving != 0:
+		return Leaving
+	case e.ejected:
+		return Ejected
+	case e.failures > 0:
+		return Suspect
+	default:
+		return Live
+	}
+}
+
+// expectedWait estimates how long a request takes on the endpoint: own
+// requests in flight first, those of others with the age of the report.
+func (e *endpoint) expectedWait(now time.Duration) time.Duration {
+	load := float64(e.inFlight)
+	if e.reported && e.others > 0 {
+		load += float64(e.others) * math.Exp2(-float64(now-e.reportedAt)/float64(reportHalfLife))
+	}
+	wait := time.Duration(load / float64(e.slots()) * float64(e.service))
+	return wait * time.Duration(1+e.failures)
+}
