--- /dev/null
+++ b/internal/state/fleet/history.go
@@ -0,0 +1,218 @@
+package fleet
+
+import (
+	"slices"
+
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/state/config"
+)
+
+// maxVersions is the number of versions that are kept for history, rollback and
+// deltas: about two days of changes at the target size.
+const maxVersions = 1000
+
+// version is one entry of the history.
+type version struct {
+	info *statev1.VersionInfo
+	// document is this version without its keys.
+	document *statev1.Config
+	// delta leads here from the version before, keys left out.
+	delta *statev1.ConfigDelta
+	// changed names every resource, keys included, that differs from the
+	// version before.
+	changed []*statev1.ResourceName
+	// full says that changed does not describe the whole difference.
+	full bool
+	// keys are the keys of this version; set only under a fault.
+	keys []*statev1.Key
+}
+
+// history holds the last versions, oldest first, without gaps.
+type history struct {
+	versions []*version
+}
+
+func (h *history) find(number uint64) *version {
+	if len(h.versions) == 0 {
+		return nil
+	}
+	first := h.versions[0].info.GetVersion()
+	if number < first || number-first >= uint64(len(h.versions)) {
+		return nil
+	}
+	return h.versions[number-first]
+}
+
+func (h *history) last() *statev1.VersionInfo {
+	if len(h.versions) == 0 {
+		return nil
+	}
+	return h.versions[len(h.versions)-1].info
+}
+
+func (h *history) add(v *version) {
+	h.versions = append(h.versions, v)
+	if len(h.versions) > maxVersions {
+		h.versions = slices.Delete(h.versions, 0, len(h.versions)-maxVersions)
+	}
+}
+
+func (m *Machine) changeConfig(c *statev1.Command, ch *statev1.ConfigChange) *statev1.Result {
+	if !ch.GetAnyBase() {
+		if r := m.checkBase(ch.GetBaseVersion()); r != nil {
+			return r
+		}
+	}
+	if missing := config.MissingRemovals(m.config, ch); len(missing) != 0 {
+		return refuse(resultcode.ResourceUnknown, "%s %q does not exist", missing[0].GetKind(), missing[0].GetName())
+	}
+	return m.accept(c, config.ApplyChange(m.config, ch), ch.GetComment())
+}
+
+func (m *Machine) rollback(c *statev1.Command, r *statev1.Rollback) *statev1.Result {
+	if r := m.checkBase(r.GetBaseVersion()); r != nil {
+		return r
+	}
+	target := m.history.find(r.GetToVersion())
+	if target == nil {
+		return refuse(resultcode.VersionUnknown, "version %d is not among the last %d", r.GetToVersion(), maxVersions)
+	}
+	next := config.Rollback(m.config, target.document)
+	if m.faults.rollbackKeys {
+		next.Keys = target.keys
+	}
+	return m.accept(c, next, "")
+}
+
+// checkBase returns the refusal of a change that is not based on the present
+// version.
+func (m *Machine) checkBase(base uint64) *statev1.Result {
+	if base == m.config.GetVersion() || m.faults.ignoreBase {
+		return nil
+	}
+	r := refuse(resultcode.ConfigConflict, "the change is based on version %d, the present version is %d", base, m.config.GetVersion())
+	r.Conflict = m.history.last()
+	return r
+}
+
+// accept validates the next document and makes it the present one.
+func (m *Machine) accept(c *statev1.Command, next *statev1.Config, comment string) *statev1.Result {
+	if faults := config.Validate(next); len(faults) != 0 {
+		r := refuse(resultcode.ConfigInvalid, "the configuration has %d faults", len(faults))
+		r.Faults = config.Strings(faults)
+		return r
+	}
+	d := config.Delta(m.config, next)
+	document := config.WithKeys(next, nil)
+	v := &version{
+		info: &statev1.VersionInfo{
+			Version:     next.GetVersion(),
+			Author:      c.GetAuthor(),
+			Comment:     comment,
+			WallTimeMs:  c.GetWallTimeMs(),
+			FleetTimeMs: m.now,
+			RequestId:   c.GetRequestId(),
+		},
+		document: document,
+		delta:    withoutKeys(d, document),
+		changed:  config.Changed(d),
+		full:     d.GetFull() != nil,
+	}
+	if m.faults.rollbackKeys {
+		v.keys = next.GetKeys()
+	}
+	m.history.add(v)
+	m.setConfig(next)
+	return &statev1.Result{}
+}
+
+// withoutKeys returns a delta between documents without keys.
+func withoutKeys(d *statev1.ConfigDelta, document *statev1.Config) *statev1.ConfigDelta {
+	out := &statev1.ConfigDelta{FromVersion: d.GetFromVersion(), ToVersion: d.GetToVersion()}
+	if d.GetFull() != nil {
+		out.Full = document
+		return out
+	}
+	out.Upserts = config.WithKeys(d.GetUpserts(), nil)
+	for _, r := range d.GetRemoved() {
+		if r.GetKind() != statev1.ResourceKind_RESOURCE_KIND_KEY {
+			out.Removed = append(out.Removed, r)
+		}
+	}
+	return out
+}
+
+// setConfig makes next the present document everywhere.
+func (m *Machine) setConfig(next *statev1.Config) {
+	m.config = next
+	m.bank.SetCustomers(m.accountTime(), next.GetCustomers())
+	m.orders.SetEndpoints(m.now, engines(next))
+}
+
+func engines(c *statev1.Config) map[string]bool {
+	out := map[string]bool{}
+	for _, e := range c.GetEndpoints() {
+		if e.GetKind() == statev1.EndpointKind_ENDPOINT_KIND_ENGINE {
+			out[e.GetName()] = true
+		}
+	}
+	return out
+}
+
+// ConfigAt returns a version of the document. Versions other than the present
+// one hold no keys.
+func (m *Machine) ConfigAt(number uint64) (*statev1.Config, bool) {
+	if number == m.config.GetVersion() {
+		return m.config, true
+	}
+	v := m.history.find(number)
+	if v == nil {
+		return nil, false
+	}
+	return v.document, true
+}
+
+// DeltaSince returns what leads from a version to the present one, or nil if
+// the version is the present one. It is the whole document if the version is
+// not in the history.
+func (m *Machine) DeltaSince(number uint64) *statev1.ConfigDelta {
+	if number == m.config.GetVersion() {
+		return nil
+	}
+	whole := &statev1.ConfigDelta{FromVersion: number, ToVersion: m.config.GetVersion(), Full: m.config}
+	if m.history.find(number) == nil {
+		return whole
+	}
+	seen := map[statev1.ResourceKind]map[string]bool{}
+	var names []*statev1.ResourceName
+	for n := number + 1; n <= m.config.GetVersion(); n++ {
+		v := m.history.find(n)
+		if v.full {
+			return whole
+		}
+		for _, r := range v.changed {
+			if seen[r.GetKind()] == nil {
+				seen[r.GetKind()] = map[string]bool{}
+			}
+			if !seen[r.GetKind()][r.GetName()] {
+				seen[r.GetKind()][r.GetName()] = true
+				names = append(names, r)
+			}
+		}
+	}
+	return config.Select(m.config, number, names)
+}
+
+// History returns the last versions, newest first.
+func (m *Machine) History(limit int) []*statev1.VersionInfo {
+	all := m.history.versions
+	if limit <= 0 || limit > len(all) {
+		limit = len(all)
+	}
+	out := make([]*statev1.VersionInfo, 0, limit)
+	for i := range limit {
+		out = append(out, all[len(all)-1-i].info)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/fleet/sync.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/state/account"
+)
+
+// syncBatch applies the syncs that a leader collected. All usage is settled
+// before anything is granted, so that the order within a batch favours nobody.
+func (m *Machine) syncBatch(c *statev1.Command, b *statev1.SyncBatch) *statev1.Result {
+	result := &statev1.Result{Syncs: make([]*statev1.EntrySyncResult, len(b.GetEntries()))}
+	var asks []account.Ask
+	var lines []*statev1.TokenGrant
+	if m.faults.wallClock {
+		m.wall = uint64(c.GetWallTimeMs())
+	}
+	for i, e := range b.GetEntries() {
+		one := &statev1.EntrySyncResult{
+			Vm:          e.GetSession().GetVm(),
+			Incarnation: e.GetSession().GetIncarnation(),
+			Seq:         e.GetSeq(),
+		}
+		result.Syncs[i] = one
+		s := m.openSession(e)
+		switch {
+		case s == nil:
+			one.SessionEnded = true
+		case e.GetClosing():
+			m.closeSession(s, e)
+			one.SessionEnded = true
+		case e.GetSeq() > s.seq || m.faults.repeatSyncs:
+			s.seq = e.GetSeq()
+			s.lastGrants = m.settle(s, e)
+			one.Grants = s.lastGrants
+			asks, lines = appendAsks(asks, lines, s, e)
+		case e.GetSeq() == s.seq:
+			one.Grants = s.lastGrants
+		default:
+			// The seq tells the entry that a later sync was applied.
+			one.Seq = s.seq
+		}
+	}
+	for i, granted := range m.bank.Grant(m.accountTime(), asks) {
+		lines[i].Granted = granted
+		lines[i].Outstanding = m.bank.Outstanding(asks[i].Holder, asks[i].Customer)
+	}
+	return result
+}
+
+// openSession returns the session of a sync after renewing it, or nil if it is
+// over. A session that is not known must be new: its first sync with usage has
+// seq 1.
+func (m *Machine) openSession(e *statev1.EntrySync) *session {
+	key := keyOf(e.GetSession())
+	s := m.sessions.live[key]
+	if s == nil {
+		if m.sessions.ended[key] || e.GetSeq() > 1 || e.GetClosing() || key.incarnation == "" {
+			return nil
+		}
+		s = &session{key: key, dataCentre: e.GetSession().GetDataCentre(), started: m.now}
+		m.sessions.add(s)
+	}
+	if e.GetSeq() < s.seq {
+		return s
+	}
+	m.sessions.touch(s, m.now)
+	s.leasesExpired = false
+	s.configVersion = max(s.configVersion, e.GetConfigVersion())
+	return s
+}
+
+func (m *Machine) settle(s *session, e *statev1.EntrySync) []*statev1.TokenGrant {
+	grants := make([]*statev1.TokenGrant, 0, len(e.GetUsage()))
+	for _, u := range e.GetUsage() {
+		m.bank.Settle(m.accountTime(), s.key.holder(), u.GetCustomer(), u.GetCharged(), u.GetReturned())
+		grants = append(grants, &statev1.TokenGrant{
+			Customer:    u.GetCustomer(),
+			Outstanding: m.bank.Outstanding(s.key.holder(), u.GetCustomer()),
+		})
+	}
+	return grants
+}
+
+func appendAsks(asks []account.Ask, lines []*statev1.TokenGrant, s *session, e *statev1.EntrySync) ([]account.Ask, []*statev1.TokenGrant) {
+	for i, u := range e.GetUsage() {
+		if u.GetWant() == 0 {
+			continue
+		}
+		asks = append(asks, account.Ask{Holder: s.key.holder(), Customer: u.GetCustomer(), Want: u.GetWant()})
+		lines = append(lines, s.lastGrants[i])
+	}
+	return asks, lines
+}
+
+// closeSession ends a session at its own wish and returns what it holds.
+func (m *Machine) closeSession(s *session, e *statev1.EntrySync) {
+	if e.GetSeq() > s.seq {
+		m.settle(s, e)
+	}
+	m.bank.Return(m.accountTime(), s.key.holder())
+	m.endSession(s)
+}
+
+// accountTime is the time by which accounts grow.
+func (m *Machine) accountTime() uint64 {
+	if m.faults.wallClock {
+		return m.wall
+	}
+	return m.now
+}
