entry: use the index of state/config

Cause: the look-up tables exist now. Change: Replica and Server return *config.Index in place of a small interface. Conclusion: TestServe passes.

--- a/internal/coordination/entry/admit.go
+++ b/internal/coordination/entry/admit.go
@@ -10,6 +10,7 @@
 	"github.com/radishloom/radishloom/internal/coordination/quarantine"
 	"github.com/radishloom/radishloom/internal/coordination/routing"
 	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/state/config"
 )
 
 // admit checks a request and counts it in. An error means that it was not
@@ -129,7 +130,7 @@
 
 // keyValid says whether the key still belongs to the customer it was admitted
 // for.
-func (s *Server) keyValid(c *call, index Index) bool {
+func (s *Server) keyValid(c *call, index *config.Index) bool {
 	if index == nil {
 		return false
 	}
--- a/internal/coordination/entry/fakes_test.go
+++ b/internal/coordination/entry/fakes_test.go
@@ -3,66 +3,28 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"io"
 	"net/http"
 	"sync"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/state/config"
 )
 
-// fakeIndex looks resources up in a configuration; the secret of a key is its
-// identifier.
-type fakeIndex struct{ c *statev1.Config }
+// secretOf is the key text of a customer; the fakes search for it.
+func secretOf(customer string) string { return "rl_" + customer + "_key-secret" }
 
-func (x fakeIndex) Config() *statev1.Config { return x.c }
-func (x fakeIndex) Version() uint64         { return x.c.Version }
-
-func byName[T interface{ GetName() string }](list []T, name string) (zero T) {
-	for _, v := range list {
-		if v.GetName() == name {
-			return v
-		}
-	}
-	return zero
-}
-
-func (x fakeIndex) Route(name string) *statev1.Route       { return byName(x.c.Routes, name) }
-func (x fakeIndex) Profile(name string) *statev1.Profile   { return byName(x.c.Profiles, name) }
-func (x fakeIndex) Customer(name string) *statev1.Customer { return byName(x.c.Customers, name) }
-func (x fakeIndex) Model(name string) *statev1.Model       { return byName(x.c.Models, name) }
-func (x fakeIndex) Endpoint(name string) *statev1.Endpoint { return byName(x.c.Endpoints, name) }
-
-func (x fakeIndex) filter(keep func(e *statev1.Endpoint) bool) (out []*statev1.Endpoint) {
-	for _, e := range x.c.Endpoints {
-		if keep(e) {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
-func (x fakeIndex) Engines() []*statev1.Endpoint {
-	return x.filter(func(e *statev1.Endpoint) bool { return e.Kind == statev1.EndpointKind_ENDPOINT_KIND_ENGINE })
-}
-
-func (x fakeIndex) Pool(name string) []*statev1.Endpoint {
-	return x.filter(func(e *statev1.Endpoint) bool { return e.Pool == name && name != "" })
-}
-
-func (x fakeIndex) Authenticate(secret string) (*statev1.Key, bool) {
-	for _, k := range x.c.Keys {
-		if k.Id == secret {
-			return k, true
-		}
-	}
-	return nil, false
+func testKey(customer string) *statev1.Key {
+	sum := sha256.Sum256([]byte(secretOf(customer)))
+	return &statev1.Key{Id: customer, Customer: customer, SecretSha256: sum[:]}
 }
 
 // fakeReplica holds one lease for each customer.
 type fakeReplica struct {
 	mu      sync.Mutex
-	index   Index
+	index   *config.Index
 	fresh   bool
 	level   map[string]uint64
 	arrived chan struct{}
@@ -73,12 +35,12 @@
 
 func newFakeReplica(c *statev1.Config) *fakeReplica {
 	return &fakeReplica{
-		index: fakeIndex{c}, fresh: true, level: map[string]uint64{},
+		index: config.NewIndex(c), fresh: true, level: map[string]uint64{},
 		arrived: make(chan struct{}), charged: map[string]uint64{},
 	}
 }
 
-func (r *fakeReplica) Index() Index {
+func (r *fakeReplica) Index() *config.Index {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.index
@@ -168,7 +130,7 @@
 		Profiles:  []*statev1.Profile{{Name: "normal", DeadlineMs: 30000, SilenceMs: 2000}},
 		Customers: []*statev1.Customer{{Name: "a", RateTokensPerSecond: 1000, BurstTokens: 1000}, {Name: "b", RateTokensPerSecond: 1000, BurstTokens: 1000}},
 		Models:    []*statev1.Model{{Name: "m"}},
-		Keys:      []*statev1.Key{{Id: "key-secret-a", Customer: "a"}, {Id: "key-secret-b", Customer: "b"}},
+		Keys:      []*statev1.Key{testKey("a"), testKey("b")},
 		Routes: []*statev1.Route{
 			{Name: "chat", Kind: statev1.RouteKind_ROUTE_KIND_MODEL, Model: "m", Profile: "normal", Idempotent: true},
 			{Name: "open", Kind: statev1.RouteKind_ROUTE_KIND_SERVICE, Pool: "web", Profile: "normal", Idempotent: true, Open: true},
--- a/internal/coordination/entry/loops.go
+++ b/internal/coordination/entry/loops.go
@@ -16,6 +16,7 @@
 	"github.com/radishloom/radishloom/internal/coordination/admission"
 	"github.com/radishloom/radishloom/internal/coordination/engine"
 	"github.com/radishloom/radishloom/internal/coordination/routing"
+	"github.com/radishloom/radishloom/internal/state/config"
 )
 
 const (
@@ -215,7 +216,7 @@
 // polled returns the endpoints that this entry asks for reports: all of a
 // small fleet, else those with the highest hash of VM and endpoint, so that
 // the entries of a large fleet share the endpoints evenly.
-func (s *Server) polled(index Index) []*statev1.Endpoint {
+func (s *Server) polled(index *config.Index) []*statev1.Endpoint {
 	endpoints := slices.Clone(index.Config().GetEndpoints())
 	if len(endpoints) <= maxPolled {
 		return endpoints
@@ -311,7 +312,7 @@
 	}
 }
 
-func (s *Server) readPlatform(ctx context.Context, index Index) {
+func (s *Server) readPlatform(ctx context.Context, index *config.Index) {
 	ctx, cancel := context.WithTimeout(ctx, listInterval)
 	defer cancel()
 	list, err := s.config.Platform.List(ctx)
--- a/internal/coordination/entry/ports.go
+++ b/internal/coordination/entry/ports.go
@@ -6,6 +6,7 @@
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/state/config"
 )
 
 // Request is one request of a caller, as the protocol layer read it.
@@ -39,26 +40,11 @@
 	Write(p []byte) error
 }
 
-// Index is the part of the configuration's look-up tables that the path of a
-// request uses.
-type Index interface {
-	Config() *statev1.Config
-	Version() uint64
-	Route(name string) *statev1.Route
-	Profile(name string) *statev1.Profile
-	Customer(name string) *statev1.Customer
-	Model(name string) *statev1.Model
-	Endpoint(name string) *statev1.Endpoint
-	Engines() []*statev1.Endpoint
-	Pool(name string) []*statev1.Endpoint
-	Authenticate(secret string) (*statev1.Key, bool)
-}
-
 // Replica is the entry's copy of the fleet state. Its methods are safe for
 // concurrent use, do not block (except Propose) and never call the Server.
 type Replica interface {
 	// Index is nil before the first Sync.
-	Index() Index
+	Index() *config.Index
 	// Fresh says that the freshness lease is valid now.
 	Fresh() bool
 	// Propose commits one command. An error whose code is ChangeUnconfirmed, or
--- a/internal/coordination/entry/serve.go
+++ b/internal/coordination/entry/serve.go
@@ -14,6 +14,7 @@
 	"github.com/radishloom/radishloom/internal/coordination/retry"
 	"github.com/radishloom/radishloom/internal/coordination/routing"
 	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/state/config"
 )
 
 const (
@@ -29,7 +30,7 @@
 // call is one request on its way.
 type call struct {
 	*Request
-	index    Index
+	index    *config.Index
 	route    *statev1.Route
 	profile  *statev1.Profile
 	customer *statev1.Customer // nil on open routes
--- a/internal/coordination/entry/serve_test.go
+++ b/internal/coordination/entry/serve_test.go
@@ -27,7 +27,7 @@
 func TestServe(t *testing.T) {
 	s, replica, ports := testServer(t, testConfig())
 	w := &recorder{}
-	r := &Request{ID: "1", Route: route(s, "chat"), Key: "key-secret-a", Body: []byte("x"), Stream: true, PromptTokens: 10, MaxTokens: 20}
+	r := &Request{ID: "1", Route: route(s, "chat"), Key: secretOf("a"), Body: []byte("x"), Stream: true, PromptTokens: 10, MaxTokens: 20}
 	if err := s.Serve(context.Background(), r, w); err != nil {
 		t.Fatal(err)
 	}
@@ -48,11 +48,11 @@
 	}
 	refused(resultcode.KeyMissing, &Request{Route: route(s, "chat")})
 	refused(resultcode.KeyUnknown, &Request{Route: route(s, "chat"), Key: "other"})
-	refused(resultcode.LargerThanBurst, &Request{Route: route(s, "chat"), Key: "key-secret-a", MaxTokens: 2000})
+	refused(resultcode.LargerThanBurst, &Request{Route: route(s, "chat"), Key: secretOf("a"), MaxTokens: 2000})
 	refused(resultcode.NoRoute, &Request{Route: &statev1.Route{Name: "gone"}})
 	s.Drain(true)
 	refused(resultcode.Draining, &Request{Route: route(s, "open")})
 	s.Drain(false)
 	replica.fresh = false
-	refused(resultcode.NoFreshState, &Request{Route: route(s, "chat"), Key: "key-secret-a"})
+	refused(resultcode.NoFreshState, &Request{Route: route(s, "chat"), Key: secretOf("a")})
 }
--- a/internal/coordination/entry/server.go
+++ b/internal/coordination/entry/server.go
@@ -16,6 +16,7 @@
 	"github.com/radishloom/radishloom/internal/coordination/quarantine"
 	"github.com/radishloom/radishloom/internal/coordination/retry"
 	"github.com/radishloom/radishloom/internal/coordination/routing"
+	"github.com/radishloom/radishloom/internal/state/config"
 )
 
 const (
@@ -137,7 +138,7 @@
 }
 
 // Index returns the configuration in force, or nil before the first Sync.
-func (s *Server) Index() Index { return s.replica.Index() }
+func (s *Server) Index() *config.Index { return s.replica.Index() }
 
 // Ready says whether the VM can serve keyed requests.
 func (s *Server) Ready() bool {
--- a/internal/coordination/entry/stream.go
+++ b/internal/coordination/entry/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
 	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/state/config"
 )
 
 const (
@@ -38,7 +39,7 @@
 }
 
 // endWithdrawn ends the streams whose key the index no longer knows.
-func (s *Server) endWithdrawn(index Index) {
+func (s *Server) endWithdrawn(index *config.Index) {
 	s.streams.mu.Lock()
 	var ended []*call
 	for c, cancel := range s.streams.open {
