--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,340 @@
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// Other is the label of a value that is not in the known set.
+const Other = "other"
+
+// The customers and the profiles that get their own label are bounded. With
+// both values of "attained" an instrument has at most 3,200 series. The SDK's
+// own limit of 2,000 would merge known names, so it is set above that.
+const (
+	maxCustomers = 79 // and "other"
+	maxProfiles  = 19 // and "other"
+	maxSeries    = 4096
+)
+
+// Retry reasons beside the names of result codes.
+const (
+	// RetryResume is a stream that went on at another connection.
+	RetryResume = "resume"
+	// RetryAlone is a weakly suspected request that runs alone.
+	RetryAlone = "alone"
+)
+
+// Move kinds of models and adapters.
+const (
+	MoveLoadModel     = "load_model"
+	MoveUnloadModel   = "unload_model"
+	MoveLoadAdapter   = "load_adapter"
+	MoveUnloadAdapter = "unload_adapter"
+	MoveSetRole       = "set_role"
+)
+
+// Metrics are the instruments of one process. All methods are safe for
+// concurrent use, and none blocks.
+type Metrics struct {
+	handler  http.Handler
+	provider *sdk.MeterProvider
+	known    atomic.Pointer[names]
+	codes    map[resultcode.Code]metric.MeasurementOption
+	reasons  map[string]metric.MeasurementOption
+	moves    map[string]metric.MeasurementOption
+	other    metric.MeasurementOption
+
+	refusals   metric.Int64Counter
+	retries    metric.Int64Counter
+	requests   metric.Int64Counter
+	queueTime  metric.Float64Histogram
+	firstToken metric.Float64Histogram
+	tokenGap   metric.Float64Histogram
+	tokens     metric.Int64Counter
+	modelMoves metric.Int64Counter
+	leases     metric.Int64Counter
+	leaseLevel metric.Int64Gauge
+	elections  metric.Int64Counter
+	leader     metric.Int64Gauge
+	logBytes   metric.Int64Gauge
+	logEntries metric.Int64Gauge
+	version    metric.Int64Gauge
+	fresh      metric.Int64Gauge
+	open       metric.Int64Gauge
+}
+
+// names is the set of names that get their own label. Options are built once,
+// since building them for each request would allocate.
+type names struct {
+	customers map[string]bool
+	profiles  map[string]bool
+	pairs     map[pair]pairOptions
+}
+
+type pair struct{ customer, profile string }
+
+type pairOptions struct {
+	plain    metric.MeasurementOption
+	attained metric.MeasurementOption
+	missed   metric.MeasurementOption
+}
+
+// NewMetrics returns metrics with a registry of their own.
+func NewMetrics() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	if err != nil {
+		return nil, fmt.Errorf("create the Prometheus exporter: %w", err)
+	}
+	m := &Metrics{
+		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		provider: sdk.NewMeterProvider(sdk.WithReader(exporter), sdk.WithCardinalityLimit(maxSeries)),
+		codes:    make(map[resultcode.Code]metric.MeasurementOption),
+		reasons:  make(map[string]metric.MeasurementOption),
+		moves:    make(map[string]metric.MeasurementOption),
+	}
+	m.buildLabels()
+	m.SetKnown(nil, nil)
+	if err := m.buildInstruments(m.provider.Meter("radishloom")); err != nil {
+		return nil, fmt.Errorf("create the metric instruments: %w", err)
+	}
+	return m, nil
+}
+
+func (m *Metrics) buildLabels() {
+	m.other = label("reason", Other)
+	for _, info := range resultcode.All() {
+		m.codes[info.Code] = metric.WithAttributes(
+			attribute.Int64("code", int64(info.Code)), attribute.String("name", info.Name))
+		m.reasons[info.Name] = label("reason", info.Name)
+	}
+	for _, reason := range []string{RetryResume, RetryAlone} {
+		m.reasons[reason] = label("reason", reason)
+	}
+	for _, kind := range []string{MoveLoadModel, MoveUnloadModel, MoveLoadAdapter, MoveUnloadAdapter, MoveSetRole, Other} {
+		m.moves[kind] = label("kind", kind)
+	}
+}
+
+func label(key, value string) metric.MeasurementOption {
+	return metric.WithAttributeSet(attribute.NewSet(attribute.String(key, value)))
+}
+
+// instruments creates instruments and keeps the first error.
+type instruments struct {
+	meter metric.Meter
+	err   error
+}
+
+func (i *instruments) counter(name, text string) metric.Int64Counter {
+	c, err := i.meter.Int64Counter(name, metric.WithDescription(text))
+	i.keep(err)
+	return c
+}
+
+func (i *instruments) gauge(name, unit, text string) metric.Int64Gauge {
+	g, err := i.meter.Int64Gauge(name, metric.WithDescription(text), metric.WithUnit(unit))
+	i.keep(err)
+	return g
+}
+
+func (i *instruments) seconds(name, text string, bounds ...float64) metric.Float64Histogram {
+	h, err := i.meter.Float64Histogram(name, metric.WithDescription(text), metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(bounds...))
+	i.keep(err)
+	return h
+}
+
+func (i *instruments) keep(err error) {
+	if i.err == nil {
+		i.err = err
+	}
+}
+
+func (m *Metrics) buildInstruments(meter metric.Meter) error {
+	i := &instruments{meter: meter}
+	m.refusals = i.counter("radishloom.refusals", "Refused requests by result code.")
+	m.retries = i.counter("radishloom.retries", "Further attempts of requests by the reason for them.")
+	m.requests = i.counter("radishloom.requests", "Finished requests by customer, profile and whether the targets were met.")
+	m.tokens = i.counter("radishloom.tokens", "Charged tokens by customer and profile.")
+	m.modelMoves = i.counter("radishloom.model.moves", "Orders to engines that were carried out, by kind.")
+	m.leases = i.counter("radishloom.lease.tokens", "Tokens leased to this entry, by direction.")
+	m.elections = i.counter("radishloom.elections", "Elections that this VM started.")
+	m.queueTime = i.seconds("radishloom.queue.time", "Time between admission and the first send.",
+		0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
+	m.firstToken = i.seconds("radishloom.first.token.time", "Time from the request to its first token.",
+		0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.8, 2.5, 5, 10, 30)
+	m.tokenGap = i.seconds("radishloom.token.gap", "Time between tokens of a stream.",
+		0.002, 0.005, 0.01, 0.015, 0.02, 0.025, 0.05, 0.1, 0.25, 1, 3)
+	m.leaseLevel = i.gauge("radishloom.lease.level", "", "Tokens that this entry holds unspent, all customers together.")
+	m.leader = i.gauge("radishloom.leader", "", "1 if this VM leads the replicated log.")
+	m.logBytes = i.gauge("radishloom.log.size", "By", "Size of the write-ahead log and its snapshots.")
+	m.logEntries = i.gauge("radishloom.log.entries", "", "Entries of the log since the last snapshot.")
+	m.version = i.gauge("radishloom.config.version", "", "Configuration version in force at this VM.")
+	m.fresh = i.gauge("radishloom.freshness.lease", "", "1 while the freshness lease is valid.")
+	m.open = i.gauge("radishloom.open.requests", "", "Open requests of callers at this VM.")
+	return i.err
+}
+
+// Handler answers scrapes.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Shutdown ends the collection of metrics.
+func (m *Metrics) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
+
+// SetKnown replaces the customers and profiles that get their own label, in the
+// order given; the rest is counted as other. Call it with each configuration.
+func (m *Metrics) SetKnown(customers, profiles []string) {
+	n := &names{
+		customers: set(customers, maxCustomers),
+		profiles:  set(profiles, maxProfiles),
+		pairs:     make(map[pair]pairOptions),
+	}
+	for customer := range n.customers {
+		for profile := range n.profiles {
+			n.pairs[pair{customer, profile}] = newPairOptions(customer, profile)
+		}
+	}
+	m.known.Store(n)
+}
+
+func set(values []string, limit int) map[string]bool {
+	s := map[string]bool{Other: true}
+	for _, value := range values {
+		if len(s) > limit {
+			break
+		}
+		s[value] = true
+	}
+	return s
+}
+
+func newPairOptions(customer, profile string) pairOptions {
+	c, p := attribute.String("customer", customer), attribute.String("profile", profile)
+	return pairOptions{
+		plain:    metric.WithAttributeSet(attribute.NewSet(c, p)),
+		attained: metric.WithAttributeSet(attribute.NewSet(c, p, attribute.Bool("attained", true))),
+		missed:   metric.WithAttributeSet(attribute.NewSet(c, p, attribute.Bool("attained", false))),
+	}
+}
+
+func (m *Metrics) pair(customer, profile string) pairOptions {
+	n := m.known.Load()
+	if !n.customers[customer] {
+		customer = Other
+	}
+	if !n.profiles[profile] {
+		profile = Other
+	}
+	return n.pairs[pair{customer, profile}]
+}
+
+// Refusal counts a refused request.
+func (m *Metrics) Refusal(code resultcode.Code) {
+	option, ok := m.codes[code]
+	if !ok {
+		option = m.codes[resultcode.Internal]
+	}
+	m.refusals.Add(context.Background(), 1, option)
+}
+
+// Retry counts one more attempt of a request. The reason is the name of the
+// result code that the last attempt ended with, RetryResume or RetryAlone.
+func (m *Metrics) Retry(reason string) {
+	option, ok := m.reasons[reason]
+	if !ok {
+		option = m.other
+	}
+	m.retries.Add(context.Background(), 1, option)
+}
+
+// Request counts a finished request and whether it met its profile's targets.
+func (m *Metrics) Request(customer, profile string, attained bool) {
+	options := m.pair(customer, profile)
+	if attained {
+		m.requests.Add(context.Background(), 1, options.attained)
+		return
+	}
+	m.requests.Add(context.Background(), 1, options.missed)
+}
+
+// Tokens counts charged tokens.
+func (m *Metrics) Tokens(customer, profile string, n uint64) {
+	m.tokens.Add(context.Background(), int64(n), m.pair(customer, profile).plain)
+}
+
+// QueueTime records how long a request waited before its first send.
+func (m *Metrics) QueueTime(customer, profile string, d time.Duration) {
+	m.queueTime.Record(context.Background(), d.Seconds(), m.pair(customer, profile).plain)
+}
+
+// FirstToken records the time from a request to its first token.
+func (m *Metrics) FirstToken(customer, profile string, d time.Duration) {
+	m.firstToken.Record(context.Background(), d.Seconds(), m.pair(customer, profile).plain)
+}
+
+// TokenGap records the time between two tokens of a stream.
+func (m *Metrics) TokenGap(customer, profile string, d time.Duration) {
+	m.tokenGap.Record(context.Background(), d.Seconds(), m.pair(customer, profile).plain)
+}
+
+// ModelMove counts an order that an engine carried out.
+func (m *Metrics) ModelMove(kind string) {
+	option, ok := m.moves[kind]
+	if !ok {
+		option = m.moves[Other]
+	}
+	m.modelMoves.Add(context.Background(), 1, option)
+}
+
+// Leases counts tokens that this entry was granted and that it returned, and
+// records what it holds now.
+func (m *Metrics) Leases(granted, returned, level uint64) {
+	ctx := context.Background()
+	m.leases.Add(ctx, int64(granted), label("direction", "granted"))
+	m.leases.Add(ctx, int64(returned), label("direction", "returned"))
+	m.leaseLevel.Record(ctx, int64(level))
+}
+
+// Election counts an election that this VM started.
+func (m *Metrics) Election() { m.elections.Add(context.Background(), 1) }
+
+// Leader records whether this VM leads the replicated log.
+func (m *Metrics) Leader(leads bool) { m.leader.Record(context.Background(), oneIf(leads)) }
+
+// LogSize records the size of the log on disk and its length since the last
+// snapshot.
+func (m *Metrics) LogSize(bytes int64, entries uint64) {
+	m.logBytes.Record(context.Background(), bytes)
+	m.logEntries.Record(context.Background(), int64(entries))
+}
+
+// Freshness records the configuration version in force and whether the
+// freshness lease is valid.
+func (m *Metrics) Freshness(version uint64, fresh bool) {
+	m.version.Record(context.Background(), int64(version))
+	m.fresh.Record(context.Background(), oneIf(fresh))
+}
+
+// OpenRequests records the number of open requests of callers.
+func (m *Metrics) OpenRequests(n int) { m.open.Record(context.Background(), int64(n)) }
+
+func oneIf(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
