adminrpc: add the server of the administration API

Cause: operators need one way in which they change and read the fleet.

Change: internal/protocol/adminrpc implements api/admin/v1 over the interface Fleet. A key's identifier follows from its request identifier, so that a repeat gets it without the secret. Hashes of keys are never returned.

--- /dev/null
+++ b/internal/protocol/adminrpc/keys.go
@@ -0,0 +1,186 @@
+package adminrpc
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base32"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	adminv1 "github.com/radishloom/radishloom/api/admin/v1"
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// secretBytes is the number of random bytes in a key.
+const secretBytes = 32
+
+// CreateKey implements adminv1.Admin.
+//
+// The key's identifier follows from the request identifier, so a repeat finds
+// the key of the first attempt. The secret is returned only if the stored hash
+// is the one of this attempt.
+func (s *Server) CreateKey(ctx context.Context, r *adminv1.CreateKeyRequest) (*adminv1.CreateKeyResponse, error) {
+	ch, err := s.begin(ctx, "create_key", r.GetRequestId())
+	if err != nil {
+		return nil, err
+	}
+	if r.GetCustomer() == "" || len(r.GetNote()) > maxText {
+		return nil, s.fail(ctx, resultcode.New(resultcode.BadRequest,
+			"customer must be set and note must have at most %d bytes", maxText))
+	}
+	id := keyIdentifier(ch.id)
+	stored, version, err := s.readKey(ctx, id)
+	if err != nil {
+		return nil, s.fail(ctx, err)
+	}
+	if stored != nil {
+		return repeatedKey(id, version), nil
+	}
+	secret, key, err := newKey(s.o.Random, id, r.GetCustomer(), r.GetNote())
+	if err != nil {
+		return nil, s.fail(ctx, err)
+	}
+	result, err := s.propose(ctx, ch, keyCommand("create key "+id, &statev1.ConfigChange{
+		Upserts: &statev1.Config{Keys: []*statev1.Key{key}},
+	}))
+	if err != nil {
+		return nil, err
+	}
+	if result.GetCode() != uint32(resultcode.OK) {
+		return &adminv1.CreateKeyResponse{Code: result.GetCode(), Message: textOf(result), Version: result.GetConfigVersion()}, nil
+	}
+	stored, _, err = s.readKey(ctx, id)
+	if err != nil {
+		return nil, s.unconfirmed(ctx, ch, err)
+	}
+	if stored == nil || subtle.ConstantTimeCompare(stored.GetSecretSha256(), key.GetSecretSha256()) != 1 {
+		return repeatedKey(id, result.GetConfigVersion()), nil
+	}
+	return &adminv1.CreateKeyResponse{KeyId: id, Secret: secret, Version: result.GetConfigVersion()}, nil
+}
+
+func repeatedKey(id string, version uint64) *adminv1.CreateKeyResponse {
+	return &adminv1.CreateKeyResponse{
+		KeyId:   id,
+		Version: version,
+		Message: "an earlier attempt created the key, and the secret is shown once; if it was lost, withdraw the key and create another",
+	}
+}
+
+// keyIdentifier derives a key's public identifier from the request identifier.
+func keyIdentifier(requestID string) string {
+	const bytes = 10 // 80 bits, 16 characters
+	hash := sha256.Sum256([]byte("radishloom key " + requestID))
+	return encode(hash[:bytes])
+}
+
+// newKey returns the key's whole text and the record with its hash.
+func newKey(random io.Reader, id, customer, note string) (secret string, key *statev1.Key, err error) {
+	buffer := make([]byte, secretBytes)
+	if _, err := io.ReadFull(random, buffer); err != nil {
+		return "", nil, fmt.Errorf("read random bytes for key %s: %w", id, err)
+	}
+	secret = "rl_" + id + "_" + encode(buffer)
+	hash := sha256.Sum256([]byte(secret))
+	return secret, &statev1.Key{Id: id, Customer: customer, SecretSha256: hash[:], Note: note}, nil
+}
+
+func encode(b []byte) string {
+	return strings.ToLower(base32.StdEncoding.WithPadding(base32.NoPadding).EncodeToString(b))
+}
+
+func keyCommand(comment string, c *statev1.ConfigChange) *statev1.Command {
+	c.AnyBase = true
+	c.Comment = comment
+	return &statev1.Command{Op: &statev1.Command_ConfigChange{ConfigChange: c}}
+}
+
+// readKey returns the key with its hash, or nil, and the present version.
+func (s *Server) readKey(ctx context.Context, id string) (key *statev1.Key, version uint64, err error) {
+	err = s.o.Fleet.Read(ctx, true, func(v View) {
+		version = v.Config().GetVersion()
+		for _, k := range v.Config().GetKeys() {
+			if k.GetId() == id {
+				key = k
+			}
+		}
+	})
+	return key, version, err
+}
+
+// WithdrawKey implements adminv1.Admin.
+func (s *Server) WithdrawKey(ctx context.Context, r *adminv1.WithdrawKeyRequest) (*adminv1.WithdrawKeyResponse, error) {
+	ch, err := s.begin(ctx, "withdraw_key", r.GetRequestId())
+	if err != nil {
+		return nil, err
+	}
+	stored, _, err := s.readKey(ctx, r.GetKeyId())
+	if err != nil {
+		return nil, s.fail(ctx, err)
+	}
+	if stored == nil {
+		return s.withdrawnBefore(ctx, ch, r)
+	}
+	result, err := s.propose(ctx, ch, keyCommand("withdraw key "+r.GetKeyId(), &statev1.ConfigChange{
+		Removed: []*statev1.ResourceName{{Kind: statev1.ResourceKind_RESOURCE_KIND_KEY, Name: r.GetKeyId()}},
+	}))
+	if err != nil {
+		return nil, err
+	}
+	if result.GetCode() != uint32(resultcode.OK) {
+		return &adminv1.WithdrawKeyResponse{Code: result.GetCode(), Message: textOf(result), Version: result.GetConfigVersion()}, nil
+	}
+	return s.withdrawn(ctx, result.GetConfigVersion(), r.GetWaitMs()), nil
+}
+
+// withdrawnBefore answers for a key that does not exist: a repeat finds its
+// first attempt in the history.
+func (s *Server) withdrawnBefore(ctx context.Context, ch change, r *adminv1.WithdrawKeyRequest) (*adminv1.WithdrawKeyResponse, error) {
+	const wholeHistory = 1000
+	var version uint64
+	err := s.o.Fleet.Read(ctx, true, func(v View) {
+		for _, info := range v.History(wholeHistory) {
+			if info.GetRequestId() == ch.id {
+				version = info.GetVersion()
+			}
+		}
+	})
+	if err != nil {
+		return nil, s.fail(ctx, err)
+	}
+	if version == 0 {
+		return &adminv1.WithdrawKeyResponse{
+			Code:    uint32(resultcode.ResourceUnknown),
+			Message: fmt.Sprintf("no key has the identifier %q", r.GetKeyId()),
+		}, nil
+	}
+	return s.withdrawn(ctx, version, r.GetWaitMs()), nil
+}
+
+// withdrawn states the time by which no VM accepts the key any more. The change
+// is committed, so every freshness lease that is granted from now on includes
+// it, and every older one ends within one lease.
+func (s *Server) withdrawn(ctx context.Context, version uint64, waitMs uint32) *adminv1.WithdrawKeyResponse {
+	committed := time.Now()
+	inForce, live := s.waitInForce(ctx, version, waitMs)
+	left := max(s.o.Lease-time.Since(committed), 0)
+	return &adminv1.WithdrawKeyResponse{
+		Version:         version,
+		InForceWithinMs: uint32((left + time.Millisecond - 1) / time.Millisecond),
+		VmsInForce:      inForce,
+		VmsLive:         live,
+	}
+}
+
+// textOf joins a result's message and faults.
+func textOf(r *statev1.Result) string {
+	parts := r.GetFaults()
+	if r.GetMessage() != "" {
+		parts = append([]string{r.GetMessage()}, parts...)
+	}
+	return strings.Join(parts, "; ")
+}
