--- /dev/null
+++ b/internal/coordination/replica/ledger.go
@@ -0,0 +1,221 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+)
+
+const (
+	// useWindow is how much recent use an entry keeps leased, so that a steady
+	// stream of requests needs no urgent call between two reports.
+	useWindow = 2 * time.Second
+	// useHalfLife is the half-life of the measured use.
+	useHalfLife = time.Second
+	// keepFactor times the target stays leased before the surplus is returned;
+	// returning at the target itself would swap tokens back and forth.
+	keepFactor = 2
+)
+
+// ledger is the entry's side of token leases. For each customer it keeps what
+// the account counts as leased to this session and what became of it since.
+//
+// Invariant: free = outstanding - reported - unreported - held, and holds are
+// only granted out of free, so what is charged never exceeds what was leased.
+type ledger struct {
+	customers map[string]*line
+	// seq is the number of the last report; it is in flight while report is set.
+	seq    uint64
+	report []*statev1.TokenUsage
+}
+
+// line is one customer. All amounts are tokens.
+type line struct {
+	// outstanding is what the account counted after the last acknowledged report.
+	outstanding uint64
+	// reported is charged or returned in the report in flight.
+	reported uint64
+	// unreported is charged since the last report was made.
+	unreported uint64
+	held       uint64
+	// orphaned is held by requests of an earlier session, whose lease was
+	// written off.
+	orphaned uint64
+	waiting  uint64
+	// verify puts the line into the next report, so that its answer tells what
+	// the account still counts as leased.
+	verify bool
+	// use is an exponentially decaying sum of holds; divided by its time constant
+	// it is the rate of use.
+	use    float64
+	usedAt time.Duration
+}
+
+func newLedger() *ledger {
+	return &ledger{customers: make(map[string]*line)}
+}
+
+func (g *ledger) line(customer string) *line {
+	l := g.customers[customer]
+	if l == nil {
+		l = &line{}
+		g.customers[customer] = l
+	}
+	return l
+}
+
+func (l *line) free() uint64 {
+	taken := l.reported + l.unreported + l.held
+	if taken >= l.outstanding {
+		return 0
+	}
+	return l.outstanding - taken
+}
+
+// hold reserves tokens; false if there are not enough.
+func (g *ledger) hold(now time.Duration, customer string, tokens uint64) bool {
+	l := g.line(customer)
+	if tokens > l.free() {
+		return false
+	}
+	l.held += tokens
+	l.decay(now)
+	l.use += float64(tokens)
+	return true
+}
+
+// charge turns held tokens into spent ones.
+func (g *ledger) charge(customer string, tokens uint64) {
+	l := g.line(customer)
+	written := min(tokens, l.orphaned)
+	l.orphaned -= written
+	tokens = min(tokens-written, l.held)
+	l.held -= tokens
+	l.unreported += tokens
+}
+
+// release returns the unspent rest of a hold.
+func (g *ledger) release(customer string, rest uint64) {
+	l := g.line(customer)
+	written := min(rest, l.orphaned)
+	l.orphaned -= written
+	l.held -= min(rest-written, l.held)
+	// Released tokens were no use.
+	l.use = max(0, l.use-float64(rest))
+}
+
+// want states what waits now; true if it exceeds what is free.
+func (g *ledger) want(customer string, tokens uint64) (urgent bool) {
+	l := g.line(customer)
+	l.waiting = tokens
+	return tokens > l.free()
+}
+
+func (l *line) decay(now time.Duration) {
+	elapsed := now - l.usedAt
+	l.usedAt = now
+	if l.use == 0 || elapsed <= 0 {
+		return
+	}
+	l.use *= halfLives(elapsed)
+	if l.use < 1 {
+		l.use = 0
+	}
+}
+
+// target is how many free tokens the customer should have.
+func (l *line) target(now time.Duration) uint64 {
+	l.decay(now)
+	perSecond := l.use * ln2 / useHalfLife.Seconds()
+	return l.waiting + uint64(perSecond*useWindow.Seconds())
+}
+
+// next returns the report to send and its number: the one in flight if it was
+// not acknowledged, else a new one. It returns nil if there is nothing to say.
+func (g *ledger) next(now time.Duration) (uint64, []*statev1.TokenUsage) {
+	if g.report != nil {
+		return g.seq, g.report
+	}
+	for customer, l := range g.customers {
+		if u := l.usage(now, customer); u != nil {
+			g.report = append(g.report, u)
+		}
+	}
+	if g.report == nil {
+		return g.seq, nil
+	}
+	slices.SortFunc(g.report, func(a, b *statev1.TokenUsage) int { return compare(a.GetCustomer(), b.GetCustomer()) })
+	g.seq++
+	return g.seq, g.report
+}
+
+// usage moves what the line has to say into a report.
+func (l *line) usage(now time.Duration, customer string) *statev1.TokenUsage {
+	u := &statev1.TokenUsage{Customer: customer, Charged: l.unreported}
+	target := l.target(now)
+	free := l.free()
+	switch {
+	case free > keepFactor*target:
+		u.Returned = free - target
+	case free < target:
+		u.Want = target - free
+	}
+	if u.Charged == 0 && u.Returned == 0 && u.Want == 0 && !l.verify {
+		return nil
+	}
+	l.verify = false
+	l.reported = u.Charged + u.Returned
+	l.unreported = 0
+	return u
+}
+
+// acknowledge takes over the answer to a report. It returns true if a lease
+// grew. An answer to an older report changes nothing.
+func (g *ledger) acknowledge(seq uint64, grants []*statev1.TokenGrant) (grew bool) {
+	if g.report == nil || seq != g.seq {
+		return false
+	}
+	for _, u := range g.report {
+		l := g.line(u.GetCustomer())
+		l.reported = 0
+		l.outstanding = 0
+	}
+	for _, grant := range grants {
+		l := g.line(grant.GetCustomer())
+		l.outstanding = grant.GetOutstanding()
+		grew = grew || grant.GetGranted() > 0 || l.free() > 0
+	}
+	g.report = nil
+	return grew
+}
+
+// lapse is called when the leases may have been written off. Nothing is free
+// until a report tells what is still leased. Holds stay: if the account wrote
+// them off, counting them again is the safe side.
+func (g *ledger) lapse() {
+	for _, l := range g.customers {
+		l.verify = true
+		l.outstanding = 0
+	}
+}
+
+// reset forgets all leases after the session ended.
+func (g *ledger) reset() {
+	g.seq = 0
+	g.report = nil
+	for _, l := range g.customers {
+		l.orphaned += l.held
+		l.outstanding, l.reported, l.unreported, l.held = 0, 0, 0, 0
+	}
+}
+
+// closing returns the last report of a session: everything charged. The control
+// role returns the rest of the lease to the account.
+func (g *ledger) closing(now time.Duration) (uint64, []*statev1.TokenUsage) {
+	seq, report := g.next(now)
+	for _, u := range report {
+		u.Want = 0
+	}
+	return seq, report
+}
