--- /dev/null
+++ b/internal/protocol/enginehttp/engine.go
@@ -0,0 +1,302 @@
+// Package enginehttp implements engine.Engine over HTTP. The protocol is
+// described in docs/engine-protocol.md.
+package enginehttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/radishloom/radishloom/internal/coordination/engine"
+	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+const (
+	// maxAnswerBytes bounds a whole answer in memory.
+	maxAnswerBytes = 32 << 20
+	// maxReportBytes bounds load reports, cache events and refusals.
+	maxReportBytes = 4 << 20
+	// reportSilence bounds the wait for reports and cancellations, which engines
+	// answer from memory.
+	reportSilence = 2 * time.Second
+	// maxCancels bounds the cancellations under way; beyond it the engine only
+	// sees that the connection was closed.
+	maxCancels = 64
+)
+
+// Engine is the port over HTTP. It is safe for concurrent use.
+type Engine struct {
+	client  exchange.Client
+	cancels chan struct{}
+	faults  faults
+}
+
+// faults are deliberate defects that tests switch on to show that they find
+// them.
+type faults struct {
+	// skipIdentity accepts an answer with another request's identifier.
+	skipIdentity bool
+	// skipMarker accepts a stream that ends without its end marker.
+	skipMarker bool
+	// skipSequence delivers repeated events.
+	skipSequence bool
+	// trustAnyRefusal believes a "not run" without an echoed identifier.
+	trustAnyRefusal bool
+}
+
+var _ engine.Engine = (*Engine)(nil)
+
+// New returns an Engine that sends its exchanges through client.
+func New(client exchange.Client) *Engine {
+	return &Engine{client: client, cancels: make(chan struct{}, maxCancels)}
+}
+
+// Do implements engine.Engine.
+func (e *Engine) Do(ctx context.Context, to engine.Target, req engine.Request) (*engine.Answer, error) {
+	resp, err := e.client.Do(ctx, inferenceRequest(to, &req))
+	if err != nil {
+		return nil, err
+	}
+	if err := e.checkHead(resp, req.ID, to); err != nil {
+		return nil, err
+	}
+	body, err := readAll(resp, maxAnswerBytes)
+	if err != nil {
+		return nil, lostBeforeBody(err, len(body) == 0 || resp.Status >= http.StatusMultipleChoices)
+	}
+	return &engine.Answer{Status: resp.Status, Header: resp.Header, Body: body, Tokens: usedTokens(body)}, nil
+}
+
+// Open implements engine.Engine.
+//
+// The stream's Close cancels the request at the engine unless the answer was
+// whole or Next failed because of the connection; after such a failure the
+// request can be resumed, and a caller that does not resume it calls Cancel.
+func (e *Engine) Open(ctx context.Context, to engine.Target, req engine.Request) (engine.Stream, error) {
+	streamContext, cancel := context.WithCancel(ctx)
+	s, err := e.open(streamContext, to, &req)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	s.cancel = cancel
+	return s, nil
+}
+
+func (e *Engine) open(ctx context.Context, to engine.Target, req *engine.Request) (*stream, error) {
+	resp, err := e.client.Do(ctx, streamRequest(to, req))
+	if err != nil {
+		return nil, err
+	}
+	if err := e.checkHead(resp, req.ID, to); err != nil {
+		return nil, err
+	}
+	if resp.Status != http.StatusOK {
+		return nil, streamRefused(resp, req, to)
+	}
+	if !isEventStream(resp.Header) {
+		resp.Body.Discard()
+		return nil, resultcode.New(resultcode.AnswerMismatch, "%s answered a stream request without a stream", to.Name)
+	}
+	return newStream(ctx, e, to, req, resp), nil
+}
+
+// Cancel implements engine.Engine. A request that the engine does not know is
+// not running there, which is what was asked for.
+func (e *Engine) Cancel(ctx context.Context, to engine.Target, id string) error {
+	resp, body, err := e.report(ctx, to, http.MethodDelete, requestTarget(id), nil)
+	if err != nil {
+		return err
+	}
+	if resp.Status >= http.StatusMultipleChoices && resp.Status != http.StatusNotFound {
+		return unexpectedStatus(to, resp.Status, body)
+	}
+	return nil
+}
+
+// cancelLater cancels without making the caller wait.
+func (e *Engine) cancelLater(to engine.Target, id string) {
+	select {
+	case e.cancels <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-e.cancels }()
+		ctx, cancel := context.WithTimeout(context.Background(), reportSilence)
+		defer cancel()
+		// The closed connection tells the engine the same, only later.
+		_ = e.Cancel(ctx, to, id)
+	}()
+}
+
+// report carries out an exchange whose answer is small.
+func (e *Engine) report(ctx context.Context, to engine.Target, method, target string, body []byte) (*exchange.Response, []byte, error) {
+	req := &exchange.Request{Address: to.Address, Method: method, Target: target, Body: body, Silence: reportSilence}
+	req.Header = http.Header{"Accept": {"application/json"}}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := e.client.Do(ctx, req)
+	if err != nil {
+		return nil, nil, err
+	}
+	out, err := readAll(resp, maxReportBytes)
+	return resp, out, err
+}
+
+func inferenceRequest(to engine.Target, req *engine.Request) *exchange.Request {
+	h := make(http.Header, 4)
+	h.Set("Content-Type", "application/json")
+	h.Set(exchange.HeaderRequestID, req.ID)
+	h.Set(exchange.HeaderPriority, strconv.FormatInt(int64(req.Priority), 10))
+	return &exchange.Request{
+		Address:         to.Address,
+		Method:          http.MethodPost,
+		Target:          req.Path,
+		Header:          h,
+		Body:            req.Body,
+		Silence:         req.Silence,
+		FreshConnection: req.FreshConnection,
+	}
+}
+
+// streamRequest starts a request, or resumes one after the events that were
+// already received.
+func streamRequest(to engine.Target, req *engine.Request) *exchange.Request {
+	out := inferenceRequest(to, req)
+	out.Header.Set("Accept", "text/event-stream")
+	if req.ResumeFrom > 0 {
+		out.Method = http.MethodGet
+		out.Target = requestTarget(req.ID) + "/stream?from=" + strconv.Itoa(req.ResumeFrom)
+		out.Body = nil
+		out.Header.Del("Content-Type")
+	}
+	return out
+}
+
+func requestTarget(id string) string { return "/v1/requests/" + url.PathEscape(id) }
+
+// checkHead verifies whose answer it is and turns a "not run" into an error.
+func (e *Engine) checkHead(resp *exchange.Response, id string, to engine.Target) error {
+	echoed := resp.Header.Get(exchange.HeaderRequestID)
+	if echoed != "" && echoed != id && !e.faults.skipIdentity {
+		resp.Body.Discard()
+		return resultcode.New(resultcode.AnswerMismatch, "%s answered request %q in place of %q", to.Name, echoed, id)
+	}
+	if resp.Header.Get(exchange.HeaderRunState) != exchange.RunStateNotRun {
+		return nil
+	}
+	// Without the echo the refusal could belong to another request.
+	if echoed != id && !e.faults.trustAnyRefusal {
+		resp.Body.Discard()
+		return resultcode.New(resultcode.EndpointLost, "%s refused a request without naming it", to.Name)
+	}
+	return refused(resp, to)
+}
+
+// refused reads the reason of a request that the engine did not run.
+func refused(resp *exchange.Response, to engine.Target) error {
+	body, err := readAll(resp, maxReportBytes)
+	if err != nil {
+		body = nil
+	}
+	code := resultcode.EndpointRefused
+	if isRequestFault(resp.Status) {
+		code = resultcode.BadRequest
+	}
+	out := resultcode.New(code, "%s answered %d %s", to.Name, resp.Status, errorType(body))
+	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && s > 0 {
+		out.RetryAfter = time.Duration(s) * time.Second
+	}
+	return out
+}
+
+// isRequestFault says that a status blames the request, so that another
+// endpoint would refuse it as well.
+func isRequestFault(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return true
+	}
+	return false
+}
+
+// streamRefused is the error for a stream request that got a plain answer.
+func streamRefused(resp *exchange.Response, req *engine.Request, to engine.Target) error {
+	body, err := readAll(resp, maxReportBytes)
+	if err != nil {
+		return lostBeforeBody(err, true)
+	}
+	if req.ResumeFrom > 0 {
+		return resultcode.New(resultcode.StreamBroken, "%s cannot resume the stream: %d %s", to.Name, resp.Status, errorType(body))
+	}
+	return unexpectedStatus(to, resp.Status, body)
+}
+
+// unexpectedStatus is the error for an answer that says neither that the
+// request ran nor that it did not.
+func unexpectedStatus(to engine.Target, status int, body []byte) error {
+	return resultcode.New(resultcode.EndpointLost, "%s answered %d %s", to.Name, status, errorType(body))
+}
+
+// lostBeforeBody weakens "ran" to "may have run" where nothing of a successful
+// answer was seen.
+func lostBeforeBody(err error, nothingSeen bool) error {
+	if nothingSeen && resultcode.Of(err) == resultcode.AnswerIncomplete {
+		return resultcode.Wrap(resultcode.EndpointLost, err, "the connection broke before the answer")
+	}
+	return err
+}
+
+// readAll reads a whole body and releases the exchange.
+func readAll(resp *exchange.Response, limit int) ([]byte, error) {
+	defer resp.Body.Close() //nolint:errcheck // never fails
+	if resp.Length > int64(limit) {
+		return nil, resultcode.New(resultcode.AnswerIncomplete, "the answer is larger than %d bytes", limit)
+	}
+	var buf bytes.Buffer
+	if resp.Length > 0 {
+		buf.Grow(int(resp.Length) + bytes.MinRead)
+	}
+	n, err := buf.ReadFrom(io.LimitReader(resp.Body, int64(limit)+1))
+	if err == nil && n > int64(limit) {
+		err = resultcode.New(resultcode.AnswerIncomplete, "the answer is larger than %d bytes", limit)
+	}
+	return buf.Bytes(), err
+}
+
+// errorType returns the type of a JSON error body, which is safe to log; the
+// message could quote the request.
+func errorType(body []byte) string {
+	var doc struct {
+		Error struct {
+			Type string `json:"type"`
+		} `json:"error"`
+	}
+	const maxType = 64
+	if json.Unmarshal(body, &doc) != nil || len(doc.Error.Type) > maxType {
+		return ""
+	}
+	return doc.Error.Type
+}
+
+// usedTokens returns usage.total_tokens of an answer, or zero.
+func usedTokens(body []byte) int {
+	var doc struct {
+		Usage struct {
+			Total int `json:"total_tokens"`
+		} `json:"usage"`
+	}
+	if err := json.Unmarshal(body, &doc); err != nil && !errors.As(err, new(*json.UnmarshalTypeError)) {
+		return 0
+	}
+	return doc.Usage.Total
+}
--- /dev/null
+++ b/internal/protocol/exchange/header.go
@@ -0,0 +1,24 @@
+package exchange
+
+import (
+	"net/http"
+	"strings"
+)
+
+// RemoveHopByHop removes the fields that are meant for one connection only:
+// the standard ones and those that Connection names.
+func RemoveHopByHop(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range []string{
+		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+		"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	} {
+		delete(h, name)
+	}
+}
--- /dev/null
+++ b/internal/protocol/inference/document.go
@@ -0,0 +1,150 @@
+package inference
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+const (
+	// bytesPerToken estimates the prompt; the engine's own count is charged in
+	// the end.
+	bytesPerToken = 4
+	// maxChoices bounds n, the number of answers to one prompt.
+	maxChoices = 128
+)
+
+// document holds the fields of an inference body that matter here.
+type document struct {
+	model        string
+	stream       bool
+	maxTokens    int
+	choices      int
+	promptTokens int
+	seen         map[string]bool
+}
+
+// outputTokens is the largest output that the request allows.
+func (d *document) outputTokens(fallback int) int {
+	out := d.maxTokens
+	if out == 0 {
+		out = fallback
+	}
+	return out * max(d.choices, 1)
+}
+
+// parseDocument reads one JSON object. A field that occurs twice, or in another
+// case, is refused: the engine might read the other value.
+func parseDocument(body []byte) (*document, error) {
+	d := &document{seen: make(map[string]bool, 4)}
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if t, err := dec.Token(); err != nil || t != json.Delim('{') {
+		return nil, badField("", "the body is not a JSON object")
+	}
+	for dec.More() {
+		t, err := dec.Token()
+		if err != nil {
+			return nil, badField("", "the body is not valid JSON")
+		}
+		name, _ := t.(string)
+		if err := d.field(dec, name); err != nil {
+			return nil, err
+		}
+	}
+	if _, err := dec.Token(); err != nil {
+		return nil, badField("", "the body is not valid JSON")
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, badField("", "the body holds more than one JSON value")
+	}
+	if d.model == "" {
+		return nil, badField("model", "it is required")
+	}
+	return d, nil
+}
+
+// field reads one top-level field.
+func (d *document) field(dec *json.Decoder, name string) error {
+	if known := d.known(name); known != "" {
+		if known != name || d.seen[known] {
+			return badField(known, "it occurs twice or in another case")
+		}
+		d.seen[known] = true
+	}
+	var err error
+	switch name {
+	case "model":
+		err = dec.Decode(&d.model)
+	case "stream":
+		err = dec.Decode(&d.stream)
+	case "n":
+		d.choices, err = decodeCount(dec)
+	case "max_tokens", "max_completion_tokens":
+		var n int
+		n, err = decodeCount(dec)
+		d.maxTokens = max(d.maxTokens, n)
+	case "messages", "prompt":
+		err = d.prompt(dec)
+	default:
+		err = dec.Decode(&json.RawMessage{})
+	}
+	if err != nil {
+		return badField(shorten(name), "it has a wrong type or value")
+	}
+	if d.choices > maxChoices {
+		return badField("n", "it is too large")
+	}
+	return nil
+}
+
+// known returns the name of the field that name spells in any case, or "".
+func (d *document) known(name string) string {
+	for _, k := range []string{"model", "stream", "n", "max_tokens", "max_completion_tokens", "messages", "prompt"} {
+		if strings.EqualFold(k, name) {
+			return k
+		}
+	}
+	return ""
+}
+
+// prompt adds the estimated tokens of a prompt: one for each number in a list
+// of token numbers, else by length.
+func (d *document) prompt(dec *json.Decoder) error {
+	var raw json.RawMessage
+	if err := dec.Decode(&raw); err != nil {
+		return err
+	}
+	if len(raw) > 1 && raw[0] == '[' && strings.IndexByte("0123456789", raw[1]) >= 0 {
+		d.promptTokens += bytes.Count(raw, []byte{','}) + 1
+		return nil
+	}
+	d.promptTokens += len(raw)/bytesPerToken + 1
+	return nil
+}
+
+// decodeCount reads a positive whole number, or zero for null.
+func decodeCount(dec *json.Decoder) (int, error) {
+	const limit = 1 << 24
+	var n *int
+	if err := dec.Decode(&n); err != nil {
+		return 0, err
+	}
+	if n == nil {
+		return 0, nil
+	}
+	if *n <= 0 || *n > limit {
+		return 0, errors.New("out of range")
+	}
+	return *n, nil
+}
+
+func badField(name, what string) error {
+	if name == "" {
+		return resultcode.New(resultcode.BadRequest, "%s", what)
+	}
+	return resultcode.New(resultcode.BadRequest, "field %q: %s", name, what)
+}
--- /dev/null
+++ b/internal/protocol/inference/handler.go
@@ -0,0 +1,284 @@
+// Package inference is the caller side: the usual inference HTTP API with
+// server-sent events, and plain service routes.
+//
+// The handler parses a request, selects its route, takes its key and removes
+// every key source, and passes it to package entry through the Server
+// interface. It decides nothing about keys, limits or endpoints.
+package inference
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/coordination/entry"
+	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/protocol/refusal"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// HeaderRoute selects a route by name.
+const HeaderRoute = "Radishloom-Route"
+
+// Paths of the inference API.
+const (
+	pathChat        = "/v1/chat/completions"
+	pathCompletions = "/v1/completions"
+	pathModels      = "/v1/models"
+)
+
+const (
+	defaultMaxBodyBytes  = 4 << 20
+	defaultBudgetBytes   = 64 << 20
+	defaultMaxTokens     = 1024
+	maxRequestIDBytes    = 128
+	maxIdempotencyKeyLen = 255
+)
+
+// Server serves one parsed request. *entry.Server implements it.
+type Server interface {
+	// Serve returns nil when the whole answer was written, else a
+	// *resultcode.Error. Before Start nothing was written.
+	Serve(ctx context.Context, r *entry.Request, w entry.ResponseWriter) error
+}
+
+// Routes is one version of the look-up tables. *config.Index implements it.
+type Routes interface {
+	Config() *statev1.Config
+	Route(name string) *statev1.Route
+	RouteForPath(path string) *statev1.Route
+	RouteForModel(model string) *statev1.Route
+	Authenticate(secret string) (*statev1.Key, bool)
+}
+
+// Options configures a Handler.
+type Options struct {
+	Server Server
+	// Routes returns the version in force, or nil before the first one.
+	Routes func() Routes
+	// Fresh says that withdrawn keys are known as of now; the list of models is
+	// refused without it.
+	Fresh func() bool
+	// MaxBodyBytes bounds a body where the route states no bound.
+	MaxBodyBytes int64
+	// BudgetBytes bounds the bodies of all open requests together.
+	BudgetBytes int64
+	// DefaultMaxTokens is assumed where a request states no maximum output.
+	DefaultMaxTokens int
+	// TrustForwardedFor keeps the X-Forwarded-For that a load balancer in front
+	// has written. Without it the field is replaced.
+	TrustForwardedFor bool
+	Logger            *slog.Logger
+}
+
+// Handler is the http.Handler for callers. It is safe for concurrent use.
+type Handler struct {
+	opts   Options
+	budget *Budget
+	faults faults
+}
+
+// faults are deliberate defects that tests switch on to show that they find
+// them.
+type faults struct {
+	// keepKeys removes only the key source that the key was taken from.
+	keepKeys bool
+	// doneAfterError ends a failed stream with the end marker.
+	doneAfterError bool
+	// endCutBody ends a failed plain body as if it were whole.
+	endCutBody bool
+}
+
+// New returns a Handler.
+func New(o Options) *Handler {
+	if o.MaxBodyBytes <= 0 {
+		o.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if o.BudgetBytes <= 0 {
+		o.BudgetBytes = defaultBudgetBytes
+	}
+	if o.DefaultMaxTokens <= 0 {
+		o.DefaultMaxTokens = defaultMaxTokens
+	}
+	if o.Logger == nil {
+		o.Logger = slog.Default()
+	}
+	return &Handler{opts: o, budget: NewBudget(o.BudgetBytes)}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id, unique := requestID(r.Header)
+	req, release, err := h.parse(w, r, id)
+	defer release()
+	if err != nil {
+		h.refuse(w, id, err)
+		return
+	}
+	if req == nil { // answered by parse
+		return
+	}
+	req.ID = unique
+	out := newResponder(w, req, id, h.faults)
+	h.finish(out, h.opts.Server.Serve(r.Context(), req, out))
+}
+
+// finish ends the answer according to how far it had come.
+func (h *Handler) finish(out *responder, err error) {
+	if err == nil && !out.started {
+		err = resultcode.New(resultcode.Internal, "the request ended without an answer")
+	}
+	if err != nil && !out.started {
+		h.refuse(out.w, out.id, err)
+		return
+	}
+	out.end(err)
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, id string, err error) {
+	e := refusal.Of(err)
+	if e.Code == resultcode.Internal {
+		h.opts.Logger.Error("request failed", "request_id", id, "error", e)
+	}
+	refusal.Write(w, id, e)
+}
+
+// parse returns the request for the entry, or nil if it has answered itself.
+// The release function is never nil.
+func (h *Handler) parse(w http.ResponseWriter, r *http.Request, id string) (*entry.Request, func(), error) {
+	nothing := func() {}
+	routes := h.opts.Routes()
+	if routes == nil {
+		return nil, nothing, resultcode.New(resultcode.NoFreshState, "this VM has no configuration yet")
+	}
+	if err := checkRequest(r); err != nil {
+		return nil, nothing, err
+	}
+	sel, err := selectRoute(routes, r)
+	if err != nil {
+		return nil, nothing, err
+	}
+	if sel.kind == kindModels {
+		return nil, nothing, h.serveModels(w, r, id, routes, sel.route)
+	}
+	if err := checkMethod(w, r, sel.kind); err != nil {
+		return nil, nothing, err
+	}
+	return h.parseBody(r, id, routes, sel)
+}
+
+// parseBody reads the body and completes the request. Where the route is
+// already known, a missing key is refused before the body is read.
+func (h *Handler) parseBody(r *http.Request, id string, routes Routes, sel selection) (*entry.Request, func(), error) {
+	nothing := func() {}
+	if sel.route != nil {
+		if _, err := requireKey(sel.route, r); err != nil {
+			return nil, nothing, err
+		}
+	}
+	body, release, err := h.readBody(r, h.bodyLimit(sel.route))
+	if err != nil {
+		return nil, release, err
+	}
+	req := &entry.Request{ID: id, Route: sel.route, Method: r.Method, Path: sel.path, Body: body}
+	if sel.kind == kindInference {
+		err = h.parseInference(req, routes)
+	}
+	if err == nil {
+		err = h.complete(req, r)
+	}
+	return req, release, err
+}
+
+func (h *Handler) bodyLimit(route *statev1.Route) int64 {
+	if route == nil || route.GetMaxBodyBytes() == 0 {
+		return h.opts.MaxBodyBytes
+	}
+	return int64(min(route.GetMaxBodyBytes(), 1<<62))
+}
+
+// parseInference reads the JSON body and selects the route by its model if no
+// header or path has done so.
+func (h *Handler) parseInference(req *entry.Request, routes Routes) error {
+	doc, err := parseDocument(req.Body)
+	if err != nil {
+		return err
+	}
+	if req.Route == nil {
+		req.Route = routes.RouteForModel(doc.model)
+		if req.Route == nil {
+			return resultcode.New(resultcode.ModelUnknown, "model %q is not configured", shorten(doc.model))
+		}
+		if limit := h.bodyLimit(req.Route); int64(len(req.Body)) > limit {
+			return resultcode.New(resultcode.BodyTooLarge, "the body has more than %d bytes", limit)
+		}
+	}
+	if !serves(routes, req.Route, doc.model) {
+		return resultcode.New(resultcode.ModelUnknown, "route %q does not serve model %q", req.Route.GetName(), shorten(doc.model))
+	}
+	req.Model = doc.model
+	req.Stream = doc.stream
+	req.PromptTokens = doc.promptTokens
+	req.MaxTokens = doc.outputTokens(h.opts.DefaultMaxTokens)
+	return nil
+}
+
+// serves says whether a route's model, or one of its adapters, has the name.
+func serves(routes Routes, route *statev1.Route, model string) bool {
+	if model == route.GetModel() {
+		return true
+	}
+	for _, m := range routes.Config().GetModels() {
+		if m.GetName() != route.GetModel() {
+			continue
+		}
+		for _, adapter := range m.GetAdapters() {
+			if model == adapter || model == m.GetName()+":"+adapter {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// complete takes the key and fills in what endpoints may see.
+func (h *Handler) complete(req *entry.Request, r *http.Request) error {
+	key, err := requireKey(req.Route, r)
+	if err != nil {
+		return err
+	}
+	req.Key = key
+	req.IdempotencyKey = r.Header.Get(exchange.HeaderIdempotencyKey)
+	req.Header, req.RawQuery = h.clean(r, req.Route)
+	if key != "" && strings.Contains(req.Path, key) {
+		return resultcode.New(resultcode.BadRequest, "the path holds the key")
+	}
+	return nil
+}
+
+// requestID takes over the caller's identifier if it is safe to log and to
+// send, else makes one. The second value is what endpoints and logs get: a
+// caller may repeat an identifier, or use another's, and engines resume and
+// cancel by identifier, so a random part makes it unique.
+func requestID(h http.Header) (shown, unique string) {
+	id := h.Get(exchange.HeaderRequestID)
+	unsafe := func(r rune) bool { return r <= ' ' || r >= 0x7f || r == '"' || r == '\\' }
+	if id != "" && len(id) <= maxRequestIDBytes && !strings.ContainsFunc(id, unsafe) {
+		return id, id + "." + uuid.NewString()
+	}
+	made := uuid.NewString()
+	return made, made
+}
+
+// shorten bounds what an error message repeats of a request.
+func shorten(s string) string {
+	const limit = 64
+	if len(s) > limit {
+		return s[:limit]
+	}
+	return s
+}
--- /dev/null
+++ b/internal/protocol/inference/handler_test.go
@@ -0,0 +1,172 @@
+package inference
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/radishloom/radishloom/internal/coordination/entry"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+const (
+	chatBody = `{"model":"m1","stream":false,"max_tokens":5,"messages":[{"role":"user","content":"hello"}]}`
+	openBody = `{"model":"m2","stream":true,"messages":[]}`
+	withKey  = "Authorization: Bearer " + goodKey
+)
+
+// Guards against a request that takes another route, or another path at the
+// endpoint, than its header, path or model say.
+func TestRouteSelection(t *testing.T) {
+	for _, tt := range []struct {
+		name, raw   string
+		route, path string
+		code        resultcode.Code
+	}{
+		{"by model", post(pathChat, chatBody, withKey), "chat", pathChat, 0},
+		{"by adapter", post(pathCompletions, strings.Replace(chatBody, "m1", "a1", 1), withKey), "chat", pathCompletions, 0},
+		{"by path", post("/urgent/v1/chat/completions", chatBody, withKey), "urgent", pathChat, 0},
+		{"by header", post(pathChat, chatBody, withKey, "Radishloom-Route: urgent"), "urgent", pathChat, 0},
+		{"header beats path", post("/urgent/v1/chat/completions", chatBody, withKey, "Radishloom-Route: nothing"), "", "", resultcode.NoRoute},
+		{"stripped", get("/ledger/a%2Fb?x=1", withKey), "ledger", "/a%2Fb", 0},
+		{"stripped root", get("/ledger", withKey), "ledger", "/", 0},
+		{"longest", get("/ledger/admin/x", withKey), "admin", "/ledger/admin/x", 0},
+		{"segment border", get("/ledgers", withKey), "", "", resultcode.NoRoute},
+		{"escaped prefix", get("/ledger/%61dmin/x", withKey), "", "", resultcode.BadRequest},
+		{"dot segments", get("/status/../ledger/admin", withKey), "", "", resultcode.BadRequest},
+		{"escaped dots", get("/status/%2e%2e/ledger/admin", withKey), "", "", resultcode.BadRequest},
+		{"empty segment", get("/ledger//admin", withKey), "", "", resultcode.BadRequest},
+		{"backslash", get("/ledger/..%5cadmin", withKey), "", "", resultcode.BadRequest},
+		{"unknown path", get("/v2/x", withKey), "", "", resultcode.NoRoute},
+		{"unknown model", post(pathChat, `{"model":"nope"}`, withKey), "", "", resultcode.ModelUnknown},
+		{"other model on path", post("/urgent/v1/chat/completions", `{"model":"m2"}`, withKey), "", "", resultcode.ModelUnknown},
+		{"wrong method", get(pathChat, withKey), "", "", resultcode.MethodNotAllowed},
+		{"no key", post(pathChat, chatBody), "", "", resultcode.KeyMissing},
+		{"no key on path", get("/ledger/x"), "", "", resultcode.KeyMissing},
+		{"open without key", get("/status/x"), "status", "/status/x", 0},
+		{"two route headers", get("/status/x", "Radishloom-Route: status", "Radishloom-Route: admin"), "", "", resultcode.BadRequest},
+		{"two idempotency keys", get("/status/x", "Idempotency-Key: a", "Idempotency-Key: b"), "", "", resultcode.BadRequest},
+		{"model twice", post(pathChat, `{"model":"m1","model":"m2"}`, withKey), "", "", resultcode.BadRequest},
+		{"model in another case", post(pathChat, `{"model":"m1","Model":"m2"}`, withKey), "", "", resultcode.BadRequest},
+		{"no model", post(pathChat, `{"stream":true}`, withKey), "", "", resultcode.BadRequest},
+		{"two values", post(pathChat, chatBody+chatBody, withKey), "", "", resultcode.BadRequest},
+		{"negative tokens", post(pathChat, `{"model":"m1","max_tokens":-1}`, withKey), "", "", resultcode.BadRequest},
+		{"body too large", post("/ledger/x", strings.Repeat("x", 1001), withKey), "", "", resultcode.BodyTooLarge},
+		{"chunked body too large", strings.Replace(get("/ledger/x", withKey, "Transfer-Encoding: chunked"), "GET", "POST", 1) + "3e9\n" + strings.Repeat("x", 1001) + "\n0\n\n", "", "", resultcode.BodyTooLarge},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &fakeServer{}
+			_, server := serve(t, Options{Server: f})
+			head, body, _ := send(t, server, tt.raw)
+			if tt.code != 0 {
+				want := tt.code.Info()
+				if f.calls != 0 || codeIn(t, body) != uint32(tt.code) || !strings.Contains(head, resultcode.Header+": "+itoa(int(tt.code))) ||
+					!strings.HasPrefix(head, "HTTP/1.1 "+itoa(want.Status)) || !strings.Contains(body, `"run_state":"not_run"`) {
+					t.Fatalf("calls %d, answer %s %s; want %s", f.calls, head, body, tt.code)
+				}
+				return
+			}
+			if f.calls != 1 || f.last.Route.Name != tt.route || f.last.Path != tt.path {
+				t.Fatalf("calls %d, request %+v, answer %s %s; want route %s and path %s", f.calls, f.last, head, body, tt.route, tt.path)
+			}
+		})
+	}
+}
+
+// Guards against fields of the request that reach the entry wrong, and against
+// identifiers that a caller can repeat or inject.
+func TestRequestFields(t *testing.T) {
+	f := &fakeServer{}
+	_, server := serve(t, Options{Server: f, DefaultMaxTokens: 77})
+	body := `{"model":"m2","stream":true,"n":2,"prompt":[1,2,3]}`
+	head, _, _ := send(t, server, post(pathCompletions, body, "X-Request-Id: mine", "Idempotency-Key: ik"))
+	r := f.last
+	if !r.Stream || r.Model != "m2" || r.MaxTokens != 154 || r.PromptTokens != 3 || r.IdempotencyKey != "ik" || string(r.Body) != body {
+		t.Fatalf("request %+v", r)
+	}
+	if !strings.Contains(head, "X-Request-Id: mine") || !strings.HasPrefix(r.ID, "mine.") {
+		t.Fatalf("identifier %q, answer %s", r.ID, head)
+	}
+	first := r.ID
+	send(t, server, post(pathCompletions, body, "X-Request-Id: mine"))
+	if f.last.ID == first {
+		t.Fatal("two requests got the same identifier")
+	}
+	send(t, server, post(pathCompletions, body, "X-Request-Id: bad id"))
+	if strings.Contains(f.last.ID, "bad") {
+		t.Fatalf("an unsafe identifier was taken over: %q", f.last.ID)
+	}
+}
+
+// Guards against the list of models being shown without a key, or with more
+// than the route.
+func TestModels(t *testing.T) {
+	fresh := true
+	_, server := serve(t, Options{Server: &fakeServer{}, Fresh: func() bool { return fresh }})
+	_, body, _ := send(t, server, get(pathModels, withKey))
+	for name, want := range map[string]bool{`"m1"`: true, `"a1"`: true, `"m2"`: true, "unrouted": false} {
+		if strings.Contains(body, name) != want {
+			t.Fatalf("%s in the list %s: want %t", name, body, want)
+		}
+	}
+	if _, body, _ = send(t, server, get(pathModels)); strings.Contains(body, "m1") || !strings.Contains(body, "m2") {
+		t.Fatalf("without key: %s", body)
+	}
+	if _, body, _ = send(t, server, get("/urgent/v1/models")); codeIn(t, body) != uint32(resultcode.KeyMissing) {
+		t.Fatalf("keyed route without key: %s", body)
+	}
+	if _, body, _ = send(t, server, get(pathModels, "Authorization: Bearer wrong")); codeIn(t, body) != uint32(resultcode.KeyUnknown) {
+		t.Fatalf("wrong key: %s", body)
+	}
+	fresh = false
+	if _, body, _ = send(t, server, get(pathModels, withKey)); codeIn(t, body) != uint32(resultcode.NoFreshState) {
+		t.Fatalf("without fresh state: %s", body)
+	}
+}
+
+// failAfter starts an answer, writes a part and fails.
+func failAfter(events bool) func(context.Context, *entry.Request, entry.ResponseWriter) error {
+	return func(_ context.Context, _ *entry.Request, w entry.ResponseWriter) error {
+		if err := w.Start(http.StatusOK, http.Header{resultcode.Header: {"1"}}); err != nil {
+			return err
+		}
+		write := w.Write
+		if events {
+			write = w.Event
+		}
+		if err := write([]byte("part one\npart two")); err != nil {
+			return err
+		}
+		return resultcode.New(resultcode.StreamBroken, "it broke")
+	}
+}
+
+// Guards against a failed answer that looks whole to the caller. The defects
+// doneAfterError and endCutBody must be found.
+func TestFailureAfterStart(t *testing.T) {
+	streamHidden := func(f faults) bool {
+		h, server := serve(t, Options{Server: &fakeServer{serve: failAfter(true)}})
+		h.faults = f
+		_, body, _ := send(t, server, post(pathChat, openBody))
+		if !strings.Contains(body, "data: part one\ndata: part two\n\n") || !strings.Contains(body, "event: error\ndata: {") || codeIn(t, body) != uint32(resultcode.StreamBroken) {
+			t.Fatalf("stream %q", body)
+		}
+		return strings.Contains(body, "[DONE]")
+	}
+	bodyHidden := func(f faults) bool {
+		h, server := serve(t, Options{Server: &fakeServer{serve: failAfter(false)}})
+		h.faults = f
+		head, body, _ := send(t, server, get("/status/x"))
+		if strings.Contains(head, resultcode.Header) {
+			t.Fatalf("an endpoint's result code reached the caller: %s", head)
+		}
+		return strings.HasSuffix(body, "0\r\n\r\n")
+	}
+	if streamHidden(faults{}) || bodyHidden(faults{}) {
+		t.Fatal("a cut answer looks whole")
+	}
+	if !streamHidden(faults{doneAfterError: true}) || !bodyHidden(faults{endCutBody: true}) {
+		t.Fatal("the defects were not found")
+	}
+}
--- /dev/null
+++ b/internal/protocol/inference/models.go
@@ -0,0 +1,117 @@
+package inference
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// modelList is the answer to GET /v1/models.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+	Parent  string `json:"parent,omitempty"`
+}
+
+// serveModels lists the models that have a route: all of them for a caller with
+// a key, else those of open routes. One route limits the list to its model.
+func (h *Handler) serveModels(w http.ResponseWriter, r *http.Request, id string, routes Routes, only *statev1.Route) error {
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		w.Header().Set("Allow", http.MethodGet)
+		return resultcode.New(resultcode.MethodNotAllowed, "the path takes GET only")
+	}
+	keyed, err := h.authenticate(r, routes, only)
+	if err != nil {
+		return err
+	}
+	visible := visibleModels(routes.Config(), only, keyed)
+	if len(visible) == 0 && !keyed {
+		return resultcode.New(resultcode.KeyMissing, "the list of models needs a key")
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, m := range routes.Config().GetModels() {
+		if visible[m.GetName()] {
+			list.Data = appendModel(list.Data, m)
+		}
+	}
+	return writeJSON(w, id, list)
+}
+
+// authenticate checks the key, if one is shown. Without fresh state a withdrawn
+// key could not be told from a valid one.
+func (h *Handler) authenticate(r *http.Request, routes Routes, only *statev1.Route) (bool, error) {
+	key := modelsKey(r, routes, only)
+	if key == "" {
+		return false, nil
+	}
+	if h.opts.Fresh != nil && !h.opts.Fresh() {
+		return false, resultcode.New(resultcode.NoFreshState, "withdrawn keys are not known now")
+	}
+	if _, ok := routes.Authenticate(key); !ok {
+		return false, resultcode.New(resultcode.KeyUnknown, "the key is not known")
+	}
+	return true, nil
+}
+
+// modelsKey looks into the sources of the route, or of every model route.
+func modelsKey(r *http.Request, routes Routes, only *statev1.Route) string {
+	if only != nil {
+		return findKey(only, r)
+	}
+	for _, route := range routes.Config().GetRoutes() {
+		if route.GetKind() != statev1.RouteKind_ROUTE_KIND_MODEL {
+			continue
+		}
+		if key := findKey(route, r); key != "" {
+			return key
+		}
+	}
+	return ""
+}
+
+func visibleModels(c *statev1.Config, only *statev1.Route, keyed bool) map[string]bool {
+	out := make(map[string]bool)
+	for _, route := range c.GetRoutes() {
+		if only != nil && route.GetName() != only.GetName() {
+			continue
+		}
+		if route.GetKind() == statev1.RouteKind_ROUTE_KIND_MODEL && (keyed || route.GetOpen()) {
+			out[route.GetModel()] = true
+		}
+	}
+	return out
+}
+
+func appendModel(list []modelEntry, m *statev1.Model) []modelEntry {
+	list = append(list, modelEntry{ID: m.GetName(), Object: "model", OwnedBy: "radishloom"})
+	for _, adapter := range m.GetAdapters() {
+		list = append(list, modelEntry{ID: adapter, Object: "model", OwnedBy: "radishloom", Parent: m.GetName()})
+	}
+	return list
+}
+
+func writeJSON(w http.ResponseWriter, id string, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return resultcode.Wrap(resultcode.Internal, err, "encode the answer")
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(exchange.HeaderRequestID, id)
+	w.WriteHeader(http.StatusOK)
+	// A caller that is gone cannot be told more.
+	_, _ = w.Write(body)
+	return nil
+}
--- /dev/null
+++ b/internal/standin/engine/batch.go
@@ -0,0 +1,241 @@
+package engine
+
+import (
+	"context"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+)
+
+// run is one request in the engine. Its fields are guarded by mu, which is
+// taken after the engine's.
+type run struct {
+	id             string
+	idempotencyKey string
+	priority       int
+	// prefill is the work left before the first token.
+	prefill time.Duration
+	target  int
+	text    textFunc
+	stream  bool
+	chat    bool
+	model   string
+
+	mu        sync.Mutex
+	changed   *sync.Cond
+	generated int
+	started   bool
+	over      bool
+	cancelled bool
+	endedAt   time.Time
+}
+
+// textFunc returns the text of one token.
+type textFunc func(i int) string
+
+func newRun(id string) *run {
+	r := &run{id: id}
+	r.changed = sync.NewCond(&r.mu)
+	return r
+}
+
+// stop ends the run before its last token.
+func (r *run) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.over {
+		r.over, r.cancelled, r.endedAt = true, true, time.Now()
+	}
+	r.changed.Broadcast()
+}
+
+// wait returns once more than n tokens exist, or the run is over, or ctx ends.
+func (r *run) wait(ctx context.Context, n int) (generated int, over bool) {
+	stop := context.AfterFunc(ctx, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.changed.Broadcast()
+	})
+	defer stop()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.generated <= n && !r.over && ctx.Err() == nil {
+		r.changed.Wait()
+	}
+	return r.generated, r.over
+}
+
+// wasCancelled says that the run ended before its last token.
+func (r *run) wasCancelled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cancelled
+}
+
+func (r *run) isOver() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.over
+}
+
+// advance spends one step on the run.
+func (r *run) advance(step time.Duration) (over bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.over {
+		return true
+	}
+	if r.prefill > 0 {
+		r.prefill -= max(step, time.Microsecond)
+		return false
+	}
+	r.generated++
+	if r.generated >= r.target {
+		r.over, r.endedAt = true, time.Now()
+	}
+	r.changed.Broadcast()
+	return r.over
+}
+
+// submit queues a run. It returns false if the queue is full. Callers hold mu.
+func (e *Engine) submit(r *run) bool {
+	if len(e.waiting) >= e.config.MaxWaiting {
+		return false
+	}
+	e.forgetOld()
+	e.runs[r.id] = r
+	e.waiting = append(e.waiting, r)
+	e.wake.Signal()
+	return true
+}
+
+// forgetOld drops finished runs that can no longer be resumed. Callers hold mu.
+func (e *Engine) forgetOld() {
+	const sweepAbove = 256
+	if len(e.runs) < sweepAbove {
+		return
+	}
+	for id, r := range e.runs {
+		r.mu.Lock()
+		old := r.over && time.Since(r.endedAt) > e.config.ResumeWindow
+		r.mu.Unlock()
+		if old {
+			delete(e.runs, id)
+		}
+	}
+}
+
+// loop runs one batch step after another.
+func (e *Engine) loop() {
+	for {
+		batch, step, ok := e.nextBatch()
+		if !ok {
+			return
+		}
+		if step > 0 {
+			time.Sleep(step)
+		} else {
+			runtime.Gosched()
+		}
+		e.finishStep(batch, step)
+	}
+}
+
+// nextBatch waits for work and fills the free slots by priority.
+func (e *Engine) nextBatch() ([]*run, time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for len(e.running) == 0 && len(e.waiting) == 0 && !e.closed {
+		e.wake.Wait()
+	}
+	if e.closed {
+		return nil, 0, false
+	}
+	e.admit()
+	others := float64(max(len(e.running)-1, 0))
+	step := time.Duration(float64(e.config.TokenTime) * (1 + e.config.BatchSlowdown*others))
+	return slices.Clone(e.running), step, true
+}
+
+// admit moves waiting runs into free slots. Callers hold mu.
+func (e *Engine) admit() {
+	e.waiting = slices.DeleteFunc(e.waiting, (*run).isOver)
+	slices.SortStableFunc(e.waiting, func(a, b *run) int { return b.priority - a.priority })
+	for len(e.running) < e.config.Slots && len(e.waiting) > 0 {
+		r := e.waiting[0]
+		e.waiting = slices.Delete(e.waiting, 0, 1)
+		r.mu.Lock()
+		r.started = true
+		r.mu.Unlock()
+		e.counters.count(r)
+		e.running = append(e.running, r)
+	}
+	e.snapshot()
+}
+
+func (e *Engine) finishStep(batch []*run, step time.Duration) {
+	ended := make(map[*run]bool)
+	for _, r := range batch {
+		if r.advance(step) {
+			ended[r] = true
+		}
+	}
+	if len(ended) == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running = slices.DeleteFunc(e.running, func(r *run) bool { return ended[r] })
+	e.snapshot()
+}
+
+// counters are the oracle of tests. Callers hold the engine's mu.
+type counters struct {
+	byID      map[string]int
+	byKey     map[string]int
+	cancelled map[string]int
+	received  map[string]int
+	crashes   int
+}
+
+func newCounters() counters {
+	return counters{
+		byID: make(map[string]int), byKey: make(map[string]int),
+		cancelled: make(map[string]int), received: make(map[string]int),
+	}
+}
+
+func (c *counters) count(r *run) {
+	c.byID[r.id]++
+	if r.idempotencyKey != "" {
+		c.byKey[r.idempotencyKey]++
+	}
+}
+
+// Runs returns how often a request with this identifier was executed.
+func (e *Engine) Runs(id string) int { return e.counter(func(c *counters) int { return c.byID[id] }) }
+
+// RunsByKey returns how often a request with this idempotency key was executed.
+func (e *Engine) RunsByKey(key string) int {
+	return e.counter(func(c *counters) int { return c.byKey[key] })
+}
+
+// Cancelled returns how often a request was cancelled by a DELETE.
+func (e *Engine) Cancelled(id string) int {
+	return e.counter(func(c *counters) int { return c.cancelled[id] })
+}
+
+// Received returns how often the head of a request arrived.
+func (e *Engine) Received(id string) int {
+	return e.counter(func(c *counters) int { return c.received[id] })
+}
+
+// Crashes returns how often the engine died.
+func (e *Engine) Crashes() int { return e.counter(func(c *counters) int { return c.crashes }) }
+
+func (e *Engine) counter(f func(*counters) int) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return f(&e.counters)
+}
--- /dev/null
+++ b/internal/transport/httpclient/client.go
@@ -0,0 +1,248 @@
+// Package httpclient carries out HTTP/1.1 exchanges with endpoints over pools
+// of connections.
+//
+// It does not use net/http's Transport, because that sends a request again on
+// its own when a reused connection fails and the method is GET or the request
+// has an Idempotency-Key header. Here a request is sent at most once, and each
+// error states whether a byte of the request was handed to the operating
+// system. The codecs for heads and bodies are those of net/http.
+package httpclient
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// Options sets the bounds of a Client. Zero fields take the defaults.
+type Options struct {
+	// ConnectTimeout bounds one connection attempt.
+	ConnectTimeout time.Duration
+	// KeepAlive is the interval of TCP keep-alive probes.
+	KeepAlive time.Duration
+	// UserTimeout is TCP_USER_TIMEOUT: the longest time that sent data may stay
+	// unacknowledged before the kernel closes the connection.
+	UserTimeout time.Duration
+	// IdleTimeout is how long an unused connection may be reused.
+	IdleTimeout time.Duration
+	// Silence is used for requests that state none.
+	Silence time.Duration
+	// MaxIdlePerEndpoint bounds the unused connections to one address.
+	MaxIdlePerEndpoint int
+	// MaxHeadBytes bounds the head of an answer.
+	MaxHeadBytes int
+}
+
+// Defaults from section 9 of the design page.
+const (
+	defaultConnectTimeout = 500 * time.Millisecond
+	defaultKeepAlive      = time.Second
+	defaultUserTimeout    = 3 * time.Second
+	defaultIdleTimeout    = time.Second
+	defaultSilence        = 30 * time.Second
+	defaultMaxIdle        = 64
+	defaultMaxHeadBytes   = 64 << 10
+)
+
+func (o Options) withDefaults() Options {
+	if o.ConnectTimeout <= 0 {
+		o.ConnectTimeout = defaultConnectTimeout
+	}
+	if o.KeepAlive <= 0 {
+		o.KeepAlive = defaultKeepAlive
+	}
+	if o.UserTimeout <= 0 {
+		o.UserTimeout = defaultUserTimeout
+	}
+	if o.IdleTimeout <= 0 {
+		o.IdleTimeout = defaultIdleTimeout
+	}
+	if o.Silence <= 0 {
+		o.Silence = defaultSilence
+	}
+	if o.MaxIdlePerEndpoint <= 0 {
+		o.MaxIdlePerEndpoint = defaultMaxIdle
+	}
+	if o.MaxHeadBytes <= 0 {
+		o.MaxHeadBytes = defaultMaxHeadBytes
+	}
+	return o
+}
+
+// Client holds one pool of connections for each address. It is safe for
+// concurrent use.
+type Client struct {
+	opts    Options
+	dialer  net.Dialer
+	faults  faults
+	mu      sync.Mutex
+	pools   map[string]*pool
+	closing bool
+}
+
+// faults are deliberate defects that tests switch on to show that they find
+// them.
+type faults struct {
+	// replay sends a request again when a reused connection fails.
+	replay bool
+	// keepSilent keeps idle connections of an endpoint that went silent.
+	keepSilent bool
+	// claimNotRun reports every failed exchange as not run.
+	claimNotRun bool
+	// reuseAny skips the checks of an idle connection.
+	reuseAny bool
+}
+
+var _ exchange.Client = (*Client)(nil)
+
+// New returns a Client.
+func New(o Options) *Client {
+	o = o.withDefaults()
+	return &Client{opts: o, dialer: newDialer(o), pools: make(map[string]*pool)}
+}
+
+// CloseIdle closes every unused connection.
+func (c *Client) CloseIdle() {
+	for _, p := range c.allPools() {
+		p.dropIdle()
+	}
+}
+
+// Close closes unused connections and keeps none from then on. Exchanges in
+// progress go on.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
+	for _, p := range c.allPools() {
+		p.close()
+	}
+}
+
+func (c *Client) allPools() []*pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]*pool, 0, len(c.pools))
+	for _, p := range c.pools {
+		out = append(out, p)
+	}
+	return out
+}
+
+func (c *Client) pool(address string) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.pools[address]
+	if !ok {
+		p = &pool{opts: c.opts, keepSilent: c.faults.keepSilent, reuseAny: c.faults.reuseAny, closed: c.closing}
+		c.pools[address] = p
+	}
+	return p
+}
+
+// Do implements exchange.Client. It sends the request at most once. Only when
+// a reused connection turns out to be closed before the first byte is written
+// does it go on with a new one.
+func (c *Client) Do(ctx context.Context, req *exchange.Request) (*exchange.Response, error) {
+	if err := validate(req); err != nil {
+		return nil, err
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, notSent(err, req.Address)
+	}
+	p := c.pool(req.Address)
+	cn := c.idle(p, req)
+	if cn != nil {
+		resp, err := c.exchange(ctx, cn, req)
+		if err == nil || (cn.written > 0 && !c.faults.replay) || ctx.Err() != nil {
+			return resp, c.distort(err)
+		}
+	}
+	cn, err := c.connect(ctx, p, req.Address)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.exchange(ctx, cn, req)
+	return resp, c.distort(err)
+}
+
+// distort applies the deliberate defect claimNotRun.
+func (c *Client) distort(err error) error {
+	if err != nil && c.faults.claimNotRun {
+		return resultcode.Wrap(resultcode.EndpointSilentNotRun, err, "defect switched on by a test")
+	}
+	return err
+}
+
+// idle takes an open connection if the request allows it. A request whose body
+// is a stream cannot be sent a second time, not even after no byte was written,
+// so it gets a new connection.
+func (c *Client) idle(p *pool, req *exchange.Request) *conn {
+	if req.FreshConnection || req.Stream != nil {
+		return nil
+	}
+	return p.get()
+}
+
+func (c *Client) connect(ctx context.Context, p *pool, address string) (*conn, error) {
+	dialContext, cancel := context.WithTimeout(ctx, c.opts.ConnectTimeout)
+	defer cancel()
+	generation := p.currentGeneration()
+	raw, err := c.dialer.DialContext(dialContext, "tcp", address)
+	if err != nil {
+		return nil, notSent(err, address)
+	}
+	return newConn(raw, p, generation, c.opts.MaxHeadBytes), nil
+}
+
+// exchange sends the request and reads the head of the answer.
+func (c *Client) exchange(ctx context.Context, cn *conn, req *exchange.Request) (*exchange.Response, error) {
+	silence := req.Silence
+	if silence <= 0 {
+		silence = c.opts.Silence
+	}
+	cn.begin(ctx, silence)
+	if err := cn.send(req); err != nil {
+		// An endpoint may answer and close before it has read the whole body.
+		if cn.written == 0 || !cn.answerWaiting() {
+			return nil, cn.fail(ctx, err, stageSend)
+		}
+	}
+	resp, err := cn.readHead(req.Method)
+	if err != nil {
+		return nil, cn.fail(ctx, err, stageHead)
+	}
+	return newResponse(ctx, cn, resp), nil
+}
+
+// Transport returns a net/http transport for calls between daemons, with the
+// same dialer. It must only carry requests that net/http does not repeat on
+// its own: POST without an Idempotency-Key header.
+func (o Options) Transport() *http.Transport {
+	o = o.withDefaults()
+	dialer := newDialer(o)
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, o.ConnectTimeout)
+			defer cancel()
+			return dialer.DialContext(ctx, network, address)
+		},
+		DisableCompression:     true,
+		IdleConnTimeout:        o.IdleTimeout,
+		MaxIdleConnsPerHost:    o.MaxIdlePerEndpoint,
+		MaxResponseHeaderBytes: int64(o.MaxHeadBytes),
+		TLSHandshakeTimeout:    o.UserTimeout,
+		Protocols:              http1Only(),
+	}
+}
+
+func http1Only() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	return p
+}
--- /dev/null
+++ b/internal/transport/httpclient/sockopt_linux.go
@@ -0,0 +1,51 @@
+package httpclient
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// probeCount failed probes in a row end a connection. TCP_USER_TIMEOUT takes
+// precedence where both apply.
+const probeCount = 3
+
+func newDialer(o Options) net.Dialer {
+	return net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: o.KeepAlive, Interval: o.KeepAlive, Count: probeCount},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			return setUserTimeout(c, o.UserTimeout)
+		},
+	}
+}
+
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
+	var err error
+	controlErr := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	return errors.Join(controlErr, err)
+}
+
+// openAndEmpty says whether the peer has neither closed the connection nor sent
+// a byte that was not read.
+func openAndEmpty(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peekErr error
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, peekErr = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return true
+	})
+	return err == nil && errors.Is(peekErr, unix.EAGAIN)
+}
--- /dev/null
+++ b/internal/transport/httpserver/listener.go
@@ -0,0 +1,102 @@
+package httpserver
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/radishloom/radishloom/internal/protocol/refusal"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+const (
+	// maxRefusals bounds the connections that are being told that there are too
+	// many; beyond it they are closed without a word.
+	maxRefusals = 64
+	// refusalTime bounds one such goodbye.
+	refusalTime = 500 * time.Millisecond
+)
+
+// limitListener bounds the open connections. A connection beyond the bound is
+// refused at once: left in the backlog it would wait without a code.
+type limitListener struct {
+	net.Listener
+	limit    int64
+	plain    bool
+	count    atomic.Int64
+	refusing atomic.Int64
+	refusal  []byte
+}
+
+func newLimitListener(l net.Listener, limit int, plain bool) *limitListener {
+	return &limitListener{Listener: l, limit: int64(limit), plain: plain, refusal: overloaded()}
+}
+
+// overloaded is the answer on a connection beyond the bound.
+func overloaded() []byte {
+	err := resultcode.New(resultcode.VMOverloaded, "this VM has too many open connections")
+	info := err.Code.Info()
+	body := refusal.Body("", err)
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: %d\r\n%s: %d\r\nRetry-After: 1\r\n\r\n%s",
+		info.Status, http.StatusText(info.Status), len(body), resultcode.Header, uint32(err.Code), body)
+}
+
+func (l *limitListener) open() int { return int(l.count.Load()) }
+
+// Accept implements net.Listener.
+func (l *limitListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.count.Add(1) <= l.limit {
+			return &countedConn{Conn: c, listener: l}, nil
+		}
+		l.count.Add(-1)
+		l.refuse(c)
+	}
+}
+
+// refuse tells the caller why and closes the connection. Over TLS that would
+// take a handshake, so the connection is only closed.
+func (l *limitListener) refuse(c net.Conn) {
+	if !l.plain || l.refusing.Add(1) > maxRefusals {
+		if l.plain {
+			l.refusing.Add(-1)
+		}
+		_ = c.Close()
+		return
+	}
+	go func() {
+		defer l.refusing.Add(-1)
+		defer c.Close() //nolint:errcheck // nothing is left to do
+		_ = c.SetDeadline(time.Now().Add(refusalTime))
+		if _, err := c.Write(l.refusal); err != nil {
+			return
+		}
+		// Closing while the request is unread would reset the connection and
+		// could destroy the answer on its way.
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
+		_, _ = io.Copy(io.Discard, c)
+	}()
+}
+
+// countedConn gives its place back when it is closed.
+type countedConn struct {
+	net.Conn
+	listener *limitListener
+	once     sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.listener.count.Add(-1) })
+	return c.Conn.Close()
+}
