cli: add the operator's tool and the configuration document's reader

Cause: operators need a command-line tool that survives lost answers.

Change: internal/cli has all commands, cmd/radishloom runs them.

--- /dev/null
+++ b/internal/cli/resources.go
@@ -0,0 +1,199 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/document"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// resource is a named part of the configuration document.
+type resource interface {
+	proto.Message
+	GetName() string
+}
+
+// find returns a copy of the named resource, or fallback.
+func find[R resource](resources []R, name string, fallback R) R {
+	for _, r := range resources {
+		if r.GetName() == name {
+			return proto.CloneOf(r)
+		}
+	}
+	return fallback
+}
+
+// setArgs are the arguments of the set commands.
+type setArgs struct {
+	command
+	waitOption
+	Args struct {
+		Name   string   `positional-arg-name:"NAME"`
+		Fields []string `positional-arg-name:"FIELD=VALUE" description:"fields of api/state/v1/config.proto; lists are separated by commas"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func (c *setArgs) setFields(m proto.Message) error {
+	for _, assignment := range c.Args.Fields {
+		field, value, ok := strings.Cut(assignment, "=")
+		if !ok || field == "name" {
+			return usagef("%s: allowed: FIELD=VALUE with a field other than name", assignment)
+		}
+		if err := document.Set(m, field, value); err != nil {
+			return usagef("%v", err)
+		}
+	}
+	return nil
+}
+
+// set changes fields of a resource on the basis of the version that was read.
+func (c *setArgs) set(ctx context.Context, a *app, pick func(from, to *statev1.Config) proto.Message) error {
+	config, err := a.config(ctx, 0)
+	if err != nil {
+		return err
+	}
+	upserts := &statev1.Config{}
+	if err := c.setFields(pick(config, upserts)); err != nil {
+		return err
+	}
+	return a.apply(ctx, &statev1.ConfigChange{BaseVersion: config.GetVersion(), Upserts: upserts}, c.waitOption)
+}
+
+// removeArgs are the arguments of the remove commands.
+type removeArgs struct {
+	command
+	waitOption
+	Args struct {
+		Name string `positional-arg-name:"NAME"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func (c *removeArgs) remove(ctx context.Context, a *app, kind statev1.ResourceKind) error {
+	config, err := a.config(ctx, 0)
+	if err != nil {
+		return err
+	}
+	if a.global.RequestID == "" && !has(config, kind, c.Args.Name) {
+		return refused(resultcode.ResourceUnknown, fmt.Sprintf("%q does not exist", c.Args.Name))
+	}
+	return a.apply(ctx, &statev1.ConfigChange{
+		BaseVersion: config.GetVersion(),
+		Removed:     []*statev1.ResourceName{{Kind: kind, Name: c.Args.Name}},
+	}, c.waitOption)
+}
+
+func has(config *statev1.Config, kind statev1.ResourceKind, name string) bool {
+	switch kind {
+	case statev1.ResourceKind_RESOURCE_KIND_PROFILE:
+		return find(config.GetProfiles(), name, nil) != nil
+	case statev1.ResourceKind_RESOURCE_KIND_ROUTE:
+		return find(config.GetRoutes(), name, nil) != nil
+	case statev1.ResourceKind_RESOURCE_KIND_CUSTOMER:
+		return find(config.GetCustomers(), name, nil) != nil
+	default:
+		return true
+	}
+}
+
+type profileSet struct{ setArgs }
+
+func (c *profileSet) run(ctx context.Context, a *app) error {
+	return c.set(ctx, a, func(from, to *statev1.Config) proto.Message {
+		p := find(from.GetProfiles(), c.Args.Name, &statev1.Profile{Name: c.Args.Name})
+		to.Profiles = []*statev1.Profile{p}
+		return p
+	})
+}
+
+type routeSet struct{ setArgs }
+
+func (c *routeSet) run(ctx context.Context, a *app) error {
+	return c.set(ctx, a, func(from, to *statev1.Config) proto.Message {
+		r := find(from.GetRoutes(), c.Args.Name, &statev1.Route{Name: c.Args.Name})
+		to.Routes = []*statev1.Route{r}
+		return r
+	})
+}
+
+type customerSet struct{ setArgs }
+
+func (c *customerSet) run(ctx context.Context, a *app) error {
+	return c.set(ctx, a, func(from, to *statev1.Config) proto.Message {
+		customer := find(from.GetCustomers(), c.Args.Name, &statev1.Customer{Name: c.Args.Name})
+		to.Customers = []*statev1.Customer{customer}
+		return customer
+	})
+}
+
+type profileRemove struct{ removeArgs }
+
+func (c *profileRemove) run(ctx context.Context, a *app) error {
+	return c.remove(ctx, a, statev1.ResourceKind_RESOURCE_KIND_PROFILE)
+}
+
+type routeRemove struct{ removeArgs }
+
+func (c *routeRemove) run(ctx context.Context, a *app) error {
+	return c.remove(ctx, a, statev1.ResourceKind_RESOURCE_KIND_ROUTE)
+}
+
+type customerRemove struct{ removeArgs }
+
+func (c *customerRemove) run(ctx context.Context, a *app) error {
+	return c.remove(ctx, a, statev1.ResourceKind_RESOURCE_KIND_CUSTOMER)
+}
+
+type profileList struct{ command }
+
+func (profileList) run(ctx context.Context, a *app) error {
+	config, err := a.config(ctx, 0)
+	if err != nil {
+		return err
+	}
+	return a.print(&statev1.Config{Version: config.GetVersion(), Profiles: config.GetProfiles()}, func() [][]string {
+		rows := [][]string{row("PROFILE", "PRIORITY", "FIRST TOKEN MS", "TOKEN GAP MS", "DEADLINE MS", "SILENCE MS", "RESERVED %")}
+		for _, p := range config.GetProfiles() {
+			rows = append(rows, row(p.GetName(), p.GetPriority(), p.GetFirstTokenMs(), p.GetTokenGapMs(),
+				p.GetDeadlineMs(), p.GetSilenceMs(), p.GetReservedSharePercent()))
+		}
+		return rows
+	})
+}
+
+type routeList struct{ command }
+
+func (routeList) run(ctx context.Context, a *app) error {
+	config, err := a.config(ctx, 0)
+	if err != nil {
+		return err
+	}
+	return a.print(&statev1.Config{Version: config.GetVersion(), Routes: config.GetRoutes()}, func() [][]string {
+		rows := [][]string{row("ROUTE", "PATH", "MODEL", "POOL", "PROFILE", "OPEN", "IDEMPOTENT")}
+		for _, r := range config.GetRoutes() {
+			rows = append(rows, row(r.GetName(), r.GetPathPrefix(), r.GetModel(), r.GetPool(), r.GetProfile(),
+				r.GetOpen(), r.GetIdempotent()))
+		}
+		return rows
+	})
+}
+
+type customerList struct{ command }
+
+func (customerList) run(ctx context.Context, a *app) error {
+	config, err := a.config(ctx, 0)
+	if err != nil {
+		return err
+	}
+	return a.print(&statev1.Config{Version: config.GetVersion(), Customers: config.GetCustomers()}, func() [][]string {
+		rows := [][]string{row("CUSTOMER", "TOKENS/S", "BURST", "WEIGHT", "MAX OPEN")}
+		for _, c := range config.GetCustomers() {
+			rows = append(rows, row(c.GetName(), c.GetRateTokensPerSecond(), c.GetBurstTokens(), c.GetWeight(), c.GetMaxOpenRequests()))
+		}
+		return rows
+	})
+}
