--- a/internal/coordination/admission/limits.go
+++ b/internal/coordination/admission/limits.go
@@ -85,28 +85,22 @@
 		}
 	}
 	limit := 0
+	higher := 0
 	for _, l := range r.levels {
+		higher += l.SharePercent
+	}
+	for i, l := range r.levels {
 		if l.Priority > priority {
 			break
 		}
-		limit = r.step(window, l, limit)
-	}
-	return max(limit, 1, window-reserved(window, above))
-}
-
-// step returns the limit of a level, given that of the next lower one.
-func (r Reserve) step(window int, l Level, lower int) int {
-	above := 0
-	for _, h := range r.levels {
-		if h.Priority > l.Priority {
-			above += h.SharePercent
+		higher -= l.SharePercent
+		lower := limit
+		limit = max(lower, 1, window-reserved(window, higher))
+		if l.SharePercent > 0 && i > 0 {
+			limit = max(limit, lower+1)
 		}
 	}
-	limit := max(1, window-reserved(window, above))
-	if l.SharePercent > 0 {
-		limit = max(limit, max(1, lower)+1)
-	}
-	return max(limit, lower)
+	return max(limit, 1, window-reserved(window, above))
 }
 
 // reserved rounds up, so that a small share is at least one slot.
--- /dev/null
+++ b/internal/coordination/admission/queue_test.go
@@ -0,0 +1,226 @@
+package admission
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+type flowKey struct {
+	priority int32
+	customer string
+}
+
+// oracle is the queue as a plain list that is searched in full.
+type oracle struct {
+	items   []*Item
+	seq     map[*Item]int
+	n       int
+	start   map[flowKey]float64
+	virtual map[int32]float64
+}
+
+func key(it *Item) flowKey { return flowKey{it.Priority, it.Customer} }
+
+func (o *oracle) backlog(k flowKey) (n int) {
+	for _, it := range o.items {
+		if key(it) == k {
+			n++
+		}
+	}
+	return n
+}
+
+func (o *oracle) push(it *Item) {
+	if k := key(it); o.backlog(k) == 0 {
+		o.start[k] = max(o.start[k], o.virtual[it.Priority])
+	}
+	o.n++
+	o.seq[it] = o.n
+	o.items = append(o.items, it)
+}
+
+func (o *oracle) remove(it *Item) {
+	i := slices.Index(o.items, it)
+	o.items = slices.Delete(o.items, i, i+1)
+}
+
+// victim is the newest item of the longest backlog of the lowest priority.
+func (o *oracle) victim() *Item {
+	lowest := slices.MinFunc(o.items, func(a, b *Item) int { return int(a.Priority - b.Priority) }).Priority
+	var best *Item
+	for _, it := range o.items {
+		if it.Priority != lowest {
+			continue
+		}
+		if best == nil {
+			best = it
+			continue
+		}
+		a, b := o.backlog(key(it)), o.backlog(key(best))
+		if a > b || a == b && (it.Customer < best.Customer || it.Customer == best.Customer && o.seq[it] > o.seq[best]) {
+			best = it
+		}
+	}
+	return best
+}
+
+func (o *oracle) before(a, b *Item) bool {
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
+	}
+	if sa, sb := o.start[key(a)], o.start[key(b)]; key(a) != key(b) && sa != sb {
+		return sa < sb
+	}
+	if a.LatestStart != b.LatestStart {
+		return a.LatestStart < b.LatestStart
+	}
+	return o.seq[a] < o.seq[b]
+}
+
+func (o *oracle) best(classes []string, blocked func(string, int32) bool) (best *Item) {
+	for _, it := range o.items {
+		if slices.Contains(classes, it.Class) && !blocked(it.Class, it.Priority) && (best == nil || o.before(it, best)) {
+			best = it
+		}
+	}
+	return best
+}
+
+func (o *oracle) take(it *Item) {
+	k := key(it)
+	o.virtual[it.Priority] = max(o.virtual[it.Priority], o.start[k])
+	o.start[k] += float64(it.Tokens) / float64(max(1, it.Weight))
+	o.remove(it)
+}
+
+func queueProperty(unfair bool) func(*rapid.T) {
+	return func(t *rapid.T) {
+		const limit = 12
+		q := NewQueue(limit)
+		q.unfair = unfair
+		o := &oracle{seq: map[*Item]int{}, start: map[flowKey]float64{}, virtual: map[int32]float64{}}
+		now := time.Duration(0)
+		classes := []string{"m1", "m2", "m3"}
+		var taken []*Item
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				it := &Item{
+					Class: rapid.SampledFrom(classes).Draw(t, "class"), Customer: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"),
+					Priority: rapid.Int32Range(0, 2).Draw(t, "priority"), Tokens: rapid.Uint64Range(1, 1000).Draw(t, "tokens"),
+					LatestStart: now + time.Duration(rapid.IntRange(0, 20).Draw(t, "start")),
+				}
+				it.Weight = map[string]uint32{"a": 1, "b": 2}[it.Customer]
+				o.push(it)
+				var want *Item
+				if len(o.items) > limit {
+					want = o.victim()
+					o.remove(want)
+				}
+				if got := q.Push(it); got != want {
+					t.Fatalf("evicted %+v, want %+v", got, want)
+				}
+			},
+			"take": func(t *rapid.T) {
+				some := classes[rapid.IntRange(0, 2).Draw(t, "from"):]
+				none := rapid.Int32Range(0, 6).Draw(t, "blocked")
+				blocked := func(class string, p int32) bool { return class == "m2" && p == none }
+				got, want := q.Best(some, blocked), o.best(some, blocked)
+				if got != want {
+					t.Fatalf("best is %+v, want %+v", got, want)
+				}
+				if got != nil {
+					q.Take(got)
+					o.take(got)
+					taken = append(taken, got)
+				}
+			},
+			"settle": func(t *rapid.T) {
+				if len(taken) == 0 {
+					t.Skip("nothing taken")
+				}
+				it := taken[0]
+				taken = taken[1:]
+				used := rapid.Uint64Range(0, it.Tokens).Draw(t, "used")
+				q.Settle(it, used)
+				o.start[key(it)] += (float64(used) - float64(it.Tokens)) / float64(max(1, it.Weight))
+			},
+			"remove": func(t *rapid.T) {
+				if len(o.items) == 0 {
+					t.Skip("empty")
+				}
+				it := rapid.SampledFrom(o.items).Draw(t, "item")
+				o.remove(it)
+				q.Remove(it)
+			},
+			"expire": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(0, 10).Draw(t, "time"))
+				for _, it := range q.Expire(now) {
+					if it.LatestStart >= now {
+						t.Fatalf("%+v expired at %d", it, now)
+					}
+					o.remove(it)
+				}
+			},
+			"": func(t *rapid.T) {
+				if q.Len() != len(o.items) {
+					t.Fatalf("%d items, want %d", q.Len(), len(o.items))
+				}
+				for _, it := range o.items {
+					if it.LatestStart < now && !slices.Contains(q.expiry, it) {
+						t.Fatal("a late item was lost")
+					}
+				}
+			},
+		})
+	}
+}
+
+// Guards the dispatch order, eviction and expiry against a brute-force model.
+func TestQueue(t *testing.T) {
+	check(t, queueProperty(false))
+	t.Run("unfair", func(t *testing.T) { mustFail(t, queueProperty(true)) })
+}
+
+// Guards the reserved shares: a higher priority never has less room, and one
+// with a share has room that the next lower one cannot fill.
+func TestReserve(t *testing.T) {
+	check(t, func(t *rapid.T) {
+		levels := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Level {
+			return Level{Priority: rapid.Int32Range(0, 4).Draw(t, "priority"), SharePercent: rapid.IntRange(0, 60).Draw(t, "share")}
+		}), 0, 5).Draw(t, "levels")
+		r := NewReserve(levels)
+		window := rapid.IntRange(1, 50).Draw(t, "window")
+		for p := int32(-1); p < 5; p++ {
+			low, high := r.Limit(window, p), r.Limit(window, p+1)
+			share := slices.ContainsFunc(levels, func(l Level) bool { return l.Priority == p+1 && l.SharePercent > 0 })
+			lowest := len(r.levels) > 0 && r.levels[0].Priority == p+1
+			if low < 1 || high < low || share && !lowest && high == low || high > window+len(levels) {
+				t.Fatalf("window %d, levels %v: priority %d has %d, %d has %d", window, levels, p, low, p+1, high)
+			}
+		}
+	})
+}
+
+// Guards the bounds on open requests and the estimate of service times.
+func TestGateAndServiceTimes(t *testing.T) {
+	g := NewGate(4)
+	got := fmt.Sprint(g.Enter("a", 1), g.Enter("a", 1), g.Enter("b", 0), g.Enter("b", 0), g.Enter("b", 0), g.Enter("c", 0), g.Enter("d", 0))
+	want := fmt.Sprint(resultcode.OK, resultcode.TooManyOpen, resultcode.OK, resultcode.OK, resultcode.TooManyOpen, resultcode.OK, resultcode.VMOverloaded)
+	g.Leave("a")
+	if got != want || g.Enter("d", 0) != resultcode.OK || g.Open() != 4 {
+		t.Fatalf("got %s, want %s", got, want)
+	}
+	s := NewServiceTimes()
+	for i := range 20000 {
+		s.Observe("m", time.Duration(1+i*7919%100)*time.Millisecond)
+	}
+	if e := s.Estimate("m"); e < 5*time.Millisecond || e > 20*time.Millisecond {
+		t.Fatalf("the lower tenth of 1 to 100 ms is estimated as %v", e)
+	}
+}
--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -56,7 +56,7 @@
 		c.note(err)
 	}
 	s.endSuspect(c, a, err)
-	s.schedule.release(ticket, wait, outcome(send, a, err), c.route.Name, s.now()-a.began, max(1, c.hold.Charged))
+	s.schedule.release(ticket, wait, outcome(send, a, err), c.route.Name, s.now()-a.began, max(1, c.used))
 	return err
 }
 
@@ -78,6 +78,9 @@
 
 // cancelled names the reason of a send that was stopped from this side.
 func cancelled(ctx context.Context, err error) error {
+	if ctx.Err() == context.DeadlineExceeded && resultcode.Of(err) == resultcode.Internal {
+		return resultcode.Wrap(resultcode.EndpointSilent, err, "no whole answer before the deadline")
+	}
 	if ctx.Err() != context.Canceled {
 		return err
 	}
@@ -156,14 +159,14 @@
 	if used == 0 {
 		used = c.hold.Tokens
 	}
-	s.charge(c, used-min(used, c.hold.Charged))
+	s.charge(c, used-min(used, c.used))
 	s.demand.add(c, 0, used)
 	return s.deliver(c, w, answer.Status, answer.Header, answer.Body)
 }
 
 // promptLeft is the part of the prompt that was not charged yet.
 func promptLeft(c *call) uint64 {
-	return uint64(c.PromptTokens) - min(uint64(c.PromptTokens), c.hold.Charged)
+	return uint64(c.PromptTokens) - min(uint64(c.PromptTokens), c.used)
 }
 
 // deliver writes a whole answer. The claim is finished first, so that a repeat
--- a/internal/coordination/entry/loops.go
+++ b/internal/coordination/entry/loops.go
@@ -22,8 +22,11 @@
 const (
 	tickInterval   = 25 * time.Millisecond
 	configInterval = 100 * time.Millisecond
-	demandInterval = time.Second
-	sweepInterval  = 10 * time.Second
+	// residencyInterval is how often changes of residency are taken over, which
+	// carry no version.
+	residencyInterval = time.Second
+	demandInterval    = time.Second
+	sweepInterval     = 10 * time.Second
 	// A report is about 500 bytes both ways. In a large fleet three polls a
 	// second stay under the 2 KB/s of control overhead that a VM may cause; a
 	// small fleet can afford fresher reports.
@@ -91,7 +94,10 @@
 		return
 	}
 	s.endWithdrawn(index)
-	s.reconfigure()
+	if s.configured.Load() != index.Version() || s.now()-s.refreshed >= residencyInterval {
+		s.reconfigure()
+		s.refreshed = s.now()
+	}
 	suspects := s.replica.Suspects()
 	s.suspects.mu.Lock()
 	s.suspects.tracker.SetSuspects(suspects)
@@ -302,6 +308,9 @@
 		endpoints := 0
 		if index != nil {
 			endpoints = len(index.Config().GetEndpoints())
+			if s.configured.Load() < index.Version() {
+				s.reconfigure()
+			}
 			s.readPlatform(ctx, index)
 		}
 		select {
--- a/internal/coordination/entry/serve.go
+++ b/internal/coordination/entry/serve.go
@@ -51,7 +51,8 @@
 	// uncertain is the failure of an attempt that may have run. A later refusal
 	// of the same request must not say "not run".
 	uncertain *resultcode.Error
-	started   bool // a part of the answer was passed to the ResponseWriter
+	used      uint64 // tokens of all attempts
+	started   bool   // a part of the answer was passed to the ResponseWriter
 	// withdrawn is closed when the key of an open stream was withdrawn.
 	withdrawn chan struct{}
 }
@@ -242,6 +243,7 @@
 
 // charge turns held tokens into spent ones.
 func (s *Server) charge(c *call, tokens uint64) {
+	c.used += tokens
 	if n := c.hold.Charge(tokens); n > 0 {
 		s.replica.Charge(c.customer.Name, n)
 	}
@@ -292,6 +294,14 @@
 // refusal.
 func (s *Server) again(ctx context.Context, c *call, key retry.Key, endpoint string, err *error) bool {
 	code := resultcode.Of(*err)
+	if lost(c, *err) {
+		// It may have crashed the endpoint: it runs alone from now on.
+		if rejudged := s.judge(c); rejudged != nil {
+			*err = rejudged
+			return false
+		}
+		c.verdict = quarantine.Alone
+	}
 	a := retry.Attempt{
 		Code: code, Idempotent: c.route.Idempotent, Keyed: c.claim != nil,
 		Started: c.started, Retries: c.retries, Deadline: c.deadline,
@@ -331,10 +341,13 @@
 		Alone: c.verdict == quarantine.Alone, MayProbe: c.route.Idempotent,
 	}
 	w.item.Class = c.group + "\x00" + c.adapter
-	if w.query.Alone || len(c.exclude) > 0 || !c.route.Idempotent {
+	switch {
+	case w.query.Alone || len(c.exclude) > 0:
 		// Requests with conditions of their own must not block others behind
 		// them, so they get their own class.
 		w.item.Class = s.unique()
+	case !c.route.Idempotent:
+		w.item.Class += "\x00noprobe"
 	}
 	w.item.Customer = c.customerName()
 	w.item.Weight = c.customer.GetWeight()
--- a/internal/coordination/entry/server.go
+++ b/internal/coordination/entry/server.go
@@ -57,6 +57,7 @@
 	draining    atomic.Bool
 	open        atomic.Int64
 	configured  atomic.Uint64 // version that the scheduler has
+	refreshed   time.Duration // of refresh only: the last change of residency
 	random      func(n int) int
 
 	schedule *scheduler
--- /dev/null
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -0,0 +1,152 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+)
+
+type running struct {
+	id     uint64
+	body   string
+	poison bool
+}
+
+// crashProperty runs requests on endpoints that die of poison, and keeps the
+// fleet's counts as state/fleet does. Innocent requests are never refused.
+func crashProperty(blameAll bool) func(*rapid.T) {
+	return func(t *rapid.T) {
+		tracker := New()
+		tracker.blameAll = blameAll
+		counted := map[string]*statev1.Suspect{}
+		on := map[string][]running{}
+		alone := map[string]int{}            // crashes of a poison that ran alone
+		silent := map[string]time.Duration{} // last silent end: it may have been part of a crash soon after
+		now := time.Duration(0)
+		id := uint64(0)
+		apply := func(c Crash) {
+			r := c.Report(fmt.Sprint(now), false)
+			for _, f := range r.Fingerprints {
+				s := counted[string(f)]
+				if s == nil {
+					s = &statev1.Suspect{Fingerprint: f}
+					counted[string(f)] = s
+				}
+				if len(r.Fingerprints) == 1 {
+					s.Alone++
+				} else {
+					s.InCompany++
+				}
+			}
+			var list []*statev1.Suspect
+			for _, s := range counted {
+				list = append(list, s)
+			}
+			tracker.SetSuspects(list)
+		}
+		place := func(alone bool) string {
+			for _, e := range []string{"e1", "e2", "e3", "e4"} {
+				if rs := on[e]; len(rs) == 0 || !alone && len(rs) < 3 && tracker.Judge(FingerprintOf("a", "r", []byte(rs[0].body))) != Alone {
+					return e
+				}
+			}
+			return ""
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(t *rapid.T) {
+				id++
+				poison := rapid.IntRange(0, 2).Draw(t, "poison") == 0
+				body := fmt.Sprintf("%v%d", poison, rapid.IntRange(0, 2).Draw(t, "body"))
+				f := FingerprintOf("a", "r", []byte(body))
+				verdict := tracker.Judge(f)
+				if verdict == Refused && !poison {
+					t.Fatalf("innocent request %s refused", body)
+				}
+				if poison && alone[body] >= 2 && verdict != Refused {
+					t.Fatalf("%s crashed %d endpoints alone and is let through", body, alone[body])
+				}
+				e := place(verdict == Alone)
+				if verdict == Refused || e == "" {
+					return
+				}
+				tracker.Begin(e, id, f)
+				on[e] = append(on[e], running{id, body, poison})
+			},
+			"end": func(t *rapid.T) {
+				now += time.Second
+				e := rapid.SampledFrom([]string{"e1", "e2", "e3", "e4"}).Draw(t, "endpoint")
+				rs := on[e]
+				for i, r := range rs {
+					if !r.poison {
+						continue
+					}
+					if last, any := silent[e]; len(rs) == 1 && (!any || now-last > lossWindow) {
+						alone[r.body]++
+					}
+					for j := range rs { // the poison r and all others die in any order
+						if c, crashed := tracker.Lost(now, e, rs[(i+j)%len(rs)].id); crashed {
+							apply(c)
+						}
+					}
+					delete(on, e)
+					return
+				}
+				if len(rs) == 0 {
+					return
+				}
+				if rapid.Bool().Draw(t, "silent") {
+					if _, crashed := tracker.Ended(now, e, rs[0].id); crashed {
+						t.Fatal("a crash without a lost connection")
+					}
+					silent[e] = now
+				} else {
+					tracker.Succeeded(e, rs[0].id)
+				}
+				on[e] = rs[1:]
+			},
+		})
+	}
+}
+
+// Guards that innocent requests are never refused and poison ones are after
+// two crashes.
+func TestCrashes(t *testing.T) {
+	check(t, crashProperty(false))
+	t.Run("blameAll", func(t *testing.T) { mustFail(t, crashProperty(true)) })
+}
+
+// Guards against taking a single broken connection, or losses far apart, for a
+// crash, and against blaming one of several for lack of knowledge.
+func TestNoCrash(t *testing.T) {
+	tr := New()
+	a, b := Fingerprint{1}, Fingerprint{2}
+	tr.Begin("e", 1, a)
+	tr.Begin("e", 2, b)
+	if _, crashed := tr.Lost(0, "e", 1); crashed {
+		t.Fatal("crash while another request runs")
+	}
+	tr.Alive("e")
+	if _, crashed := tr.Ended(1, "e", 2); crashed {
+		t.Fatal("crash after a sign of life")
+	}
+	tr.Begin("e", 3, a)
+	tr.Begin("e", 4, b)
+	tr.Ended(time.Minute, "e", 4)
+	c, crashed := tr.Lost(time.Minute, "e", 3)
+	if !crashed || len(c.Report("x", false).Fingerprints) != 2 {
+		t.Fatal("a request that was in company counts as alone")
+	}
+	tr.SetSuspects([]*statev1.Suspect{{Fingerprint: a[:], InCompany: 5}})
+	if tr.Judge(a) != Alone {
+		t.Fatal("weak suspicion must run alone")
+	}
+	tr.Begin("e", 5, a)
+	tr.Succeeded("e", 5)
+	if tr.Judge(a) != Free {
+		t.Fatal("one success did not clear the request")
+	}
+}
--- /dev/null
+++ b/internal/coordination/quota/quota_test.go
@@ -0,0 +1,131 @@
+package quota
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// quotaProperty runs a lease, waiters and holds against plain sums: tokens are
+// neither made nor lost, and nobody passes an earlier or more urgent waiter.
+func quotaProperty(overtaking bool) func(*rapid.T) {
+	return func(t *rapid.T) {
+		b := NewBook()
+		b.overtaking = overtaking
+		var level, granted, charged uint64
+		var waiting []*Waiter // in order of arrival
+		var holds []*Hold
+		now := time.Duration(0)
+		id := uint64(0)
+		hold := func(n uint64) bool {
+			if level < n {
+				return false
+			}
+			level -= n
+			return true
+		}
+		start := func(w *Waiter) {
+			for _, o := range waiting {
+				if o.Priority > w.Priority || o.Priority == w.Priority && o.ID < w.ID {
+					t.Fatalf("request %d (priority %d) passed %d (priority %d)", w.ID, w.Priority, o.ID, o.Priority)
+				}
+			}
+			holds = append(holds, &Hold{Tokens: w.Tokens})
+		}
+		drop := func(w *Waiter) { waiting = slices.DeleteFunc(waiting, func(o *Waiter) bool { return o == w }) }
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				id++
+				w := &Waiter{
+					ID: id, Customer: "a", Priority: rapid.Int32Range(0, 2).Draw(t, "priority"),
+					Tokens: rapid.Uint64Range(1, 50).Draw(t, "tokens"), Until: now + time.Duration(rapid.IntRange(0, 20).Draw(t, "until"))*time.Second,
+				}
+				if b.Clear(w.Customer, w.Priority) && hold(w.Tokens) {
+					start(w)
+					return
+				}
+				limits := Limits{RatePerSecond: 20, Burst: 100}
+				ahead := w.Tokens
+				for _, o := range waiting {
+					if o.Priority >= w.Priority {
+						ahead += o.Tokens
+					}
+				}
+				if hopeless := ahead > 100+20*uint64((w.Until-now)/time.Second); hopeless != b.Hopeless(w, limits, now) {
+					t.Fatalf("hopeless is %v for %d tokens", !hopeless, ahead)
+				}
+				b.Add(w)
+				waiting = append(waiting, w)
+			},
+			"grant": func(t *rapid.T) {
+				n := rapid.Uint64Range(0, 80).Draw(t, "granted")
+				granted += n
+				level += n
+				for _, w := range b.Serve("a", hold) {
+					drop(w)
+					start(w)
+				}
+				if len(waiting) > 0 && b.Clear("a", 0) && !overtaking {
+					t.Fatal("a request waits and the way is clear")
+				}
+			},
+			"charge": func(t *rapid.T) {
+				if len(holds) == 0 {
+					t.Skip("no hold")
+				}
+				charged += rapid.SampledFrom(holds).Draw(t, "hold").Charge(rapid.Uint64Range(0, 40).Draw(t, "used"))
+			},
+			"release": func(t *rapid.T) {
+				if len(holds) == 0 {
+					t.Skip("no hold")
+				}
+				h := holds[0]
+				holds = holds[1:]
+				level += h.Rest()
+			},
+			"expire": func(t *rapid.T) {
+				now += time.Second
+				for _, w := range b.Expire(now) {
+					if w.Until >= now {
+						t.Fatal("expired too early")
+					}
+					drop(w)
+				}
+			},
+			"leave": func(t *rapid.T) {
+				if len(waiting) == 0 {
+					t.Skip("nobody waits")
+				}
+				w := rapid.SampledFrom(waiting).Draw(t, "waiter")
+				if !b.Remove(w) || b.Remove(w) {
+					t.Fatal("removed not exactly once")
+				}
+				drop(w)
+			},
+			"": func(t *rapid.T) {
+				sum, want := level+charged, uint64(0)
+				for _, h := range holds {
+					sum += h.Rest()
+				}
+				for _, w := range waiting {
+					want += w.Tokens
+				}
+				if sum != granted || b.Want("a") != want {
+					t.Fatalf("%d of %d tokens accounted for; wanted %d, want %d", sum, granted, b.Want("a"), want)
+				}
+			},
+		})
+	}
+}
+
+// Guards the sums of tokens and the order of waiting requests.
+func TestQuota(t *testing.T) {
+	check(t, quotaProperty(false))
+	t.Run("overtaking", func(t *testing.T) { mustFail(t, quotaProperty(true)) })
+	h := Hold{Tokens: 10}
+	if h.Charge(8) != 8 || h.Charge(8) != 2 || h.Over != 6 || h.Rest() != 0 || Fits(11, Limits{Burst: 10}) {
+		t.Fatal("a hold was overdrawn")
+	}
+}
--- /dev/null
+++ b/internal/coordination/retry/retry_test.go
@@ -0,0 +1,105 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// budgetProperty counts requests and retries one by one and compares.
+func budgetProperty(unlimited bool) func(*rapid.T) {
+	return func(t *rapid.T) {
+		d := New(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "jitter") })
+		d.unlimited = unlimited
+		type event struct {
+			bucket time.Duration
+			retry  bool
+		}
+		events := map[Key][]event{}
+		now := time.Duration(0)
+		keys := rapid.SampledFrom([]Key{{"a", "m"}, {"b", "m"}})
+		count := func(k Key) (requests, retries int) {
+			for _, e := range events[k] {
+				if e.bucket <= now/(2*time.Second)-10 {
+					continue
+				}
+				if e.retry {
+					retries++
+				} else {
+					requests++
+				}
+			}
+			return requests, retries
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"requests": func(t *rapid.T) {
+				k := keys.Draw(t, "key")
+				for range rapid.IntRange(1, 30).Draw(t, "n") {
+					d.Request(now, k)
+					events[k] = append(events[k], event{now / (2 * time.Second), false})
+				}
+			},
+			"retries": func(t *rapid.T) {
+				k := keys.Draw(t, "key")
+				for range rapid.IntRange(1, 12).Draw(t, "n") {
+					requests, retries := count(k)
+					got := d.Decide(now, k, Attempt{Code: resultcode.EndpointLost, Idempotent: true, Deadline: now + time.Second})
+					if want := retries < 10+requests/10; got.Again != want || got.SpentBudget == want {
+						t.Fatalf("retry %v after %d retries of %d requests", got.Again, retries, requests)
+					}
+					if got.Again {
+						if got.Pause < 10*time.Millisecond || got.Pause > 50*time.Millisecond {
+							t.Fatalf("pause %v", got.Pause)
+						}
+						events[k] = append(events[k], event{now / (2 * time.Second), true})
+					}
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(0, 25000).Draw(t, "ms")) * time.Millisecond
+				d.Sweep(now)
+			},
+		})
+	}
+}
+
+// Guards the retry budgets against a counter.
+func TestBudget(t *testing.T) {
+	check(t, budgetProperty(false))
+	t.Run("unlimited", func(t *testing.T) { mustFail(t, budgetProperty(true)) })
+}
+
+// Guards that only idempotent requests, or those known not to have run, are
+// sent again, at most twice, and before the deadline.
+func TestEligible(t *testing.T) {
+	for _, info := range resultcode.All() {
+		a := Attempt{Code: info.Code, Deadline: time.Hour}
+		if Eligible(a) && info.Code != resultcode.EndpointSilentNotRun {
+			t.Errorf("%v without a key is sent again", info.Code)
+		}
+		a.Keyed = true
+		if Eligible(a) && info.Run != resultcode.NotRun {
+			t.Errorf("%v may have run and is sent again", info.Code)
+		}
+		a.Idempotent = true
+		if Eligible(a) != (info.Code >= 4002 && info.Code <= 4007 || info.Code == 4010) {
+			t.Errorf("%v of an idempotent request: eligible is %v", info.Code, Eligible(a))
+		}
+		a.Started = true
+		if Eligible(a) {
+			t.Errorf("%v is sent again after the answer began", info.Code)
+		}
+	}
+	d := New(func(int) int { return 0 })
+	a := Attempt{Code: resultcode.EndpointLost, Idempotent: true, Retries: MaxRetries, Deadline: time.Hour}
+	if d.Decide(0, Key{}, a).Again {
+		t.Error("a third retry")
+	}
+	a.Retries, a.Deadline = 0, 10*time.Millisecond
+	if d.Decide(0, Key{}, a).Again {
+		t.Error("a retry after the deadline")
+	}
+}
--- a/internal/coordination/routing/pick.go
+++ b/internal/coordination/routing/pick.go
@@ -150,7 +150,7 @@
 	for _, e := range group {
 		if e.reservedFor != 0 && e.reservedUntil >= now {
 			reserved++
-			if e.reservedFor == q.ID {
+			if e.reservedFor == q.ID && e.leaving == 0 && !e.ejected {
 				best = e
 				break
 			}
--- /dev/null
+++ b/internal/coordination/routing/table_test.go
@@ -0,0 +1,228 @@
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/radishloom/radishloom/internal/coordination/engine"
+)
+
+// health is what the oracle knows of an endpoint.
+type health struct {
+	failures  int
+	ejected   bool
+	ejectedAt time.Duration
+	probeAt   time.Duration
+	backoff   time.Duration
+	probing   int
+	leaving   bool
+	inFlight  int
+	alone     bool
+}
+
+type sent struct {
+	ticket *Ticket
+	at     time.Duration
+	probe  bool
+	alone  bool
+	load   bool
+}
+
+// tableProperty runs picks and outcomes against a plain account of failures.
+func tableProperty(careless bool) func(*rapid.T) {
+	return func(t *rapid.T) {
+		size := rapid.IntRange(1, 24).Draw(t, "size") // both sides of smallGroup
+		table := New(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "random") })
+		table.careless = careless
+		known := map[string]*health{}
+		var specs []Spec
+		for i := range size {
+			name := fmt.Sprintf("e%02d", i)
+			specs = append(specs, Spec{Name: name, Groups: []string{"g"}, Slots: 3, Remote: i%2 == 0})
+			known[name] = &health{}
+		}
+		const adapterLimit = 2
+		table.Configure(specs, 1, adapterLimit)
+		now := time.Duration(0)
+		adapters := 0
+		var open []sent
+		endpoint := rapid.Custom(func(t *rapid.T) string { return specs[rapid.IntRange(0, size-1).Draw(t, "i")].Name })
+		counts := func() (staying, ejected, loads int) {
+			for _, h := range known {
+				if !h.leaving {
+					staying++
+					if h.ejected {
+						ejected++
+					}
+				}
+			}
+			for _, s := range open {
+				if s.load {
+					loads++
+				}
+			}
+			return staying, ejected, loads
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"pick": func(t *rapid.T) {
+				q := Query{ID: 1, Group: "g", MayProbe: rapid.Bool().Draw(t, "probe"), ReserveUntil: now}
+				q.Alone = rapid.IntRange(0, 4).Draw(t, "alone") == 0
+				if rapid.IntRange(0, 2).Draw(t, "adapter") == 0 {
+					q.Adapter = fmt.Sprint("lora", adapters) // always a new one
+					adapters++
+				}
+				if rapid.Bool().Draw(t, "excludes") {
+					q.Exclude = []string{endpoint.Draw(t, "exclude")}
+				}
+				staying, ejected, loads := counts()
+				window := map[string]int{}
+				for _, st := range table.Status() {
+					window[st.Name] = st.Window
+				}
+				k := table.Pick(now, q)
+				if k == nil {
+					refused := 0
+					for name, h := range known {
+						full := h.inFlight >= window[name] || h.alone || q.Alone && h.inFlight > 0 || slices.Contains(q.Exclude, name)
+						if !h.leaving && !full {
+							refused++
+						}
+					}
+					if !q.Alone && refused > staying/2 && (q.Adapter == "" || loads < adapterLimit) {
+						t.Fatalf("%d of %d usable endpoints were passed over", refused, staying)
+					}
+					return
+				}
+				h := known[k.Endpoint]
+				due := h.ejected && h.probing == 0 && now >= h.probeAt
+				switch {
+				case h.leaving:
+					t.Fatalf("picked %s, which is leaving", k.Endpoint)
+				case h.ejected && !(due && q.MayProbe) && ejected <= staying/2:
+					t.Fatalf("picked %s, which is ejected until %v at %v", k.Endpoint, h.probeAt, now)
+				case slices.Contains(q.Exclude, k.Endpoint), h.alone, q.Alone && h.inFlight > 0, h.inFlight >= window[k.Endpoint]:
+					t.Fatalf("picked %s against the query: %+v, window %d", k.Endpoint, *h, window[k.Endpoint])
+				case q.Adapter != "" && loads >= adapterLimit:
+					t.Fatalf("adapter load %d of %d", loads+1, adapterLimit)
+				}
+				h.inFlight++
+				h.alone = q.Alone
+				if due {
+					h.probing++
+				}
+				open = append(open, sent{k, now, due, q.Alone, q.Adapter != ""})
+			},
+			"done": func(t *rapid.T) {
+				if len(open) == 0 {
+					t.Skip("nothing open")
+				}
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "i")
+				s := open[i]
+				open = slices.Delete(open, i, i+1)
+				// Mostly failures, so that ejections are common.
+				o := rapid.SampledFrom([]Outcome{Neutral, Success, Failure, Failure, Failure, Refused}).Draw(t, "outcome")
+				table.Done(now, s.ticket, o)
+				h := known[s.ticket.Endpoint]
+				h.inFlight--
+				h.alone = h.alone && !s.alone
+				if s.probe {
+					h.probing--
+				}
+				switch {
+				case o == Neutral || h.ejected && s.at < h.ejectedAt:
+				case o == Success:
+					h.failures, h.ejected = 0, false
+				case h.ejected:
+					h.backoff = min(2*h.backoff, 30*time.Second)
+					h.probeAt = now + h.backoff
+				default:
+					h.failures++
+					if h.failures >= 3 {
+						h.ejected, h.ejectedAt, h.backoff, h.probeAt = true, now, time.Second, now+time.Second
+					}
+				}
+			},
+			"leaving": func(t *rapid.T) {
+				name := endpoint.Draw(t, "endpoint")
+				known[name].leaving = rapid.IntRange(0, 3).Draw(t, "leaving") == 0
+				table.SetLeaving(name, FromPlatform, known[name].leaving)
+			},
+			"report": func(t *rapid.T) {
+				// A good report must not restore an ejected endpoint.
+				table.Report(now, endpoint.Draw(t, "endpoint"), &engine.Load{Slots: 3, Waiting: rapid.IntRange(0, 1).Draw(t, "waiting")})
+			},
+			"time": func(t *rapid.T) { now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond },
+			"": func(t *rapid.T) {
+				for _, st := range table.Status() {
+					h := known[st.Name]
+					if st.InFlight != h.inFlight || (st.State == Ejected) != (h.ejected && !h.leaving) || st.Window < 1 || st.Window > 3 {
+						t.Fatalf("%+v, want %+v", st, *h)
+					}
+				}
+			},
+		})
+	}
+}
+
+// Guards that leaving endpoints get nothing new, ejected ones only probes as
+// long as they are at most half, and windows and adapter loads keep their
+// bounds.
+func TestTable(t *testing.T) {
+	check(t, tableProperty(false))
+	t.Run("careless", func(t *testing.T) { mustFail(t, tableProperty(true)) })
+}
+
+// Guards the preferences: the less loaded of two, a cached prefix until a gap
+// in the events, an old report counting less than a new one.
+func TestPreferences(t *testing.T) {
+	fresh := func(slots int) *Table {
+		table := New(func(int) int { return 0 })
+		table.Configure([]Spec{{Name: "a", Groups: []string{"g"}, Slots: slots}, {Name: "b", Groups: []string{"g"}, Slots: slots}}, 2, 0)
+		return table
+	}
+	pick := func(table *Table, now time.Duration, q Query) string {
+		q.Group = "g"
+		k := table.Pick(now, q)
+		if k == nil {
+			return ""
+		}
+		table.Done(now, k, Neutral)
+		return k.Endpoint
+	}
+	table := fresh(8)
+	if k := table.Pick(0, Query{Group: "g", Prefer: "a"}); k.Endpoint != "a" || pick(table, 0, Query{}) != "b" {
+		t.Error("the busier endpoint was taken")
+	}
+	table = fresh(8)
+	table.Report(0, "a", &engine.Load{Slots: 8, Running: 8})
+	if pick(table, 0, Query{}) != "b" {
+		t.Error("a fresh report was ignored")
+	}
+	table.CacheEvents("a", []engine.CacheEvent{{Seq: 1, Prefix: 7}})
+	if pick(table, 0, Query{Prefixes: []uint64{7}}) != "b" || pick(table, time.Minute, Query{Prefixes: []uint64{7}}) != "a" {
+		t.Error("an old report must not outweigh a cached prefix, a new one must")
+	}
+	table = fresh(8)
+	table.CacheEvents("b", []engine.CacheEvent{{Seq: 1, Prefix: 7}, {Seq: 3, Prefix: 8}})
+	if table.endpoints["b"].prefixes.gain([]uint64{7}) != 0 || table.endpoints["b"].prefixes.gain([]uint64{8}) == 0 {
+		t.Error("a gap in the events did not discard the view")
+	}
+	table = fresh(8) // window 4 of 8 slots for two entries
+	for range 4 {
+		table.Pick(0, Query{Group: "g", Exclude: []string{"b"}})
+	}
+	if table.Pick(0, Query{Group: "g", Exclude: []string{"b"}}) != nil {
+		t.Error("the window does not start at the share of slots")
+	}
+	table.Report(0, "a", &engine.Load{Slots: 8})
+	if table.Pick(0, Query{Group: "g", Exclude: []string{"b"}}) == nil {
+		t.Error("the window does not grow when it was full and nothing queued")
+	}
+	if table.Pick(0, Query{ID: 9, Group: "g", Alone: true, Exclude: []string{"b"}, ReserveUntil: time.Hour}) != nil || pick(table, 0, Query{}) != "b" {
+		t.Error("an endpoint that is reserved for a request alone gets others")
+	}
+}
