adminrpc: use the state machine for withdrawals and its key format

Change: CreateKey uses config.NewKey, WithdrawKey relies on the request table. The tests run on the real fleet.Machine instead of an imitation, and commit delayed proposals between a call's read and its own proposal.

--- a/internal/cli/resources.go
+++ b/internal/cli/resources.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 
 	"google.golang.org/protobuf/proto"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/document"
-	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
 // resource is a named part of the configuration document.
@@ -78,28 +76,12 @@
 	if err != nil {
 		return err
 	}
-	if a.global.RequestID == "" && !has(config, kind, c.Args.Name) {
-		return refused(resultcode.ResourceUnknown, fmt.Sprintf("%q does not exist", c.Args.Name))
-	}
 	return a.apply(ctx, &statev1.ConfigChange{
 		BaseVersion: config.GetVersion(),
 		Removed:     []*statev1.ResourceName{{Kind: kind, Name: c.Args.Name}},
 	}, c.waitOption)
 }
 
-func has(config *statev1.Config, kind statev1.ResourceKind, name string) bool {
-	switch kind {
-	case statev1.ResourceKind_RESOURCE_KIND_PROFILE:
-		return find(config.GetProfiles(), name, nil) != nil
-	case statev1.ResourceKind_RESOURCE_KIND_ROUTE:
-		return find(config.GetRoutes(), name, nil) != nil
-	case statev1.ResourceKind_RESOURCE_KIND_CUSTOMER:
-		return find(config.GetCustomers(), name, nil) != nil
-	default:
-		return true
-	}
-}
-
 type profileSet struct{ setArgs }
 
 func (c *profileSet) run(ctx context.Context, a *app) error {
--- a/internal/protocol/adminrpc/adminrpc_test.go
+++ b/internal/protocol/adminrpc/adminrpc_test.go
@@ -119,8 +119,8 @@
 			t.Errorf("%s: got %v, want bad_request", name, err)
 		}
 	}
-	if len(f.history) != 0 {
-		t.Errorf("a refused change was applied: %v", f.history)
+	if len(f.History(0)) != 0 {
+		t.Errorf("a refused change was applied: %v", f.History(0))
 	}
 }
 
@@ -183,6 +183,7 @@
 // is committed after it.
 func TestLateProposal(t *testing.T) {
 	f, admin, _ := start(t)
+	f.apply(&statev1.Command{Op: &statev1.Command_ConfigChange{ConfigChange: customerChange(0, "acme", 5)}})
 	fates := []loss{lossDelayed, lossNone}
 	f.next = func() loss { fate := fates[0]; fates = fates[1:]; return fate }
 	r := &adminv1.CreateKeyRequest{RequestId: "k1", Customer: "acme"}
@@ -191,8 +192,8 @@
 	}
 	second, err := admin.CreateKey(context.Background(), r)
 	f.flush()
-	if err != nil || second.Secret == "" || len(f.Config().GetKeys()) != 1 || len(f.history) != 1 {
-		t.Errorf("got %v %v and %d changes, want one key with its secret", second, err, len(f.history))
+	if err != nil || second.Secret == "" || len(f.Config().GetKeys()) != 1 || len(f.History(0)) != 2 {
+		t.Errorf("got %v %v and %d changes, want one key with its secret", second, err, len(f.History(0)))
 	}
 }
 
@@ -201,6 +202,7 @@
 func TestKeys(t *testing.T) {
 	f, admin, log := start(t)
 	ctx := context.Background()
+	f.apply(&statev1.Command{Op: &statev1.Command_ConfigChange{ConfigChange: customerChange(0, "acme", 5)}})
 	create := &adminv1.CreateKeyRequest{RequestId: "k1", Customer: "acme", Note: "test"}
 	first, err := admin.CreateKey(ctx, create)
 	if err != nil || !strings.HasPrefix(first.Secret, "rl_"+first.KeyId+"_") {
@@ -221,8 +223,8 @@
 	withdraw := &adminv1.WithdrawKeyRequest{RequestId: "w1", KeyId: first.KeyId}
 	for range 2 {
 		done, err := admin.WithdrawKey(ctx, withdraw)
-		if err != nil || done.Code != 0 || done.Version != 2 || done.InForceWithinMs == 0 || done.InForceWithinMs > 4000 {
-			t.Errorf("got %v %v, want version 2 in force within 4 s", done, err)
+		if err != nil || done.Code != 0 || done.Version != 3 || done.InForceWithinMs == 0 || done.InForceWithinMs > 4000 {
+			t.Errorf("got %v %v, want version 3 in force within 4 s", done, err)
 		}
 	}
 	unknown, err := admin.WithdrawKey(ctx, &adminv1.WithdrawKeyRequest{RequestId: "w2", KeyId: first.KeyId})
@@ -263,10 +265,13 @@
 			t.Errorf("got %v %v, want %v", left, err, want)
 		}
 	}
-	f.versions = append(f.versions, &statev1.Config{
-		Models:    []*statev1.Model{{Name: "m1"}, {Name: "m2"}},
-		Endpoints: []*statev1.Endpoint{{Name: "e1"}, {Name: "e2"}},
-	})
+	f.apply(&statev1.Command{Op: &statev1.Command_ConfigChange{ConfigChange: &statev1.ConfigChange{Replace: &statev1.Config{
+		Models: []*statev1.Model{{Name: "m1", MemoryMb: 1}, {Name: "m2", MemoryMb: 1}},
+		Endpoints: []*statev1.Endpoint{
+			{Name: "e1", Kind: statev1.EndpointKind_ENDPOINT_KIND_ENGINE, Address: "127.0.0.1:1", MemoryMb: 9, Slots: 1},
+			{Name: "e2", Kind: statev1.EndpointKind_ENDPOINT_KIND_ENGINE, Address: "127.0.0.1:2", MemoryMb: 9, Slots: 1},
+		},
+	}}}})
 	models, err := admin.ListModels(ctx, &adminv1.ListModelsRequest{})
 	if err != nil || len(models.Models) != 2 || models.Models[0].ReadyOn[0] != "e1" || models.Models[1].LoadingOn[0] != "e1" {
 		t.Errorf("got %v %v", models, err)
--- a/internal/protocol/adminrpc/fake_test.go
+++ b/internal/protocol/adminrpc/fake_test.go
@@ -3,37 +3,29 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 
-	"google.golang.org/protobuf/proto"
-
 	adminv1 "github.com/radishloom/radishloom/api/admin/v1"
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/protocol/adminrpc"
 	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/state/fleet"
 )
 
-// machine is a replicated state machine for customers and keys only. All fakes
-// of one test share it.
+// machine is the real state machine without a log. All fakes of one test share
+// it.
 type machine struct {
-	mu       sync.Mutex
-	versions []*statev1.Config // index is the version
-	history  []*statev1.VersionInfo
-	results  map[string]*statev1.Result
-	// applied counts the commands of each request identifier that changed the
-	// state.
-	applied map[string]int
+	*fleet.Machine
+	mu      sync.Mutex
+	index   uint64
 	entries []adminrpc.Entry
 	members *peerv1.MembersResponse
 }
 
 func newMachine() *machine {
 	return &machine{
-		versions: []*statev1.Config{{}},
-		results:  make(map[string]*statev1.Result),
-		applied:  make(map[string]int),
+		Machine: fleet.New(),
 		members: &peerv1.MembersResponse{Leader: 1, Membership: &statev1.Membership{Members: []*statev1.Member{
 			{Id: 1, Vm: "vm-1", Address: "127.0.0.1:1", DataCentre: "a"},
 			{Id: 2, Vm: "vm-2", Address: "127.0.0.1:2", DataCentre: "a", Learner: true},
@@ -41,96 +33,11 @@
 	}
 }
 
-func (m *machine) FleetTime() uint64       { return 1 }
-func (m *machine) Config() *statev1.Config { return m.versions[len(m.versions)-1] }
-
-func (m *machine) ConfigAt(version uint64) (*statev1.Config, bool) {
-	if version >= uint64(len(m.versions)) {
-		return nil, false
-	}
-	return m.versions[version], true
-}
-
-func (m *machine) History(limit int) []*statev1.VersionInfo {
-	return m.history[max(0, len(m.history)-limit):]
-}
-
 func (m *machine) apply(c *statev1.Command) *statev1.Result {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if first, ok := m.results[c.GetRequestId()]; ok {
-		return first
-	}
-	result := m.decide(c)
-	m.results[c.GetRequestId()] = result
-	return result
-}
-
-func (m *machine) decide(c *statev1.Command) *statev1.Result {
-	current := m.Config()
-	ch, base := c.GetConfigChange(), c.GetConfigChange().GetBaseVersion()
-	if c.GetRollback() != nil {
-		base = c.GetRollback().GetBaseVersion()
-	}
-	if !ch.GetAnyBase() && base != current.GetVersion() {
-		return &statev1.Result{
-			Code: uint32(resultcode.ConfigConflict), Message: "conflict", ConfigVersion: current.GetVersion(),
-			Conflict: m.history[len(m.history)-1],
-		}
-	}
-	next := m.changed(current, c)
-	for _, customer := range next.GetCustomers() {
-		if customer.GetRateTokensPerSecond() == 0 {
-			return &statev1.Result{
-				Code: uint32(resultcode.ConfigInvalid), Message: "invalid", ConfigVersion: current.GetVersion(),
-				Faults: []string{"customers." + customer.GetName() + ".rate_tokens_per_second = 0: allowed: 1 or more"},
-			}
-		}
-	}
-	next.Version = current.GetVersion() + 1
-	m.versions = append(m.versions, next)
-	m.history = append(m.history, &statev1.VersionInfo{
-		Version: next.GetVersion(), Author: c.GetAuthor(), Comment: ch.GetComment(),
-		WallTimeMs: c.GetWallTimeMs(), RequestId: c.GetRequestId(),
-	})
-	m.applied[c.GetRequestId()]++
-	return &statev1.Result{ConfigVersion: next.GetVersion()}
-}
-
-func (m *machine) changed(current *statev1.Config, c *statev1.Command) *statev1.Config {
-	if r := c.GetRollback(); r != nil {
-		old := proto.Clone(m.versions[r.GetToVersion()]).(*statev1.Config)
-		old.Keys = current.GetKeys()
-		return old
-	}
-	ch := c.GetConfigChange()
-	next := proto.Clone(current).(*statev1.Config)
-	if ch.GetReplace() != nil {
-		next = proto.Clone(ch.GetReplace()).(*statev1.Config)
-		next.Keys = current.GetKeys()
-	}
-	removed := make(map[string]bool)
-	for _, r := range ch.GetRemoved() {
-		removed[fmt.Sprint(r.GetKind(), r.GetName())] = true
-	}
-	for _, customer := range ch.GetUpserts().GetCustomers() {
-		removed[fmt.Sprint(statev1.ResourceKind_RESOURCE_KIND_CUSTOMER, customer.GetName())] = true
-	}
-	customers, keys := next.Customers, next.Keys
-	next.Customers, next.Keys = nil, nil
-	for _, customer := range customers {
-		if !removed[fmt.Sprint(statev1.ResourceKind_RESOURCE_KIND_CUSTOMER, customer.GetName())] {
-			next.Customers = append(next.Customers, customer)
-		}
-	}
-	for _, key := range keys {
-		if !removed[fmt.Sprint(statev1.ResourceKind_RESOURCE_KIND_KEY, key.GetId())] {
-			next.Keys = append(next.Keys, key)
-		}
-	}
-	next.Customers = append(next.Customers, ch.GetUpserts().GetCustomers()...)
-	next.Keys = append(next.Keys, ch.GetUpserts().GetKeys()...)
-	return next
+	m.index++
+	return m.Apply(m.index, c)
 }
 
 // loss is what happens to one proposal.
@@ -189,7 +96,7 @@
 func (f *fakeFleet) Read(_ context.Context, _ bool, read func(v adminrpc.View)) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	read(f.machine)
+	read(f.Machine)
 	return nil
 }
 
--- a/internal/protocol/adminrpc/fuzz_test.go
+++ b/internal/protocol/adminrpc/fuzz_test.go
@@ -83,12 +83,18 @@
 	return fate
 }
 
-// fate is that of a proposal; another operator may change something first.
+// fate is that of a proposal; another operator's change or an earlier proposal
+// may be committed just before it.
 func (w *world) fate() loss {
+	if w.fault("late proposals", 2) == 1 {
+		for _, f := range w.fleets {
+			f.flush()
+		}
+	}
 	if w.fault("other operator", 4) == 1 {
-		id := fmt.Sprint("ben/apply/", len(w.machine.history))
+		id := fmt.Sprint("ben/apply/", w.machine.Config().GetVersion())
 		w.machine.apply(&statev1.Command{RequestId: id, Author: "ben", Op: &statev1.Command_ConfigChange{
-			ConfigChange: customerChange(w.machine.Config().GetVersion(), "of-ben", uint64(len(w.machine.history)+1)),
+			ConfigChange: customerChange(w.machine.Config().GetVersion(), "of-ben", w.machine.Config().GetVersion()+1),
 		}})
 	}
 	return loss(w.fault("proposal", 4))
@@ -133,9 +139,9 @@
 
 func (w *world) applied(id string) int {
 	n := 0
-	for proposed, count := range w.machine.applied {
-		if strings.HasPrefix(proposed, "ana/") && strings.HasSuffix(proposed, "/"+id) {
-			n += count
+	for _, info := range w.machine.History(0) {
+		if strings.HasPrefix(info.GetRequestId(), "ana/") && strings.HasSuffix(info.GetRequestId(), "/"+id) {
+			n++
 		}
 	}
 	return n
@@ -201,7 +207,8 @@
 		secret := regexp.MustCompile(`rl_[a-z2-7]{16}_[a-z2-7]{52}`).FindString(stdout)
 		hash := sha256.Sum256([]byte(secret))
 		keys := w.machine.Config().GetKeys()
-		if secret == "" || !bytes.Equal(keys[len(keys)-1].GetSecretSha256(), hash[:]) {
+		index := slices.IndexFunc(keys, func(k *statev1.Key) bool { return bytes.Equal(k.GetSecretSha256(), hash[:]) })
+		if secret == "" || index < 0 {
 			w.t.Fatalf("the secret does not fit the stored key: %q", stdout)
 		}
 		w.secrets = append(w.secrets, secret)
@@ -223,7 +230,10 @@
 func (w *world) check(t *rapid.T) {
 	unclear := make(map[string]bool)
 	for _, args := range w.unclear {
-		unclear[args[len(args)-1]], unclear[args[len(args)-2]] = true, true
+		unclear[args[len(args)-1]] = true
+		if args[1] == "set" {
+			unclear[args[4]] = true
+		}
 	}
 	state := make(map[string]uint64)
 	for _, c := range w.machine.Config().GetCustomers() {
@@ -255,7 +265,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"set": func(t *rapid.T) {
 				rate := rapid.IntRange(0, 9).Draw(t, "rate") // zero is a fault
-				w.command("customer", "set", "--wait", "0s", names.Draw(t, "name"), fmt.Sprint("rate_tokens_per_second=", rate))
+				w.command("customer", "set", "--wait", "0s", names.Draw(t, "name"), fmt.Sprint("rate_tokens_per_second=", rate), "burst_tokens=1")
 			},
 			"remove": func(t *rapid.T) {
 				w.command("customer", "remove", "--wait", "0s", names.Draw(t, "name"))
--- a/internal/protocol/adminrpc/keys.go
+++ b/internal/protocol/adminrpc/keys.go
@@ -1,11 +1,10 @@
 package adminrpc
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/base32"
-	"fmt"
 	"io"
 	"strings"
 	"time"
@@ -13,11 +12,9 @@
 	adminv1 "github.com/radishloom/radishloom/api/admin/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/state/config"
 )
 
-// secretBytes is the number of random bytes in a key.
-const secretBytes = 32
-
 // CreateKey implements adminv1.Admin.
 //
 // The key's identifier follows from the request identifier, so a repeat finds
@@ -32,7 +29,11 @@
 		return nil, s.fail(ctx, resultcode.New(resultcode.BadRequest,
 			"customer must be set and note must have at most %d bytes", maxText))
 	}
-	id := keyIdentifier(ch.id)
+	secret, key, err := newKey(s.o.Random, ch.id, r.GetCustomer(), r.GetNote())
+	if err != nil {
+		return nil, s.fail(ctx, err)
+	}
+	id := key.GetId()
 	stored, version, err := s.readKey(ctx, id)
 	if err != nil {
 		return nil, s.fail(ctx, err)
@@ -40,10 +41,6 @@
 	if stored != nil {
 		return repeatedKey(id, version), nil
 	}
-	secret, key, err := newKey(s.o.Random, id, r.GetCustomer(), r.GetNote())
-	if err != nil {
-		return nil, s.fail(ctx, err)
-	}
 	result, err := s.propose(ctx, ch, keyCommand("create key "+id, &statev1.ConfigChange{
 		Upserts: &statev1.Config{Keys: []*statev1.Key{key}},
 	}))
@@ -71,26 +68,12 @@
 	}
 }
 
-// keyIdentifier derives a key's public identifier from the request identifier.
-func keyIdentifier(requestID string) string {
-	const bytes = 10 // 80 bits, 16 characters
+// newKey makes a key whose public identifier is derived from the request
+// identifier: config.NewKey takes the identifier from the first bytes.
+func newKey(random io.Reader, requestID, customer, note string) (secret string, key *statev1.Key, err error) {
+	const identifierBytes = 10
 	hash := sha256.Sum256([]byte("radishloom key " + requestID))
-	return encode(hash[:bytes])
-}
-
-// newKey returns the key's whole text and the record with its hash.
-func newKey(random io.Reader, id, customer, note string) (secret string, key *statev1.Key, err error) {
-	buffer := make([]byte, secretBytes)
-	if _, err := io.ReadFull(random, buffer); err != nil {
-		return "", nil, fmt.Errorf("read random bytes for key %s: %w", id, err)
-	}
-	secret = "rl_" + id + "_" + encode(buffer)
-	hash := sha256.Sum256([]byte(secret))
-	return secret, &statev1.Key{Id: id, Customer: customer, SecretSha256: hash[:], Note: note}, nil
-}
-
-func encode(b []byte) string {
-	return strings.ToLower(base32.StdEncoding.WithPadding(base32.NoPadding).EncodeToString(b))
+	return config.NewKey(io.MultiReader(bytes.NewReader(hash[:identifierBytes]), random), customer, note)
 }
 
 func keyCommand(comment string, c *statev1.ConfigChange) *statev1.Command {
@@ -118,13 +101,6 @@
 	if err != nil {
 		return nil, err
 	}
-	stored, _, err := s.readKey(ctx, r.GetKeyId())
-	if err != nil {
-		return nil, s.fail(ctx, err)
-	}
-	if stored == nil {
-		return s.withdrawnBefore(ctx, ch, r)
-	}
 	result, err := s.propose(ctx, ch, keyCommand("withdraw key "+r.GetKeyId(), &statev1.ConfigChange{
 		Removed: []*statev1.ResourceName{{Kind: statev1.ResourceKind_RESOURCE_KIND_KEY, Name: r.GetKeyId()}},
 	}))
@@ -137,30 +113,6 @@
 	return s.withdrawn(ctx, result.GetConfigVersion(), r.GetWaitMs()), nil
 }
 
-// withdrawnBefore answers for a key that does not exist: a repeat finds its
-// first attempt in the history.
-func (s *Server) withdrawnBefore(ctx context.Context, ch change, r *adminv1.WithdrawKeyRequest) (*adminv1.WithdrawKeyResponse, error) {
-	const wholeHistory = 1000
-	var version uint64
-	err := s.o.Fleet.Read(ctx, true, func(v View) {
-		for _, info := range v.History(wholeHistory) {
-			if info.GetRequestId() == ch.id {
-				version = info.GetVersion()
-			}
-		}
-	})
-	if err != nil {
-		return nil, s.fail(ctx, err)
-	}
-	if version == 0 {
-		return &adminv1.WithdrawKeyResponse{
-			Code:    uint32(resultcode.ResourceUnknown),
-			Message: fmt.Sprintf("no key has the identifier %q", r.GetKeyId()),
-		}, nil
-	}
-	return s.withdrawn(ctx, version, r.GetWaitMs()), nil
-}
-
 // withdrawn states the time by which no VM accepts the key any more. The change
 // is committed, so every freshness lease that is granted from now on includes
 // it, and every older one ends within one lease.
