--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"log/slog"
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -70,6 +72,20 @@
 			t.Errorf("missing %s in:\n%s", want, text)
 		}
 	}
+	checkAlarms(t, text)
+}
+
+// checkAlarms guards against alarms on metrics that do not exist.
+func checkAlarms(t *testing.T, scraped string) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range regexp.MustCompile(`radishloom_[a-z_]+`).FindAllString(string(page), -1) {
+		if !strings.Contains(scraped, "\n# TYPE "+name+" ") {
+			t.Errorf("docs/operations.md names the metric %s, which is not exported", name)
+		}
+	}
 }
 
 // Guards against time series that grow with what callers or operators send.
