httpclient, enginehttp: test that nothing is sent twice or called not run falsely

Informational answers count as bytes, so that an engine at work on a whole answer is not silent. The stand-in's crossed answers have the other request's text.

--- a/internal/protocol/enginehttp/engine.go
+++ b/internal/protocol/enginehttp/engine.go
@@ -49,6 +49,8 @@
 	skipSequence bool
 	// trustAnyRefusal believes a "not run" without an echoed identifier.
 	trustAnyRefusal bool
+	// resumeNotRun reports a failed attempt to resume as "not run".
+	resumeNotRun bool
 }
 
 var _ engine.Engine = (*Engine)(nil)
@@ -84,12 +86,21 @@
 	s, err := e.open(streamContext, to, &req)
 	if err != nil {
 		cancel()
-		return nil, err
+		return nil, e.resumeError(err, &req)
 	}
 	s.cancel = cancel
 	return s, nil
 }
 
+// resumeError replaces a "not run" about the attempt to resume: the request
+// itself has run, as its events show.
+func (e *Engine) resumeError(err error, req *engine.Request) error {
+	if req.ResumeFrom == 0 || resultcode.Of(err).Info().Run != resultcode.NotRun || e.faults.resumeNotRun {
+		return err
+	}
+	return resultcode.Wrap(resultcode.StreamBroken, err, "the stream broke after %d events and was not resumed", req.ResumeFrom)
+}
+
 func (e *Engine) open(ctx context.Context, to engine.Target, req *engine.Request) (*stream, error) {
 	resp, err := e.client.Do(ctx, streamRequest(to, req))
 	if err != nil {
--- a/internal/protocol/enginehttp/engine_test.go
+++ b/internal/protocol/enginehttp/engine_test.go
@@ -131,7 +131,7 @@
 		{"other identifier, stream", standin.Faults{WrongID: true}, true, resultcode.AnswerMismatch},
 		{"cut body", standin.Faults{CutBody: 20}, false, resultcode.AnswerIncomplete},
 		{"no length", standin.Faults{NoLength: true}, false, resultcode.AnswerIncomplete},
-		{"no end marker", standin.Faults{NoMarker: true}, true, resultcode.AnswerIncomplete},
+		{"no end marker", standin.Faults{EndAt: 4}, true, resultcode.AnswerIncomplete},
 		{"cut before the first event", standin.Faults{CutAt: 1}, true, resultcode.EndpointLost},
 		{"cut stream", standin.Faults{CutAt: 3}, true, resultcode.AnswerIncomplete},
 		{"silent before the first event", standin.Faults{SilentAt: 1}, true, resultcode.EndpointSilent},
--- a/internal/protocol/enginehttp/stream.go
+++ b/internal/protocol/enginehttp/stream.go
@@ -87,6 +87,9 @@
 func (s *stream) read() (engine.Event, error) {
 	for {
 		f, err := readFrame(s.br)
+		if errors.Is(err, io.EOF) && s.engine.faults.skipMarker {
+			return s.finish(), nil
+		}
 		if err != nil {
 			return engine.Event{}, err
 		}
@@ -126,9 +129,6 @@
 // that the engine has begun to run the request.
 func (s *stream) classify(err error) error {
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		if s.engine.faults.skipMarker {
-			s.final = true
-		}
 		err = resultcode.New(resultcode.AnswerIncomplete, "%s ended the stream without its end marker", s.to.Name)
 	}
 	var coded *resultcode.Error
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -36,6 +36,9 @@
 	BatchSlowdown float64
 	// PromptTokenTime is the time for one token of a prompt.
 	PromptTokenTime time.Duration
+	// Heartbeat is the interval of informational answers to a request that waits
+	// for a whole answer.
+	Heartbeat time.Duration
 	// LoadTime and AdapterLoadTime are those of one model and one adapter.
 	LoadTime, AdapterLoadTime time.Duration
 	// ReportLag is the age of load reports, CacheLag that of cache events.
@@ -60,6 +63,7 @@
 	defaultResumeWindow = 10 * time.Second
 	defaultCacheBlocks  = 1024
 	defaultMemoryMB     = 80 << 10
+	defaultHeartbeat    = 200 * time.Millisecond
 )
 
 func (c Config) withDefaults() Config {
@@ -75,6 +79,9 @@
 	if c.CacheBlocks <= 0 {
 		c.CacheBlocks = defaultCacheBlocks
 	}
+	if c.Heartbeat <= 0 {
+		c.Heartbeat = defaultHeartbeat
+	}
 	if c.MemoryMB == 0 {
 		c.MemoryMB = defaultMemoryMB
 	}
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -17,7 +17,8 @@
 	// CrashMark kills the engine when it begins to run a request whose body
 	// holds this text. It ignores Mark and Times.
 	CrashMark string `json:"crash_mark,omitempty"`
-	// Refuse answers "not run". RefuseUnnamed does so without the identifier.
+	// Refuse answers "not run". RefuseUnnamed runs the request and answers with a
+	// refusal without identifier, as if it belonged to another request.
 	Refuse        bool `json:"refuse,omitempty"`
 	RefuseUnnamed bool `json:"refuse_unnamed,omitempty"`
 	// Ignore takes the request, does not run it and never answers.
@@ -26,21 +27,21 @@
 	LoseAnswer bool `json:"lose_answer,omitempty"`
 	// Late holds the answer back for so long after the run.
 	Late time.Duration `json:"late,omitempty"`
-	// WrongID answers with another request's identifier, NoID without any.
+	// WrongID answers with another request's identifier and text, NoID without
+	// any identifier.
 	WrongID bool `json:"wrong_id,omitempty"`
 	NoID    bool `json:"no_id,omitempty"`
 	// SilentAt goes silent before this event, CutAt closes the connection there,
-	// ErrorAt reports a fault there.
+	// ErrorAt reports a fault there, EndAt ends the body without an end marker.
 	SilentAt int `json:"silent_at,omitempty"`
 	CutAt    int `json:"cut_at,omitempty"`
 	ErrorAt  int `json:"error_at,omitempty"`
+	EndAt    int `json:"end_at,omitempty"`
 	// CutBody closes the connection after this many bytes of a whole answer.
 	CutBody int `json:"cut_body,omitempty"`
 	// NoLength sends a whole answer without length and chunks.
 	NoLength bool `json:"no_length,omitempty"`
-	// NoMarker ends a stream without its end marker.
-	NoMarker bool `json:"no_marker,omitempty"`
-	// Repeat sends an event twice at a resume.
+	// Repeat sends an event twice at a resume, which is else sound.
 	Repeat bool `json:"repeat,omitempty"`
 	// Extra sends a second answer after the first one on the same connection.
 	Extra bool `json:"extra,omitempty"`
--- a/internal/standin/engine/infer.go
+++ b/internal/standin/engine/infer.go
@@ -69,8 +69,7 @@
 func (q *infer) serve() {
 	f := q.faults
 	switch {
-	case f.Refuse || f.RefuseUnnamed:
-		f.NoID = f.RefuseUnnamed
+	case f.Refuse:
 		q.echo(f)
 		writeError(q.w, http.StatusServiceUnavailable, "overloaded", true)
 		return
@@ -84,6 +83,11 @@
 		writeError(q.w, status, kind, status != http.StatusConflict)
 		return
 	}
+	if f.RefuseUnnamed {
+		q.awaitStart()
+		writeError(q.w, http.StatusServiceUnavailable, "overloaded", true)
+		return
+	}
 	if f.CrashMark != "" && strings.Contains(string(q.body), f.CrashMark) {
 		q.awaitStart()
 		q.engine.Crash()
@@ -133,6 +137,9 @@
 		q.run.target = defaultTokens
 	}
 	q.run.text = TextOf(q.body)
+	if q.faults.WrongID {
+		q.run.text = TextOf([]byte("other"))
+	}
 	q.run.prefill = q.prefill(adapter)
 	if !e.submit(q.run) {
 		return "queue_full", http.StatusTooManyRequests
@@ -188,6 +195,7 @@
 // whole waits for the run and sends the answer at once.
 func (q *infer) whole() {
 	ctx := q.r.Context()
+	beat := time.Now()
 	for n := 0; ; {
 		generated, over := q.run.wait(ctx, n)
 		if over {
@@ -198,6 +206,10 @@
 			return
 		}
 		n = generated
+		if time.Since(beat) >= q.engine.config.Heartbeat {
+			q.w.WriteHeader(http.StatusProcessing)
+			beat = time.Now()
+		}
 	}
 	if q.run.wasCancelled() || q.faults.LoseAnswer {
 		panic(http.ErrAbortHandler)
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -38,9 +38,7 @@
 	if run.wasCancelled() {
 		panic(http.ErrAbortHandler)
 	}
-	if !f.NoMarker {
-		out.text("data: [DONE]\n\n")
-	}
+	out.text("data: [DONE]\n\n")
 }
 
 // fault shows the fault that is due before an event.
@@ -53,6 +51,8 @@
 	case f.CutAt:
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
+	case f.EndAt:
+		return true
 	case f.ErrorAt:
 		_, _ = w.Write([]byte("event: error\ndata: {\"error\":{\"message\":\"fault\",\"type\":\"engine_fault\"}}\n\n"))
 		return true
@@ -108,6 +108,9 @@
 		return
 	}
 	f := e.take(nil)
+	if f.Repeat {
+		f = Faults{Repeat: true}
+	}
 	e.mu.Lock()
 	run := e.runs[id]
 	e.mu.Unlock()
--- a/internal/transport/httpclient/body.go
+++ b/internal/transport/httpclient/body.go
@@ -27,11 +27,10 @@
 var _ exchange.Body = (*body)(nil)
 
 func newResponse(ctx context.Context, cn *conn, resp *http.Response) *exchange.Response {
-	b := &body{ctx: ctx, conn: cn, r: resp.Body, once: resp.Close}
+	b := &body{ctx: ctx, conn: cn, r: resp.Body, once: resp.Close || cn.partial}
 	b.endless = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	out := &exchange.Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: b}
 	if resp.ContentLength == 0 || resp.Body == http.NoBody {
-		out.Length = 0
 		b.release()
 	}
 	return out
@@ -91,8 +90,10 @@
 // already in the pool, where a mismatch that is noticed this late makes all
 // idle connections suspect.
 func (b *body) Discard() {
-	if b.err != nil {
+	if errors.Is(b.err, io.EOF) {
 		b.conn.pool.silent()
+	}
+	if b.err != nil {
 		return
 	}
 	b.err = io.ErrClosedPipe
--- a/internal/transport/httpclient/client.go
+++ b/internal/transport/httpclient/client.go
@@ -209,9 +209,10 @@
 	cn.begin(ctx, silence)
 	if err := cn.send(req); err != nil {
 		// An endpoint may answer and close before it has read the whole body.
-		if cn.written == 0 || !cn.answerWaiting() {
+		if cn.written == 0 || !isClosed(err) || !cn.answerWaiting() {
 			return nil, cn.fail(ctx, err, stageSend)
 		}
+		cn.partial = true
 	}
 	resp, err := cn.readHead(req.Method)
 	if err != nil {
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -26,10 +26,7 @@
 // same or the next packet.
 const finishWait = 2 * time.Millisecond
 
-var (
-	errHeadTooLarge = errors.New("head of the answer is too large")
-	errInformation  = errors.New("too many informational answers")
-)
+var errHeadTooLarge = errors.New("head of the answer is too large")
 
 // conn is one connection to an endpoint. It carries one exchange at a time.
 type conn struct {
@@ -47,6 +44,8 @@
 	// written counts the bytes of the running exchange that the operating system
 	// accepted.
 	written int64
+	// partial says that the endpoint answered before it took the whole request.
+	partial bool
 	// headLeft is what the head of the answer may still take, or -1 while a body
 	// is read.
 	headLeft int
@@ -207,10 +206,11 @@
 	return method != http.MethodGet && method != http.MethodHead && method != http.MethodDelete
 }
 
-// readHead reads the head of the final answer.
+// readHead reads the head of the final answer. An engine that works on a whole
+// answer sends informational answers meanwhile, so that silence has the same
+// meaning as in a stream; only the context bounds their number.
 func (cn *conn) readHead(method string) (*http.Response, error) {
-	const maxInformational = 5
-	for range maxInformational {
+	for {
 		cn.headLeft = cn.maxHead
 		resp, err := http.ReadResponse(cn.br, &http.Request{Method: method})
 		cn.headLeft = -1
@@ -224,7 +224,6 @@
 			return resp, nil
 		}
 	}
-	return nil, errInformation
 }
 
 // answerWaiting says whether a part of an answer arrived although sending
--- a/internal/transport/httpclient/errors.go
+++ b/internal/transport/httpclient/errors.go
@@ -82,3 +82,9 @@
 	}
 	return errors.Is(err, syscall.ETIMEDOUT)
 }
+
+// isClosed says that the endpoint closed the connection while it was written
+// to.
+func isClosed(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+}
