--- /dev/null
+++ b/internal/protocol/enginehttp/control_test.go
@@ -0,0 +1,208 @@
+package enginehttp
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/radishloom/radishloom/internal/coordination/engine"
+	"github.com/radishloom/radishloom/internal/resultcode"
+	standin "github.com/radishloom/radishloom/internal/standin/engine"
+)
+
+// eventually waits for a condition that a busy machine may delay.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("did not come about: %s", what)
+		}
+	}
+}
+
+// Guards against lost or repeated events at a resume, and against a resume that
+// says "not run" of a request that ran.
+func TestResume(t *testing.T) {
+	f := start(t, standin.Config{})
+	for i, faults := range []standin.Faults{{CutAt: 4, Times: 1}, {SilentAt: 4, Times: 1}, {CutAt: 4, Repeat: true}} {
+		f.standin.SetFaults(faults)
+		req := request(fmt.Sprintf("r%d", i), 9, true)
+		s, err := f.engine.Open(context.Background(), f.to, req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		head, events, err := drain(s)
+		_ = s.Close()
+		if err == nil || events != 3 {
+			t.Fatalf("%d events, %v", events, err)
+		}
+		req.ResumeFrom, req.FreshConnection = events, true
+		if s, err = f.engine.Open(context.Background(), f.to, req); err != nil {
+			t.Fatal(err)
+		}
+		rest, _, err := drain(s)
+		_ = s.Close()
+		if err != nil || head+rest != wantText(req.Body, 0, 9) || f.standin.Runs(req.ID) != 1 {
+			t.Fatalf("%q + %q of %d runs, %v", head, rest, f.standin.Runs(req.ID), err)
+		}
+		if f.standin.Cancelled(req.ID) != 0 {
+			t.Fatal("a broken stream was cancelled in place of resumed")
+		}
+	}
+	req := request("unknown", 9, true)
+	req.ResumeFrom = 3
+	_, err := f.engine.Open(context.Background(), f.to, req)
+	codeOf(t, err, resultcode.StreamBroken)
+	f.standin.Close()
+	_, err = f.engine.Open(context.Background(), f.to, req)
+	codeOf(t, err, resultcode.StreamBroken)
+}
+
+// Guards against requests that go on in an engine after their caller has left.
+func TestCancel(t *testing.T) {
+	f := start(t, standin.Config{TokenTime: time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	for id, leave := range map[string]func(engine.Stream){
+		"closed":    func(s engine.Stream) { _ = s.Close() },
+		"cancelled": func(s engine.Stream) { cancel(); _, _, _ = drain(s); _ = s.Close() },
+	} {
+		s, err := f.engine.Open(ctx, f.to, request(id, 1<<20, true))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Next(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		leave(s)
+		eventually(t, id+" at the engine", func() bool { return f.standin.Cancelled(id) == 1 })
+		if id == "cancelled" {
+			ctx, cancel = context.WithCancel(context.Background())
+		}
+	}
+	cancel()
+	if err := f.engine.Cancel(context.Background(), f.to, "unknown"); err != nil {
+		t.Fatal(err)
+	}
+	ended, end := context.WithCancel(context.Background())
+	s, err := f.engine.Open(context.Background(), f.to, request("next", 1<<20, true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	end()
+	for err == nil {
+		_, err = s.Next(ended)
+	}
+	codeOf(t, err, resultcode.CallerGone)
+	_ = s.Close()
+	eventually(t, "an idle engine", func() bool { l, err := f.engine.Load(context.Background(), f.to); return err == nil && l.Running == 0 })
+}
+
+// Guards against an engine at work on a whole answer being taken for silent,
+// and against a priority that does not arrive.
+func TestWholeAnswerLongerThanSilence(t *testing.T) {
+	f := start(t, standin.Config{TokenTime: 10 * time.Millisecond, Heartbeat: 20 * time.Millisecond, Slots: 1})
+	req := request("r1", 100, false)
+	req.Priority = 7
+	if _, err := f.engine.Do(context.Background(), f.to, req); err != nil {
+		t.Fatal(err)
+	}
+	if seen := f.standin.Seen()[0]; !strings.Contains(seen, "X-Priority: 7\r\n") {
+		t.Fatalf("request %q", seen)
+	}
+}
+
+// Guards against orders whose outcome is misread: done, refused, or unknown.
+func TestOrders(t *testing.T) {
+	f := start(t, standin.Config{MemoryMB: 3000, ChecksFencing: true, LoadTime: 10 * time.Millisecond})
+	load := engine.Order{ID: 1, FencingToken: 5, Lifetime: time.Minute, Kind: engine.LoadModel, Model: "big", Version: "2", MemoryMB: 2000}
+	for _, tt := range []struct {
+		name string
+		edit func(*engine.Order)
+		code resultcode.Code
+	}{
+		{"load", func(*engine.Order) {}, resultcode.OK},
+		{"the same again", func(*engine.Order) {}, resultcode.OK},
+		{"old token", func(o *engine.Order) { o.ID, o.FencingToken = 2, 4 }, resultcode.FencingTokenOld},
+		{"too large", func(o *engine.Order) { o.ID, o.Model = 3, "other" }, resultcode.MemoryOvercommitted},
+		{"unknown kind", func(o *engine.Order) { o.ID, o.Kind = 4, 99 }, resultcode.EndpointRefused},
+		{"adapter", func(o *engine.Order) { o.ID, o.Kind, o.Adapter = 5, engine.LoadAdapter, "a" }, resultcode.OK},
+		{"role", func(o *engine.Order) { o.ID, o.Kind, o.Role = 6, engine.SetRole, "prefill" }, resultcode.OK},
+		{"unload", func(o *engine.Order) { o.ID, o.Kind, o.Model = 7, engine.UnloadModel, "m" }, resultcode.OK},
+	} {
+		o := load
+		tt.edit(&o)
+		if err := f.engine.Order(context.Background(), f.to, o); resultcode.Of(err) != tt.code {
+			t.Errorf("%s: %v, want %s", tt.name, err, tt.code)
+		}
+	}
+	l, err := f.engine.Load(context.Background(), f.to)
+	want := []engine.Resident{{Model: "big", Version: "2", MemoryMB: 2000, Ready: true}}
+	if err != nil || !slices.Equal(l.Resident, want) || l.FencingToken != 5 || !slices.Equal(l.Adapters, []string{"a"}) || f.standin.Role() != "prefill" {
+		t.Errorf("load %+v, %v", l, err)
+	}
+	f.standin.SetFaults(standin.Faults{LoseOrderAnswer: true})
+	load.ID, load.Kind = 8, engine.UnloadModel
+	codeOf(t, f.engine.Order(context.Background(), f.to, load), resultcode.EndpointLost)
+	f.standin.SetFaults(standin.Faults{OrderDelay: 30 * time.Millisecond})
+	load.ID, load.Lifetime = 9, time.Millisecond
+	codeOf(t, f.engine.Order(context.Background(), f.to, load), resultcode.EndpointRefused)
+}
+
+// Guards against reports that are misread: lag, leaving, gaps in cache events.
+func TestReports(t *testing.T) {
+	f := start(t, standin.Config{CacheGap: 3, CacheBlocks: 4})
+	ctx := context.Background()
+	req := request(strings.Repeat("x", 6*engine.PrefixBlockBytes), 1, false)
+	if _, err := f.engine.Do(ctx, f.to, engine.Request{ID: "r1", Path: req.Path, Body: req.Body}); err != nil {
+		t.Fatal(err)
+	}
+	events, err := f.engine.CacheEvents(ctx, f.to, 1)
+	if err != nil || len(events) < 4 || events[0].Seq != 2 || events[1].Seq != 4 || events[0].Prefix != engine.PrefixHashes(req.Body)[1] || !events[len(events)-1].Evicted {
+		t.Fatalf("cache events %+v, %v", events, err)
+	}
+	f.standin.SetLeaving(true)
+	if l, err := f.engine.Load(ctx, f.to); err != nil || !l.Leaving || l.Slots != 8 {
+		t.Fatalf("load %+v, %v", l, err)
+	}
+	codeOf(t, f.run(request("r2", 1, false)), resultcode.EndpointRefused)
+	lagging := start(t, standin.Config{ReportLag: time.Hour})
+	lagging.standin.SetLeaving(true)
+	if l, err := lagging.engine.Load(ctx, lagging.to); err != nil || l.Leaving {
+		t.Fatalf("lagging load %+v, %v", l, err)
+	}
+}
+
+// Guards against a KV cache that is cut or handed to another request.
+func TestKV(t *testing.T) {
+	f, g := start(t, standin.Config{}), start(t, standin.Config{})
+	ctx := context.Background()
+	if err := f.run(request("r1", 5, false)); err != nil {
+		t.Fatal(err)
+	}
+	export := func(f *fixture, id string) []byte {
+		kv, err := f.engine.ExportKV(ctx, f.to, id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer kv.Close() //nolint:errcheck // never fails
+		out, err := io.ReadAll(kv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return out
+	}
+	want := export(f, "r1")
+	if err := g.engine.ImportKV(ctx, g.to, "r2", bytes.NewReader(want)); err != nil {
+		t.Fatal(err)
+	}
+	if got := export(g, "r2"); !bytes.Equal(got, want) || len(got) == 0 {
+		t.Fatalf("%d bytes came back, want %d", len(got), len(want))
+	}
+	_, err := f.engine.ExportKV(ctx, f.to, "unknown")
+	codeOf(t, err, resultcode.EndpointLost)
+}
--- /dev/null
+++ b/internal/protocol/platformhttp/platform.go
@@ -0,0 +1,82 @@
+// Package platformhttp reads the platform's list of VMs, a JSON list such as
+//
+//	[{"address": "10.0.0.1:8000"}, {"address": "10.0.0.2", "leaving": true}]
+package platformhttp
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/radishloom/radishloom/internal/coordination/engine"
+	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+const (
+	// maxListBytes has room for some ten thousand VMs.
+	maxListBytes = 4 << 20
+	// silence bounds the wait for the list.
+	silence = 2 * time.Second
+)
+
+// Platform is the port over HTTP. It is safe for concurrent use.
+type Platform struct {
+	client  exchange.Client
+	address string
+	target  string
+}
+
+var _ engine.Platform = (*Platform)(nil)
+
+// New returns a Platform that reads the list at a path of an address.
+func New(client exchange.Client, address, path string) *Platform {
+	return &Platform{client: client, address: address, target: path}
+}
+
+// vm is one line of the list.
+type vm struct {
+	Address string `json:"address"`
+	Leaving bool   `json:"leaving"`
+}
+
+// List implements engine.Platform. A list that is cut or malformed is an error:
+// taken for whole it would make live VMs look gone.
+func (p *Platform) List(ctx context.Context) ([]engine.VMState, error) {
+	resp, err := p.client.Do(ctx, &exchange.Request{
+		Address: p.address, Method: http.MethodGet, Target: p.target, Silence: silence,
+		Header: http.Header{"Accept": {"application/json"}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close() //nolint:errcheck // never fails
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if resp.Status != http.StatusOK {
+		return nil, resultcode.New(resultcode.EndpointLost, "the platform answered %d", resp.Status)
+	}
+	return parse(body)
+}
+
+func parse(body []byte) ([]engine.VMState, error) {
+	if len(body) > maxListBytes {
+		return nil, resultcode.New(resultcode.AnswerMismatch, "the platform's list has more than %d bytes", maxListBytes)
+	}
+	var lines []vm
+	if err := json.Unmarshal(body, &lines); err != nil {
+		return nil, resultcode.Wrap(resultcode.AnswerMismatch, err, "the platform's list is malformed")
+	}
+	out := make([]engine.VMState, 0, len(lines))
+	for i, line := range lines {
+		if line.Address == "" {
+			return nil, resultcode.New(resultcode.AnswerMismatch, "line %d of the platform's list has no address", i)
+		}
+		out = append(out, engine.VMState(line))
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/protocol/platformhttp/platform_test.go
@@ -0,0 +1,51 @@
+package platformhttp
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+
+	"github.com/radishloom/radishloom/internal/coordination/engine"
+	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/transport/httpclient"
+)
+
+// Guards against a cut or malformed list being taken for the whole list.
+func TestList(t *testing.T) {
+	const good = `[{"address":"127.0.0.1:1"},{"address":"127.0.0.2","leaving":true}]`
+	for _, tt := range []struct {
+		name, body string
+		status     int
+		cut        bool
+		code       resultcode.Code
+	}{
+		{"good", good, 200, false, resultcode.OK},
+		{"cut", good, 200, true, resultcode.AnswerIncomplete},
+		{"empty body", "", 200, false, resultcode.AnswerMismatch},
+		{"no list", `{"address":"x"}`, 200, false, resultcode.AnswerMismatch},
+		{"no address", `[{"leaving":true}]`, 200, false, resultcode.AnswerMismatch},
+		{"status", good, 500, false, resultcode.EndpointLost},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(tt.status)
+				_, _ = io.WriteString(w, tt.body)
+				if tt.cut {
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			defer server.Close()
+			client := httpclient.New(httpclient.Options{})
+			defer client.Close()
+			got, err := New(client, server.Listener.Addr().String(), "/vms").List(context.Background())
+			want := []engine.VMState{{Address: "127.0.0.1:1"}, {Address: "127.0.0.2", Leaving: true}}
+			if resultcode.Of(err) != tt.code || (err == nil && !slices.Equal(got, want)) {
+				t.Fatalf("%v, %v; want %s", got, err, tt.code)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/protocol/servicehttp/service_test.go
@@ -0,0 +1,118 @@
+package servicehttp
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/radishloom/radishloom/internal/coordination/engine"
+	"github.com/radishloom/radishloom/internal/resultcode"
+	standin "github.com/radishloom/radishloom/internal/standin/service"
+	"github.com/radishloom/radishloom/internal/transport/httpclient"
+)
+
+const silence = 300 * time.Millisecond
+
+func request(id string) engine.ServiceRequest {
+	return engine.ServiceRequest{
+		ID: id, Method: http.MethodPut, Path: "/a%2Fb", RawQuery: "x=1&y", Body: []byte("pay"), Silence: silence,
+		Header: http.Header{"Idempotency-Key": {"key-" + id}, "X-Keep": {"1", "2"}},
+	}
+}
+
+// call carries out a request to the end of its body.
+func call(s *Service, to engine.Target, req engine.ServiceRequest) (*engine.ServiceAnswer, []byte, error) {
+	a, err := s.Do(context.Background(), to, req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer a.Body.Close() //nolint:errcheck // never fails
+	body, err := io.ReadAll(a.Body)
+	return a, body, err
+}
+
+// Guards against answers of a service that are cut or another's, and against
+// run states that disagree with what the service really ran. The defect
+// skipIdentity must be found.
+func TestService(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		faults standin.Faults
+		code   resultcode.Code
+		runs   int
+	}{
+		{"sound", standin.Faults{}, resultcode.OK, 1},
+		{"chunked", standin.Faults{Chunked: true}, resultcode.OK, 1},
+		{"error status", standin.Faults{Status: 500}, resultcode.OK, 1},
+		{"refused", standin.Faults{Refuse: true}, resultcode.EndpointRefused, 0},
+		{"ignored", standin.Faults{Ignore: true}, resultcode.EndpointSilent, 0},
+		{"late", standin.Faults{Delay: 2 * silence}, resultcode.EndpointSilent, 1},
+		{"answer lost", standin.Faults{LoseAnswer: true}, resultcode.EndpointLost, 1},
+		{"cut", standin.Faults{CutBody: 5}, resultcode.AnswerIncomplete, 1},
+		{"cut, chunked", standin.Faults{CutBody: 5, Chunked: true}, resultcode.AnswerIncomplete, 1},
+		{"another's", standin.Faults{WrongID: true}, resultcode.AnswerMismatch, 1},
+		{"crash", standin.Faults{Crash: true}, resultcode.EndpointLost, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			stand, err := standin.Start("127.0.0.1:0", standin.Config{Slots: 5})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer stand.Close()
+			client := httpclient.New(httpclient.Options{})
+			defer client.Close()
+			stand.SetFaults(tt.faults)
+			s, to := New(client), engine.Target{Name: "s1", Address: stand.Addr()}
+			a, body, err := call(s, to, request("r1"))
+			if resultcode.Of(err) != tt.code || stand.Runs("r1") != tt.runs || stand.RunsByKey("key-r1") != tt.runs {
+				t.Fatalf("%v after %d runs, want %s after %d", err, stand.Runs("r1"), tt.code, tt.runs)
+			}
+			if err == nil {
+				verify(t, a, body, tt.faults)
+			}
+			if tt.faults.WrongID {
+				s.faults.skipIdentity = true
+				if _, _, err := call(s, to, request("r2")); err != nil {
+					t.Fatalf("the defect skipIdentity was not found: %v", err)
+				}
+			}
+		})
+	}
+}
+
+// verify compares what the service got with what was sent.
+func verify(t *testing.T, a *engine.ServiceAnswer, body []byte, f standin.Faults) {
+	t.Helper()
+	var seen standin.Seen
+	if err := json.Unmarshal(body, &seen); err != nil {
+		t.Fatal(err)
+	}
+	if seen.Method != http.MethodPut || seen.Target != "/a%2Fb?x=1&y" || seen.BodyBytes != 3 || len(seen.Header["X-Keep"]) != 2 {
+		t.Errorf("the service got %+v", seen)
+	}
+	if a.Status != max(f.Status, 200) || a.Header.Get("X-Request-Id") != "" || (a.Length < 0) != f.Chunked {
+		t.Errorf("answer %d %v of %d bytes", a.Status, a.Header, a.Length)
+	}
+}
+
+// Guards against a load report that is misread.
+func TestLoad(t *testing.T) {
+	stand, err := standin.Start("127.0.0.1:0", standin.Config{Slots: 5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := httpclient.New(httpclient.Options{})
+	defer client.Close()
+	to := engine.Target{Name: "s1", Address: stand.Addr()}
+	if l, err := New(client).Load(context.Background(), to); err != nil || l.Slots != 5 {
+		t.Fatalf("%+v, %v", l, err)
+	}
+	stand.Close()
+	if _, err := New(client).Load(context.Background(), to); err == nil {
+		t.Fatal("a dead service reported load")
+	}
+}
--- /dev/null
+++ b/internal/transport/httpserver/server_test.go
@@ -0,0 +1,294 @@
+package httpserver
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/radishloom/radishloom/internal/protocol/refusal"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// patience bounds waits that end much earlier on an idle machine.
+const patience = 20 * time.Second
+
+func start(t *testing.T, l Limits, h http.HandlerFunc) *Server {
+	t.Helper()
+	s, err := New(Config{Address: "127.0.0.1:0", Limits: l, Handler: h})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Start(context.Background()) }()
+	t.Cleanup(func() {
+		_ = s.Stop(context.Background())
+		if err := <-ended; err != nil {
+			t.Errorf("Start: %v", err)
+		}
+	})
+	return s
+}
+
+func dial(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(patience))
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// talk sends raw text and returns everything until the server closes.
+func talk(t *testing.T, s *Server, raw string) string {
+	t.Helper()
+	c := dial(t, s)
+	_, _ = io.WriteString(c, strings.ReplaceAll(raw, "\n", "\r\n"))
+	all, err := io.ReadAll(c)
+	// A server that closes while unread bytes are left resets the connection.
+	if err != nil && !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatalf("the server did not close: %v after %q", err, all)
+	}
+	return string(all)
+}
+
+func hasCode(answer string, c resultcode.Code) bool {
+	return strings.HasPrefix(answer, fmt.Sprintf("HTTP/1.1 %d ", c.Info().Status)) &&
+		strings.Contains(answer, fmt.Sprintf("%s: %d\r\n", resultcode.Header, c)) && strings.Contains(answer, `"run_state":"not_run"`)
+}
+
+// readBody answers with the size of the body, or with the code of its fault.
+func readBody(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		refusal.Write(w, "", err)
+		return
+	}
+	_, _ = fmt.Fprint(w, len(body))
+}
+
+// Guards against callers that take memory, time or connections without bound.
+func TestLimits(t *testing.T) {
+	s := start(t, Limits{HeaderBytes: 1000, HeaderTimeout: 200 * time.Millisecond, BodyTimeout: 200 * time.Millisecond}, readBody)
+	const head = "POST / HTTP/1.1\nHost: x\nConnection: close\n"
+	if a := talk(t, s, head+"X: "+strings.Repeat("x", 1500)+"\n\n"); !hasCode(a, resultcode.HeadersTooLarge) {
+		t.Errorf("large header: %q", a)
+	}
+	if a := talk(t, s, head+"X: "+strings.Repeat("x", 100<<10)+"\n\n"); !strings.HasPrefix(a, "HTTP/1.1 431 ") {
+		t.Errorf("huge header: %q", a)
+	}
+	if a := talk(t, s, "POST / HTTP/1.1\nHost:"); a != "" {
+		t.Errorf("header that never ends: %q", a)
+	}
+	if a := talk(t, s, head+"Content-Length: 10\n\nabc"); !hasCode(a, resultcode.RequestTooSlow) {
+		t.Errorf("body that never ends: %q", a)
+	}
+	if a := talk(t, s, head+"Content-Length: 3\n\nabc"); !strings.HasSuffix(a, "\r\n\r\n3") {
+		t.Errorf("sound request: %q", a)
+	}
+}
+
+// Guards against answers that hang on a caller who does not read.
+func TestSlowReader(t *testing.T) {
+	ended := make(chan error, 1)
+	s := start(t, Limits{WriteTimeout: 100 * time.Millisecond}, func(w http.ResponseWriter, _ *http.Request) {
+		for {
+			if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+				ended <- err
+				return
+			}
+		}
+	})
+	_, _ = io.WriteString(dial(t, s), "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	select {
+	case err := <-ended:
+		var timeout net.Error
+		if !errors.As(err, &timeout) || !timeout.Timeout() {
+			t.Fatalf("ended by %v, want a timeout", err)
+		}
+	case <-time.After(patience):
+		t.Fatal("the answer still hangs")
+	}
+}
+
+// Guards against deadlines that outlive their purpose: a request that works
+// long after its body was read, and a stream that is longer than each timeout
+// and than the default timeout of kratos.
+func TestLongWork(t *testing.T) {
+	const step = 60 * time.Millisecond
+	s := start(t, Limits{BodyTimeout: 4 * step, WriteTimeout: 4 * step, HeaderTimeout: 4 * step}, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/quiet" {
+			time.Sleep(8 * step)
+			_, _ = io.WriteString(w, fmt.Sprint(r.Context().Err()))
+			return
+		}
+		for i := range 20 {
+			_, _ = fmt.Fprintf(w, "data: %d\n\n", i)
+			if err := http.NewResponseController(w).Flush(); err != nil {
+				return
+			}
+			time.Sleep(step)
+		}
+		time.Sleep(8 * step) // the end of the body is written after this
+	})
+	c := dial(t, s)
+	br := bufio.NewReader(c)
+	for range 2 { // the second request must not meet deadlines of the first
+		_, _ = io.WriteString(c, "POST /quiet HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(resp.Body); string(body) != "<nil>" || err != nil {
+			t.Fatalf("quiet request: %q, %v", body, err)
+		}
+	}
+	_, _ = io.WriteString(c, "GET /stream HTTP/1.1\r\nHost: x\r\n\r\n")
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	begin := time.Now()
+	first, err := bufio.NewReader(io.LimitReader(resp.Body, 9)).ReadString('\n')
+	if err != nil || first != "data: 0\n" || time.Since(begin) > 10*step {
+		t.Fatalf("first event %q after %s, %v", first, time.Since(begin), err)
+	}
+	rest, err := io.ReadAll(resp.Body)
+	if err != nil || !strings.HasSuffix(string(rest), "data: 19\n\n") {
+		t.Fatalf("stream ended with %q, %v", rest, err)
+	}
+}
+
+// Guards against more connections than allowed, and against places that are
+// not given back.
+func TestOpenConnections(t *testing.T) {
+	s := start(t, Limits{OpenConnections: 2}, readBody)
+	first, second := dial(t, s), dial(t, s)
+	for _, c := range []net.Conn{first, second} {
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if a := talk(t, s, "GET / HTTP/1.1\nHost: x\n\n"); !hasCode(a, resultcode.VMOverloaded) {
+		t.Fatalf("third connection: %q", a)
+	}
+	_ = first.Close()
+	for end := time.Now().Add(patience); s.Connections() > 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a place was not given back")
+		}
+	}
+	if a := talk(t, s, "GET / HTTP/1.1\nHost: x\nConnection: close\n\n"); !strings.HasPrefix(a, "HTTP/1.1 200") {
+		t.Fatalf("after a connection was closed: %q", a)
+	}
+}
+
+// Guards against a second request hidden in a first one, against heads that
+// others read differently, and against paths that the router rewrites.
+func TestAmbiguousRequests(t *testing.T) {
+	var seen atomic.Int64
+	s := start(t, Limits{}, func(w http.ResponseWriter, r *http.Request) {
+		seen.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, r.RequestURI)
+	})
+	const hidden = "GET /hidden HTTP/1.1\nHost: x\n\n"
+	a := talk(t, s, "POST /a HTTP/1.1\nHost: x\nContent-Length: 4\nTransfer-Encoding: chunked\n\n0\n\n"+hidden)
+	if strings.Contains(a, "hidden") || seen.Load() != 1 {
+		t.Errorf("length and chunks: %q", a)
+	}
+	for name, raw := range map[string]string{
+		"two lengths":         "POST / HTTP/1.1\nHost: x\nContent-Length: 1\nContent-Length: 2\n\nxx",
+		"signed length":       "POST / HTTP/1.1\nHost: x\nContent-Length: +1\n\nx",
+		"two encodings":       "POST / HTTP/1.1\nHost: x\nTransfer-Encoding: gzip, chunked\n\n0\n\n",
+		"unknown encoding":    "POST / HTTP/1.1\nHost: x\nTransfer-Encoding: xchunked\n\n0\n\n",
+		"space before colon":  "POST / HTTP/1.1\nHost: x\nContent-Length : 1\n\nx",
+		"no host":             "GET / HTTP/1.1\n\n",
+		"two hosts":           "GET / HTTP/1.1\nHost: x\nHost: y\n\n",
+		"control in a header": "GET / HTTP/1.1\nHost: x\nX: a\x00b\n\n",
+	} {
+		if a := talk(t, s, raw); !strings.HasPrefix(a, "HTTP/1.1 400") && !strings.HasPrefix(a, "HTTP/1.1 501") {
+			t.Errorf("%s: %q", name, a)
+		}
+	}
+	if seen.Load() != 1 {
+		t.Errorf("%d requests reached the handler, want 1", seen.Load())
+	}
+	if a := talk(t, s, "GET /a//b/../c%2Fd HTTP/1.1\nHost: x\nConnection: close\n\n"); !strings.HasSuffix(a, "/a//b/../c%2Fd") {
+		t.Errorf("path: %q", a)
+	}
+}
+
+// Guards against a shutdown that cuts a request within the grace period, and
+// against one that waits for ever.
+func TestStop(t *testing.T) {
+	entered, leave := make(chan bool, 2), make(chan bool)
+	h := func(w http.ResponseWriter, r *http.Request) {
+		entered <- true
+		select {
+		case <-leave:
+		case <-r.Context().Done():
+		}
+		_, _ = io.WriteString(w, "whole")
+	}
+	s := start(t, Limits{}, h)
+	c := dial(t, s)
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-entered
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		if probe, err := net.Dial("tcp", s.Addr().String()); err != nil {
+			break
+		} else if _ = probe.Close(); time.Now().After(end) {
+			t.Fatal("new connections are still accepted")
+		}
+	}
+	close(leave)
+	if all, err := io.ReadAll(c); err != nil || !strings.HasSuffix(string(all), "whole") || !strings.Contains(string(all), "Connection: close") {
+		t.Fatalf("%q, %v", all, err)
+	}
+	if err := <-stopped; err != nil {
+		t.Fatal(err)
+	}
+	leave = make(chan bool)
+	s = start(t, Limits{Grace: 50 * time.Millisecond}, h)
+	_, _ = io.WriteString(dial(t, s), "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-entered
+	if err := s.Stop(context.Background()); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("stop after the grace period: %v", err)
+	}
+}
+
+// Guards against health checks that reach the handler or say ready too long.
+func TestHealth(t *testing.T) {
+	var ready atomic.Bool
+	s := start(t, Limits{}, func(http.ResponseWriter, *http.Request) { t.Error("the handler got a health check") })
+	s.config.Ready = ready.Load
+	get := func(path string) string {
+		return talk(t, s, "GET "+path+" HTTP/1.1\nHost: x\nConnection: close\n\n")[len("HTTP/1.1 "):][:3]
+	}
+	if get(PathHealthy) != "200" || get(PathReady) != "503" {
+		t.Error("before ready")
+	}
+	ready.Store(true)
+	if get(PathReady) != "200" {
+		t.Error("when ready")
+	}
+	s.Drain()
+	if get(PathHealthy) != "200" || get(PathReady) != "503" {
+		t.Error("while draining")
+	}
+}
