--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -90,16 +90,17 @@
 tool status
 tool vm list
 
+json='Content-Type: application/json'
 chat='{"model":"tiny-chat","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"What is a radish loom?"}]}'
 text() { sed -n 's/.*"content":"\([^"]*\)".*/\1/p' | tr -d '\n'; }
 # What the engine itself answers to the same body.
-expected=$(get http://127.0.0.1:18481/v1/chat/completions -H 'X-Request-Id: direct' -d "$chat" | text)
+expected=$(get http://127.0.0.1:18481/v1/chat/completions -H "X-Request-Id: direct" -H "$json" -d "$chat" | text)
 [ -n "$expected" ] || fail "the engine gave no answer to compare with"
 
 # chat ENTRY sends a streamed request and checks the whole answer.
 chat() {
   local out
-  out=$(get --no-buffer "http://127.0.0.1:1808$1/v1/chat/completions" -H "Authorization: Bearer $key" -d "$chat")
+  out=$(get --no-buffer "http://127.0.0.1:1808$1/v1/chat/completions" -H "Authorization: Bearer $key" -H "$json" -d "$chat")
   [ "$(text <<<"$out")" = "$expected" ] || fail "entry $1 gave a wrong answer: $out"
   [ "$(grep -c '"content"' <<<"$out")" -eq 12 ] || fail "entry $1 did not send 12 tokens: $out"
   [ "$(grep -v '^$' <<<"$out" | tail -n 1)" = "data: [DONE]" ] || fail "entry $1 did not end the stream: $out"
@@ -109,7 +110,7 @@
 confirm() {
   local body="{\"commission\":$2,\"amount\":1250}" out sum
   out=$(get --fail "http://127.0.0.1:1808$1/ledger/commissions/$2/confirm" \
-    -H "Authorization: Bearer $key" -H "Idempotency-Key: commission-$2" -d "$body")
+    -H "Authorization: Bearer $key" -H "Idempotency-Key: commission-$2" -H "$json" -d "$body")
   sum=$(printf '%s' "$body" | sha256sum | cut -d ' ' -f 1)
   grep -q "\"body_sha256\":\"$sum\"" <<<"$out" || fail "entry $1 gave the answer to another request: $out"
   grep -q '"run":1}' <<<"$out" || fail "commission $2 was run more than once: $out"
@@ -128,7 +129,7 @@
 
 step "a refused request (wrong key)"
 code=$(get --output "$dir/refused.json" --dump-header - "http://127.0.0.1:18081/v1/chat/completions" \
-  -H "Authorization: Bearer ${key}x" -d "$chat" | tr -d '\r' | sed -n 's/^Radishloom-Result: //Ip')
+  -H "Authorization: Bearer ${key}x" -H "$json" -d "$chat" | tr -d '\r' | sed -n 's/^Radishloom-Result: //Ip')
 cat "$dir/refused.json"
 echo
 [ "$code" = 1004 ] || fail "the wrong key got result code '$code' in place of 1004"
