cli, demo: describe single changes in the history, print service answers

Cause: config history showed no reason for profile, route and customer changes.

Change: the tool writes what was set or removed as the change's comment. The demo prints each service answer and waits for the processes that it kills.

--- a/internal/cli/resources.go
+++ b/internal/cli/resources.go
@@ -56,10 +56,22 @@
 		return err
 	}
 	upserts := &statev1.Config{}
-	if err := c.setFields(pick(config, upserts)); err != nil {
+	m := pick(config, upserts)
+	if err := c.setFields(m); err != nil {
 		return err
 	}
-	return a.apply(ctx, &statev1.ConfigChange{BaseVersion: config.GetVersion(), Upserts: upserts}, c.waitOption)
+	return a.apply(ctx, &statev1.ConfigChange{
+		BaseVersion: config.GetVersion(),
+		Upserts:     upserts,
+		Comment:     comment("set", string(m.ProtoReflect().Descriptor().Name()), c.Args.Name, c.Args.Fields...),
+	}, c.waitOption)
+}
+
+// comment describes a change of one resource in the history.
+func comment(verb, kind, name string, fields ...string) string {
+	const maxComment = 200
+	s := strings.Join(append([]string{verb, strings.ToLower(kind), name}, fields...), " ")
+	return s[:min(len(s), maxComment)]
 }
 
 // removeArgs are the arguments of the remove commands.
@@ -79,6 +91,7 @@
 	return a.apply(ctx, &statev1.ConfigChange{
 		BaseVersion: config.GetVersion(),
 		Removed:     []*statev1.ResourceName{{Kind: kind, Name: c.Args.Name}},
+		Comment:     comment("remove", strings.TrimPrefix(kind.String(), "RESOURCE_KIND_"), c.Args.Name),
 	}, c.waitOption)
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -15,6 +15,7 @@
   local status=$?
   for pid in "${pids[@]}"; do
     [ -z "$pid" ] || kill -KILL "$pid" 2>/dev/null || true
+    [ -z "$pid" ] || wait "$pid" 2>/dev/null || true
   done
   if [ "$status" -ne 0 ]; then
     echo "demo: FAILED (exit $status); logs are in $dir" >&2
@@ -115,6 +116,7 @@
   grep -q "\"body_sha256\":\"$sum\"" <<<"$out" || fail "entry $1 gave the answer to another request: $out"
   grep -q '"run":1}' <<<"$out" || fail "commission $2 was run more than once: $out"
   ! grep -qF "$key" <<<"$out" || fail "the service saw the caller's key"
+  echo "commission $2 through entry $1: $out"
 }
 
 for i in 1 2 3; do
@@ -122,9 +124,7 @@
   chat "$i"
   echo "streamed 12 tokens: $expected"
   confirm "$i" "$i"
-  echo "commission $i is confirmed"
-  confirm "$((i % 3 + 1))" "$i"
-  echo "repeated through entry $((i % 3 + 1)): the first answer, run once"
+  confirm "$((i % 3 + 1))" "$i" # the same request again: the first answer, run once
 done
 
 step "a refused request (wrong key)"
