control: add the control role

Cause: nothing drove raft, wal and the fleet machine together.

Change: one event loop persists, sends, applies and advances, in this order, and handles what arrives meanwhile with one sync of the log. The leader stamps commands with fleet time from the moment it applies its first entry, takes ownership of orders, and collects syncs for 20 ms into one command. Calls are forwarded to the leader once; a Sync is forwarded as a whole. Joins and leaves take one committed step for each call, with all progress in the membership, so that they survive a change of the leader. A full disk makes the core start again from what is on disk; since nothing of the failed batch was sent, its proposals are refused with DiskFull truthfully. Any other failed write ends Run with an error.

Seen: go test -race ./internal/coordination/control passes.

--- /dev/null
+++ b/internal/coordination/control/join.go
@@ -0,0 +1,148 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// Join takes one step towards a membership with the new member as a voter and
+// without the one that it replaces; without a new member it only removes. The
+// code of the answer is zero when all of it is committed, and MembershipBusy if
+// the caller has to ask again. An answer without a membership comes from a VM
+// that belongs to no fleet.
+func (s *Server) Join(ctx context.Context, r *peerv1.JoinRequest) (*peerv1.JoinResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	if (r.GetMember() == nil && r.GetReplaces() == 0) || (r.GetMember() != nil && r.GetMember().GetId() == 0) {
+		return nil, resultcode.New(resultcode.BadRequest, "the request names no member identifier")
+	}
+	m, err := s.Members(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if len(m.GetMembership().GetMembers()) == 0 {
+		return &peerv1.JoinResponse{Code: uint32(resultcode.NoLeader), Message: "this VM belongs to no fleet"}, nil
+	}
+	answer, err := ask(ctx, s, unconfirmed("the step was not committed in time"), func(done func(*peerv1.JoinResponse, error)) {
+		s.loop.join(r, done)
+	})
+	if err == nil {
+		return answer, nil
+	}
+	to, again, err := s.elsewhere(ctx, err, r.GetForwarded())
+	if again {
+		return &peerv1.JoinResponse{Membership: m.GetMembership(), Code: uint32(resultcode.MembershipBusy), Message: "a leader was just elected"}, nil
+	}
+	if to == nil {
+		return nil, err
+	}
+	answer, err = s.cfg.Transport.Join(ctx, to, &peerv1.JoinRequest{Member: r.GetMember(), Replaces: r.GetReplaces(), Forwarded: true})
+	return answer, remote(err)
+}
+
+// Leave removes a member and returns when that is committed.
+func (s *Server) Leave(ctx context.Context, id uint64) (*statev1.Membership, error) {
+	return s.untilJoined(ctx, &peerv1.JoinRequest{Replaces: id})
+}
+
+// Replace adds a member as a voter, removes the one that it replaces, and
+// returns when the last step is committed. Zero replaces a member with the same
+// VM name, if there is one.
+func (s *Server) Replace(ctx context.Context, member *statev1.Member, replaces uint64) (*statev1.Membership, error) {
+	return s.untilJoined(ctx, &peerv1.JoinRequest{Member: member, Replaces: replaces})
+}
+
+// untilJoined repeats Join until it is finished or refused, across changes of
+// the leader.
+func (s *Server) untilJoined(ctx context.Context, r *peerv1.JoinRequest) (*statev1.Membership, error) {
+	for {
+		answer, err := s.Join(ctx, r)
+		code := resultcode.Code(answer.GetCode())
+		switch {
+		case resultcode.Of(err) == resultcode.BadRequest:
+			return nil, err
+		case err == nil && code == resultcode.OK:
+			return answer.GetMembership(), nil
+		case err == nil && code != resultcode.MembershipBusy:
+			return answer.GetMembership(), resultcode.New(code, "%s", answer.GetMessage())
+		}
+		if !s.pause(ctx, tickInterval) {
+			return nil, resultcode.Wrap(resultcode.MembershipBusy, err, "the change is not finished; ask again")
+		}
+	}
+}
+
+func (s *Server) pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-s.stopped:
+		return false
+	}
+}
+
+// joinFleet makes this member part of a fleet: it bootstraps one if it may, and
+// otherwise asks its peers until its own log says that it votes and that the
+// member that it replaces is gone.
+func (s *Server) joinFleet(ctx context.Context) {
+	for {
+		joined, err := ask(ctx, s, noLeader("stopped"), func(done func(bool, error)) {
+			done(s.loop.removed || s.loop.joined(), nil)
+		})
+		if err == nil && joined {
+			return
+		}
+		if err == nil {
+			s.askPeers(ctx)
+		}
+		if !s.pause(ctx, joinInterval) {
+			return
+		}
+	}
+}
+
+// askPeers asks each peer once. A peer without a fleet counts for bootstrapping;
+// one that does not answer may belong to a fleet, so it prevents it.
+func (s *Server) askPeers(ctx context.Context) {
+	fleetless := 0
+	request := &peerv1.JoinRequest{Member: s.loop.member, Replaces: s.cfg.Replaces}
+	for _, peer := range s.cfg.Peers {
+		if peer.GetAddress() == s.cfg.Member.GetAddress() {
+			fleetless++
+			continue
+		}
+		calling, cancel := context.WithTimeout(ctx, joinTimeout)
+		answer, err := s.cfg.Transport.Join(calling, peer, request)
+		cancel()
+		switch {
+		case err != nil:
+		case len(answer.GetMembership().GetMembers()) == 0:
+			fleetless++
+		default:
+			_ = s.post(ctx, func() { s.loop.learnContacts(answer.GetMembership()) })
+			return
+		}
+	}
+	if s.mayBootstrap() && fleetless == len(s.cfg.Peers) {
+		_ = s.post(ctx, func() {
+			if err := s.loop.bootstrap(); err != nil {
+				s.loop.fatal = err
+			}
+		})
+	}
+}
+
+// mayBootstrap reports whether this is the one VM that starts the fleet. All
+// VMs can have the same settings: the first address decides.
+func (s *Server) mayBootstrap() bool {
+	first := len(s.cfg.Peers) == 0 || s.cfg.Peers[0].GetAddress() == s.cfg.Member.GetAddress()
+	return s.cfg.Bootstrap && first
+}
--- /dev/null
+++ b/internal/coordination/control/server_test.go
@@ -0,0 +1,244 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/state/fleet"
+	"github.com/radishloom/radishloom/internal/state/wal"
+	"github.com/radishloom/radishloom/internal/state/wal/faultfs"
+)
+
+// network connects the servers of one process by their addresses.
+type network struct {
+	mu      sync.Mutex
+	servers map[string]*Server
+}
+
+var errUnreachable = errors.New("unreachable")
+
+func (n *network) at(m *statev1.Member) *Server {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.servers[m.GetAddress()]
+}
+
+func (n *network) set(address string, s *Server) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.servers[address] = s
+}
+
+func (n *network) Send(to *statev1.Member, messages []*statev1.Message) {
+	if s := n.at(to); s != nil {
+		s.Step(messages)
+	}
+}
+
+func (n *network) Propose(ctx context.Context, to *statev1.Member, r *peerv1.ProposeRequest) (*peerv1.ProposeResponse, error) {
+	if s := n.at(to); s != nil {
+		return s.Propose(ctx, r)
+	}
+	return nil, errUnreachable
+}
+
+func (n *network) Sync(ctx context.Context, to *statev1.Member, r *peerv1.SyncRequest) (*peerv1.SyncResponse, error) {
+	if s := n.at(to); s != nil {
+		return s.Sync(ctx, r)
+	}
+	return nil, errUnreachable
+}
+
+func (n *network) Join(ctx context.Context, to *statev1.Member, r *peerv1.JoinRequest) (*peerv1.JoinResponse, error) {
+	if s := n.at(to); s != nil {
+		return s.Join(ctx, r)
+	}
+	return nil, errUnreachable
+}
+
+type running struct {
+	*Server
+	disk   *faultfs.FS
+	cancel context.CancelFunc
+	ended  chan error
+}
+
+func (n *network) start(t *testing.T, i, of int, disk *faultfs.FS) *running {
+	t.Helper()
+	var peers []*statev1.Member
+	for k := range of {
+		peers = append(peers, &statev1.Member{Vm: fmt.Sprint("vm", k), Address: fmt.Sprint("10.0.0.", k+1, ":1")})
+	}
+	s, err := New(Config{Dir: "data", FS: disk, Member: peers[i], Peers: peers, Bootstrap: true, Transport: n})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.set(peers[i].GetAddress(), s)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Server: s, disk: disk, cancel: cancel, ended: make(chan error, 1)}
+	go func() {
+		r.ended <- s.Run(ctx)
+		n.set(peers[i].GetAddress(), nil)
+	}()
+	t.Cleanup(cancel)
+	return r
+}
+
+func newDisk() *faultfs.FS { return faultfs.New(func(int) int { return 0 }) }
+
+// eventually waits for a condition, up to a bound that only a fault reaches.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for range 1000 {
+		if f() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("does not happen: %s", what)
+}
+
+func (r *running) voters(t *testing.T) int {
+	t.Helper()
+	m, err := r.Members(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for _, x := range m.GetMembership().GetMembers() {
+		if !x.GetLearner() {
+			n++
+		}
+	}
+	return n
+}
+
+func customerChange(id string, base uint64) *peerv1.ProposeRequest {
+	return &peerv1.ProposeRequest{Command: &statev1.Command{RequestId: id, Op: &statev1.Command_ConfigChange{ConfigChange: &statev1.ConfigChange{
+		BaseVersion: base,
+		Upserts:     &statev1.Config{Customers: []*statev1.Customer{{Name: id, RateTokensPerSecond: 10, BurstTokens: 1000}}},
+	}}}}
+}
+
+func entrySync(seq, want uint64) *statev1.EntrySync {
+	e := &statev1.EntrySync{Session: &statev1.Session{Vm: "entry", Incarnation: "1"}, Seq: seq}
+	if want != 0 {
+		e.Usage = []*statev1.TokenUsage{{Customer: "a", Want: want}}
+	}
+	return e
+}
+
+func propose(t *testing.T, s *running, r *peerv1.ProposeRequest, version uint64) {
+	t.Helper()
+	eventually(t, "the change is answered", func() bool {
+		got, err := s.Propose(t.Context(), r)
+		if err != nil {
+			return false // unconfirmed or no leader: the same request is sent again
+		}
+		if got.GetResult().GetCode() != 0 || got.GetResult().GetConfigVersion() != version {
+			t.Fatalf("%s got %v, want version %d", r.GetCommand().GetRequestId(), got, version)
+		}
+		return true
+	})
+}
+
+// Guards against calls that only the leader answers, syncs that miss a change
+// or a grant, a shutdown that leaves the fleet without a leader, and a repair of
+// a VM with an empty disk that does not finish.
+func TestServers(t *testing.T) {
+	n := &network{servers: map[string]*Server{}}
+	var servers []*running
+	for i := range 3 {
+		servers = append(servers, n.start(t, i, 3, newDisk()))
+	}
+	eventually(t, "three voters", func() bool {
+		return servers[0].voters(t) == 3 && servers[1].voters(t) == 3 && servers[2].voters(t) == 3
+	})
+	for i, s := range servers {
+		propose(t, s, customerChange(string(rune('a'+i)), uint64(i)), uint64(i+1))
+		propose(t, servers[(i+1)%3], customerChange(string(rune('a'+i)), uint64(i)), uint64(i+1))
+	}
+	checkSyncs(t, servers[1], servers[2])
+
+	leader := 0
+	eventually(t, "a leader", func() bool {
+		for i, s := range servers {
+			if _, leading := s.Leading(t.Context()); leading {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	old := servers[leader]
+	old.cancel()
+	if err := <-old.ended; err != nil {
+		t.Fatalf("shutdown: %v", err)
+	}
+	rest := servers[(leader+1)%3]
+	propose(t, rest, customerChange("a", 0), 1)
+	propose(t, rest, customerChange("d", 3), 4)
+
+	again := n.start(t, leader, 3, newDisk())
+	eventually(t, "the new member replaces the old one", func() bool {
+		m, err := rest.Members(t.Context())
+		members := m.GetMembership()
+		return err == nil && findMember(members, again.MemberID()) != nil && findMember(members, old.MemberID()) == nil && rest.voters(t) == 3
+	})
+	eventually(t, "a confirmed read at the new member", func() bool {
+		var version uint64
+		err := again.Read(t.Context(), true, func(m *fleet.Machine) { version = m.Config().GetVersion() })
+		return err == nil && version == 4
+	})
+	if _, err := rest.Leave(t.Context(), 12345); err != nil {
+		t.Fatalf("leaving of a member that is not there: %v", err)
+	}
+}
+
+// checkSyncs talks to two members, of which at least one does not lead.
+func checkSyncs(t *testing.T, a, b *running) {
+	t.Helper()
+	for _, s := range []*running{a, b} {
+		r, err := s.Sync(t.Context(), &peerv1.SyncRequest{Entry: entrySync(0, 0), HoldMs: 1000})
+		if err != nil || r.GetDelta().GetFull() == nil || r.GetConfigVersion() != 3 || r.GetLiveEntries() != 1 {
+			t.Fatalf("first sync: %v, %v", r, err)
+		}
+	}
+	for _, s := range []*running{a, b} {
+		r, err := s.Sync(t.Context(), &peerv1.SyncRequest{Entry: entrySync(1, 300), ConfigVersion: 3, HoldMs: 1000})
+		if grants := r.GetEntry().GetGrants(); err != nil || len(grants) != 1 || grants[0].GetGranted() != 300 || r.GetDelta() != nil {
+			t.Fatalf("sync for tokens: %v, %v", r, err)
+		}
+	}
+	if _, err := a.Sync(t.Context(), &peerv1.SyncRequest{ConfigVersion: 9}); resultcode.Of(err) != resultcode.NoFreshState {
+		t.Fatalf("an entry ahead of the fleet got %v", err)
+	}
+	r, err := b.Sync(t.Context(), &peerv1.SyncRequest{ConfigVersion: 2})
+	if err != nil || len(r.GetDelta().GetUpserts().GetCustomers()) != 1 {
+		t.Fatalf("sync without an entry: %v, %v", r, err)
+	}
+}
+
+// Guards against a process that goes on after a failed sync of its log.
+func TestFailedSyncStopsTheServer(t *testing.T) {
+	n := &network{servers: map[string]*Server{}}
+	s := n.start(t, 0, 1, newDisk())
+	propose(t, s, customerChange("a", 0), 1)
+	s.disk.FailSync(0)
+	_, err := s.Propose(t.Context(), customerChange("b", 1))
+	if resultcode.Of(err) != resultcode.ChangeUnconfirmed {
+		t.Fatalf("the change got %v", err)
+	}
+	if err := <-s.ended; !errors.Is(err, wal.ErrSync) {
+		t.Fatalf("Run returned %v", err)
+	}
+	s.disk.Crash()
+	propose(t, n.start(t, 0, 1, s.disk), customerChange("a", 0), 1)
+}
--- a/internal/state/fleet/sessions.go
+++ b/internal/state/fleet/sessions.go
@@ -115,6 +115,9 @@
 	return out
 }
 
+// LiveSessions returns the number of live sessions.
+func (m *Machine) LiveSessions() int { return len(m.sessions.live) }
+
 // expireLeases writes off the leases of sessions that did not renew them.
 func (m *Machine) expireLeases() {
 	for e := m.sessions.order.Front(); e != nil; e = e.Next() {
