entry: keep room for urgent requests, check open streams once a version

Cause: a VM full of low priority requests refused urgent ones; every open stream was authenticated ten times a second; Drain did not count claims whose end was not committed yet. Change: the last eighth of the VM's open requests is for priorities above the lowest; streams are checked when the version changes and once when they are registered; Drain counts unfinished claims.

--- a/internal/coordination/admission/limits.go
+++ b/internal/coordination/admission/limits.go
@@ -25,15 +25,20 @@
 
 // Enter counts a request in, or returns the code of its refusal. A customer
 // limit of zero allows half of the VM's limit, so that one customer cannot
-// lock out the others.
-func (g *Gate) Enter(customer string, customerLimit int) resultcode.Code {
+// lock out the others. The last eighth of the VM's limit is only for urgent
+// requests.
+func (g *Gate) Enter(customer string, customerLimit int, urgent bool) resultcode.Code {
 	if customerLimit == 0 {
 		customerLimit = max(1, g.limit/2)
 	}
 	if g.customer[customer] >= customerLimit {
 		return resultcode.TooManyOpen
 	}
-	if g.open >= g.limit {
+	limit := g.limit
+	if !urgent {
+		limit -= limit / 8
+	}
+	if g.open >= limit {
 		return resultcode.VMOverloaded
 	}
 	g.open++
@@ -72,6 +77,11 @@
 	return Reserve{levels: sorted}
 }
 
+// Urgent says whether a priority is above the lowest one, or the only one.
+func (r Reserve) Urgent(priority int32) bool {
+	return len(r.levels) < 2 || priority > r.levels[0].Priority
+}
+
 // Limit is the number of requests in flight at which a priority gets no
 // further slot of a window. The lowest priority always has one slot, and each
 // priority with a reserved share has at least one slot more than the next
--- a/internal/coordination/admission/queue_test.go
+++ b/internal/coordination/admission/queue_test.go
@@ -209,11 +209,12 @@
 
 // Guards the bounds on open requests and the estimate of service times.
 func TestGateAndServiceTimes(t *testing.T) {
-	g := NewGate(4)
-	got := fmt.Sprint(g.Enter("a", 1), g.Enter("a", 1), g.Enter("b", 0), g.Enter("b", 0), g.Enter("b", 0), g.Enter("c", 0), g.Enter("d", 0))
-	want := fmt.Sprint(resultcode.OK, resultcode.TooManyOpen, resultcode.OK, resultcode.OK, resultcode.TooManyOpen, resultcode.OK, resultcode.VMOverloaded)
+	g := NewGate(8)
+	enter := func(customer string, limit int) resultcode.Code { return g.Enter(customer, limit, false) }
+	got := fmt.Sprint(enter("a", 1), enter("a", 1), enter("b", 4), enter("b", 0), enter("b", 0), enter("b", 0), enter("b", 0), enter("c", 2), enter("c", 2), enter("d", 0), g.Enter("d", 0, true), g.Enter("d", 0, true))
+	want := "ok too_many_open ok ok ok ok too_many_open ok ok vm_overloaded ok vm_overloaded"
 	g.Leave("a")
-	if got != want || g.Enter("d", 0) != resultcode.OK || g.Open() != 4 {
+	if got != want || enter("d", 0) != resultcode.VMOverloaded || g.Open() != 7 {
 		t.Fatalf("got %s, want %s", got, want)
 	}
 	s := NewServiceTimes()
--- a/internal/coordination/entry/admit.go
+++ b/internal/coordination/entry/admit.go
@@ -26,7 +26,7 @@
 	if err := s.judge(c); err != nil {
 		return nil, err
 	}
-	code := s.schedule.enter(c.customerName(), int(c.customer.GetMaxOpenRequests()))
+	code := s.schedule.enter(c.customerName(), int(c.customer.GetMaxOpenRequests()), c.profile.Priority)
 	if code != resultcode.OK {
 		return nil, resultcode.New(code, "too many open requests at this VM")
 	}
--- a/internal/coordination/entry/claim.go
+++ b/internal/coordination/entry/claim.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
@@ -174,6 +175,7 @@
 // finisher commits the ends of claims in the background.
 type finisher struct {
 	replica Replica
+	pending atomic.Int64 // added and not committed yet
 	mu      sync.Mutex
 	queue   []*statev1.ClaimFinish
 	wake    chan struct{}
@@ -184,6 +186,11 @@
 }
 
 func (f *finisher) add(e *statev1.ClaimFinish) {
+	f.pending.Add(1)
+	f.put(e)
+}
+
+func (f *finisher) put(e *statev1.ClaimFinish) {
 	f.mu.Lock()
 	f.queue = append(f.queue, e)
 	f.mu.Unlock()
@@ -234,12 +241,10 @@
 		}
 		for e := f.next(); e != nil; e = f.next() {
 			if f.try(ctx, e, proposeTimeout) {
+				f.pending.Add(-1)
 				continue
 			}
-			if ctx.Err() != nil {
-				return
-			}
-			f.add(e)
+			f.put(e)
 			select {
 			case <-time.After(claimPause):
 			case <-ctx.Done():
--- a/internal/coordination/entry/loops.go
+++ b/internal/coordination/entry/loops.go
@@ -93,7 +93,10 @@
 	if index == nil {
 		return
 	}
-	s.endWithdrawn(index)
+	if s.keysChecked != index.Version() {
+		s.endWithdrawn(index)
+		s.keysChecked = index.Version()
+	}
 	if s.configured.Load() != index.Version() || s.now()-s.refreshed >= residencyInterval {
 		s.reconfigure()
 		s.refreshed = s.now()
--- a/internal/coordination/entry/scenario_test.go
+++ b/internal/coordination/entry/scenario_test.go
@@ -217,6 +217,27 @@
 	})
 }
 
+// Guards urgent requests against a backlog of others: their reserved share of
+// the slots is free, so that they start at once.
+func TestReservedShare(t *testing.T) {
+	c := testConfig()
+	c.Profiles = append(c.Profiles, &statev1.Profile{Name: "urgent", Priority: 5, ReservedSharePercent: 50, DeadlineMs: 5000, SilenceMs: 2000})
+	c.Routes = append(c.Routes, &statev1.Route{Name: "urgent", Kind: c.Routes[0].Kind, Model: "m", Profile: "urgent", Idempotent: true})
+	bubble(t, c, func(t *testing.T, w *world) {
+		w.took = time.Second
+		var all sync.WaitGroup
+		for i := range 20 {
+			all.Go(func() { w.serve(context.Background(), w.request(fmt.Sprint(i), "chat", "a", fmt.Sprint(i))) })
+		}
+		time.Sleep(time.Millisecond)
+		began := time.Now()
+		_, code := w.serve(context.Background(), w.request("u", "urgent", "b", "u"))
+		want(t, "code", code, resultcode.OK)
+		want(t, "took", time.Since(began), time.Second)
+		all.Wait()
+	})
+}
+
 // shareProperty has customer a send five times its share of 2 requests/s, and
 // returns how b fares with its own share.
 func shareProperty(tt *testing.T, broken faults) func(*rapid.T) {
--- a/internal/coordination/entry/scheduler.go
+++ b/internal/coordination/entry/scheduler.go
@@ -61,10 +61,10 @@
 }
 
 // enter counts a request in, or returns the code of its refusal.
-func (s *scheduler) enter(customer string, limit int) resultcode.Code {
+func (s *scheduler) enter(customer string, limit int, priority int32) resultcode.Code {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.gate.Enter(customer, limit)
+	return s.gate.Enter(customer, limit, s.reserve.Urgent(priority))
 }
 
 func (s *scheduler) leave(customer string) {
--- a/internal/coordination/entry/server.go
+++ b/internal/coordination/entry/server.go
@@ -58,6 +58,7 @@
 	open        atomic.Int64
 	configured  atomic.Uint64 // version that the scheduler has
 	refreshed   time.Duration // of refresh only: the last change of residency
+	keysChecked uint64        // of refresh only: the version that open streams were checked with
 	random      func(n int) int
 
 	schedule *scheduler
@@ -147,11 +148,11 @@
 	return !s.draining.Load() && s.replica.Index() != nil && s.replica.Fresh()
 }
 
-// Drain refuses new requests while on, and returns how many are open. Open
-// requests finish.
+// Drain refuses new requests while on, and returns how many are open,
+// including claims whose end is not committed yet. Open requests finish.
 func (s *Server) Drain(on bool) (open int) {
 	s.draining.Store(on)
-	return int(s.open.Load())
+	return int(s.open.Load() + s.finisher.pending.Load())
 }
 
 // Endpoints returns what this entry knows of each endpoint, in order of name.
--- a/internal/coordination/entry/stream.go
+++ b/internal/coordination/entry/stream.go
@@ -77,6 +77,11 @@
 	if c.customer != nil {
 		s.streams.add(c, cancel)
 		defer s.streams.remove(c)
+		// The key may have been withdrawn after the last check and before the
+		// stream was registered.
+		if err := s.recheck(c); err != nil {
+			return err
+		}
 	}
 	r := &reader{s: s, c: c, a: a, request: s.engineRequest(c, a)}
 	var err error
