entry: widen the fuzz of Serve

Cause: scarce tokens, priorities, adapters and a full queue were not part of it. Change: leases of 100 or 1,000 tokens that grow slowly, an urgent profile with a reserved share, adapters with one load at a time, a queue of 3 for half of the seeds.

--- a/internal/coordination/entry/fake_replica_test.go
+++ b/internal/coordination/entry/fake_replica_test.go
@@ -28,13 +28,18 @@
 		return &statev1.Customer{Name: name, RateTokensPerSecond: 1000, BurstTokens: 1000}
 	}
 	return &statev1.Config{
-		Version:   1,
-		Profiles:  []*statev1.Profile{{Name: "normal", DeadlineMs: 30000, SilenceMs: 2000}},
+		Version: 1,
+		Profiles: []*statev1.Profile{
+			{Name: "normal", DeadlineMs: 30000, SilenceMs: 2000},
+			{Name: "urgent", DeadlineMs: 5000, SilenceMs: 2000, Priority: 5, ReservedSharePercent: 50},
+		},
+		Platform:  &statev1.Platform{AdapterLoadsInFlight: 1},
 		Customers: []*statev1.Customer{customer("a"), customer("b")},
-		Models:    []*statev1.Model{{Name: "m"}},
+		Models:    []*statev1.Model{{Name: "m", Adapters: []string{"lora1", "lora2"}}},
 		Keys:      []*statev1.Key{testKey("a"), testKey("b")},
 		Routes: []*statev1.Route{
 			{Name: "chat", Kind: model, Model: "m", Profile: "normal", Idempotent: true},
+			{Name: "urgent", Kind: model, Model: "m", Profile: "urgent", Idempotent: true},
 			{Name: "once", Kind: model, Model: "m", Profile: "normal"},
 			{Name: "open", Kind: service, Pool: "web", Profile: "normal", Idempotent: true, Open: true},
 			{Name: "read", Kind: service, Pool: "web", Profile: "normal", Idempotent: true, KeyHeaders: []string{"X-Key"}, KeyQueryParams: []string{"key"}, KeyCookies: []string{"key"}},
@@ -58,6 +63,7 @@
 	withdrawn map[string]time.Time
 	level     map[string]uint64
 	charged   map[string]uint64
+	granted   map[string]uint64
 	arrived   chan struct{}
 	claims    *claim.Table
 	session   *statev1.Session
@@ -70,7 +76,7 @@
 func newFakeReplica(c *statev1.Config) *fakeReplica {
 	return &fakeReplica{
 		index: config.NewIndex(c), fresh: true, withdrawn: map[string]time.Time{},
-		level: map[string]uint64{"a": 1000, "b": 1000}, charged: map[string]uint64{}, arrived: make(chan struct{}),
+		level: map[string]uint64{"a": 1000, "b": 1000}, granted: map[string]uint64{"a": 1000, "b": 1000}, charged: map[string]uint64{}, arrived: make(chan struct{}),
 		claims: claim.NewTable(), session: &statev1.Session{Vm: "vm", Incarnation: "1"}, loss: func() string { return "" },
 	}
 }
@@ -156,10 +162,17 @@
 	r.session = &statev1.Session{Vm: "vm", Incarnation: r.session.Incarnation + "1"}
 }
 
+// grant is a lease from the fleet.
 func (r *fakeReplica) grant(customer string, tokens uint64) {
+	with(r, func() bool { r.granted[customer] += tokens; return true })
+	r.Release(customer, tokens, 0)
+}
+
+// Release implements Replica.
+func (r *fakeReplica) Release(customer string, held, charged uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.level[customer] += tokens
+	r.level[customer] += held - charged
 	close(r.arrived)
 	r.arrived = make(chan struct{})
 }
@@ -199,5 +212,3 @@
 		return true
 	})
 }
-
-func (r *fakeReplica) Release(customer string, held, charged uint64) { r.grant(customer, held-charged) }
--- a/internal/coordination/entry/fuzz_test.go
+++ b/internal/coordination/entry/fuzz_test.go
@@ -27,7 +27,10 @@
 func newWorld(seed uint64, c *statev1.Config, broken faults) *world {
 	replica := newFakeReplica(c)
 	ports := newFakePorts(replica, seed)
-	s, err := New(Config{VM: "vm", Engine: ports, Service: fakeService{ports}, Platform: ports, Replica: replica, Seed: seed})
+	s, err := New(Config{
+		VM: "vm", Engine: ports, Service: fakeService{ports}, Platform: ports, Replica: replica, Seed: seed,
+		MaxQueue: []int{3, 300}[seed%2], // half of the time waiting requests are evicted
+	})
 	if err != nil {
 		panic(err)
 	}
@@ -81,7 +84,7 @@
 	customer := []string{"a", "b"}[rng.IntN(2)]
 	for i := range 4 {
 		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
-		name := []string{"chat", "once", "open", "read", "pay", "pay"}[rng.IntN(6)]
+		name := []string{"chat", "urgent", "once", "open", "read", "pay", "pay"}[rng.IntN(7)]
 		who := customer
 		if name == "open" {
 			who = ""
@@ -90,6 +93,7 @@
 		if r.Route.Kind == statev1.RouteKind_ROUTE_KIND_MODEL {
 			r.Stream = rng.IntN(2) == 0
 			r.PromptTokens, r.MaxTokens = 10, 50
+			r.Model = []string{"", "m", "lora1", "lora2"}[rng.IntN(4)]
 		}
 		if !r.Route.Idempotent && rng.IntN(4) > 0 {
 			// Shared with the callers whose number is equal modulo 3.
@@ -110,6 +114,7 @@
 	for range 6 {
 		time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
 		customer := []string{"a", "b"}[rng.IntN(2)]
+		w.replica.grant(customer, 50)
 		switch rng.IntN(4) {
 		case 0:
 			w.replica.setFresh(false)
@@ -133,6 +138,7 @@
 func serveProperty(tt *testing.T, broken faults) func(*rapid.T) {
 	return func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
+		tokens := rapid.SampledFrom([]uint64{100, 1000}).Draw(t, "tokens")
 		calm := rapid.IntRange(1, 12).Draw(t, "calm")
 		faults := append(make([]string, calm), "refuse", "unreachable", "crash", "mismatch", "hang", "late", "cut", "long", "long")
 		losses := append(make([]string, calm), "lost", "late", "unanswered", "leaderless")
@@ -140,6 +146,9 @@
 		synctest.Test(tt, func(*testing.T) {
 			w := newWorld(seed, testConfig(), broken)
 			w.fakePorts.faults = faults
+			for _, customer := range []string{"a", "b"} {
+				w.replica.level[customer], w.replica.granted[customer] = tokens, tokens
+			}
 			w.took = 60 * time.Millisecond // long enough for callers to leave meanwhile
 			w.streamFaults = append(make([]string, 4*calm), "silent", "cut", "end", "gap")
 			w.replica.loss = func() string { return w.draw(losses) }
@@ -178,8 +187,8 @@
 		}
 	}
 	for customer, level := range w.replica.level {
-		if level+w.replica.charged[customer] != 1000 {
-			w.violation("%d tokens of %s are left and %d charged", level, customer, w.replica.charged[customer])
+		if charged, granted := w.replica.charged[customer], w.replica.granted[customer]; level+charged != granted {
+			w.violation("%d of %d tokens of %s are left and %d charged", level, granted, customer, charged)
 		}
 	}
 	for _, c := range w.replica.claims.Save().Claims {
--- a/internal/coordination/entry/scenario_test.go
+++ b/internal/coordination/entry/scenario_test.go
@@ -220,10 +220,7 @@
 // Guards urgent requests against a backlog of others: their reserved share of
 // the slots is free, so that they start at once.
 func TestReservedShare(t *testing.T) {
-	c := testConfig()
-	c.Profiles = append(c.Profiles, &statev1.Profile{Name: "urgent", Priority: 5, ReservedSharePercent: 50, DeadlineMs: 5000, SilenceMs: 2000})
-	c.Routes = append(c.Routes, &statev1.Route{Name: "urgent", Kind: c.Routes[0].Kind, Model: "m", Profile: "urgent", Idempotent: true})
-	bubble(t, c, func(t *testing.T, w *world) {
+	bubble(t, testConfig(), func(t *testing.T, w *world) {
 		w.took = time.Second
 		var all sync.WaitGroup
 		for i := range 20 {
@@ -245,8 +242,10 @@
 		seed := rapid.Uint64().Draw(t, "seed")
 		served, worst := 0, time.Duration(0)
 		synctest.Test(tt, func(*testing.T) {
-			w := newWorld(seed, testConfig(), broken)
-			w.replica.level["a"], w.replica.level["b"] = 10000, 10000
+			c := testConfig()
+			c.Profiles = c.Profiles[:1] // nothing is reserved
+			w := newWorld(seed|1, c, broken)
+			w.replica.grant("a", 10000)
 			w.took = time.Second // 2 engines with 2 slots: 4 requests/s
 			var mu sync.Mutex
 			var all sync.WaitGroup
