e2e: test the whole path with real processes under kills, freezes and lost disks

Cause: the promises have to hold with real daemons, not only in the fuzz. Found: kratos.New sets a global logger and raced with the control listener's start; the application is now built first.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -259,6 +259,8 @@
 // Run serves until ctx ends, a signal arrives or a part fails, and then shuts
 // down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
+	// kratos.New sets kratos' global logger, so it comes before any server starts.
+	app := d.newApp(ctx)
 	parts, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
 	control := d.startControl()
@@ -267,7 +269,6 @@
 	loops.Go(func() { d.must("entry", d.entry.Run(parts)) })
 	loops.Go(func() { d.gauges(parts) })
 
-	app := d.newApp(ctx)
 	var failure error
 	finished := make(chan struct{})
 	go func() {
--- /dev/null
+++ b/internal/e2e/harness_test.go
@@ -0,0 +1,379 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	adminv1 "github.com/radishloom/radishloom/api/admin/v1"
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/resultcode"
+	standinengine "github.com/radishloom/radishloom/internal/standin/engine"
+	"github.com/radishloom/radishloom/internal/standin/service"
+)
+
+const (
+	operatorToken = "operator-token-of-the-tests"
+	// patience bounds every wait for something that must happen in the end. It is
+	// far above what any step takes, so that a slow machine changes no verdict.
+	patience = 60 * time.Second
+)
+
+// daemonPath is the daemon, built with the race detector.
+var daemonPath string
+
+func TestMain(m *testing.M) {
+	os.Exit(runAll(m))
+}
+
+func runAll(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "radishloom-e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	daemonPath = filepath.Join(dir, "radishloomd")
+	build := exec.Command("go", "build", "-race", "-o", daemonPath, "github.com/radishloom/radishloom/cmd/radishloomd")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the daemon: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// vm is one daemon process.
+type vm struct {
+	name, dir, config   string
+	caller, admin, peer string
+	process             *exec.Cmd
+	log                 *os.File
+}
+
+// fleet is several daemons, one engine and one service.
+type fleet struct {
+	t       *testing.T
+	vms     []*vm
+	engine  *standinengine.Engine
+	service *service.Service
+	key     string
+	keyID   string
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startFleet starts n daemons, all with the control role, and applies a
+// configuration with one customer and its key.
+func startFleet(t *testing.T, n int, rate, burst uint64) *fleet {
+	t.Helper()
+	f := &fleet{t: t}
+	var err error
+	f.engine, err = standinengine.Start("127.0.0.1:0", standinengine.Config{
+		Models: []standinengine.Model{{Name: "m", Version: "1", MemoryMB: 1000}}, Resident: []string{"m"},
+		MemoryMB: 10_000, Slots: 16, MaxWaiting: 1000, TokenTime: 5 * time.Millisecond, ChecksFencing: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.engine.Close)
+	if f.service, err = service.Start("127.0.0.1:0", service.Config{Slots: 64}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.service.Close)
+	root := t.TempDir()
+	for i := range n {
+		f.vms = append(f.vms, &vm{
+			name: fmt.Sprintf("vm-%d", i+1), dir: filepath.Join(root, fmt.Sprint(i+1)),
+			caller: freeAddress(t), admin: freeAddress(t), peer: freeAddress(t),
+		})
+	}
+	for _, v := range f.vms {
+		f.writeSettings(v)
+		f.start(v)
+	}
+	f.waitFor("a full control group", func() bool { return f.voters() == n })
+	f.configure(rate, burst)
+	return f
+}
+
+func (f *fleet) writeSettings(v *vm) {
+	f.t.Helper()
+	digest := sha256.Sum256([]byte(operatorToken))
+	var peers, members []string
+	for _, o := range f.vms {
+		peers = append(peers, fmt.Sprintf("%q", o.peer))
+		members = append(members, fmt.Sprintf("{ vm = %q, data_centre = \"dc\", address = %q }", o.name, o.peer))
+	}
+	text := fmt.Sprintf(`vm = %q
+data_centre = "dc"
+grace_period = "30s"
+control_vms = [%s]
+[caller]
+address = %q
+[admin]
+address = %q
+operators = [{ name = "tests", token_sha256 = %q }]
+[peer]
+address = %q
+[control]
+data_folder = "data"
+address = %q
+bootstrap = true
+bootstrap_members = [%s]
+`, v.name, strings.Join(peers, ", "), v.caller, v.admin, hex.EncodeToString(digest[:]), v.peer, v.peer, strings.Join(members, ", "))
+	v.config = filepath.Join(v.dir, "vm.toml")
+	f.must(os.MkdirAll(v.dir, 0o700))
+	f.must(os.WriteFile(v.config, []byte(text), 0o600))
+}
+
+func (f *fleet) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) start(v *vm) {
+	f.t.Helper()
+	var err error
+	v.log, err = os.OpenFile(filepath.Join(v.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	f.must(err)
+	v.process = exec.Command(daemonPath, "--config", v.config)
+	v.process.Stderr = v.log
+	f.must(v.process.Start())
+	process := v.process
+	f.t.Cleanup(func() {
+		_ = process.Process.Signal(syscall.SIGCONT)
+		_ = process.Process.Kill()
+		_ = process.Wait()
+		f.checkLog(v)
+	})
+}
+
+// checkLog guards against data races and secrets in logs.
+func (f *fleet) checkLog(v *vm) {
+	f.t.Helper()
+	data, err := os.ReadFile(filepath.Join(v.dir, "log"))
+	if err != nil {
+		return // checked by an earlier process's clean-up
+	}
+	if bytes.Contains(data, []byte("DATA RACE")) {
+		f.t.Errorf("%s: the race detector reported a race:\n%s", v.name, data)
+	}
+	for _, secret := range []string{operatorToken, f.key} {
+		if secret != "" && bytes.Contains(data, []byte(secret)) {
+			f.t.Errorf("%s: a secret is in the log", v.name)
+		}
+	}
+	if f.t.Failed() {
+		f.t.Logf("%s: end of the log:\n%s", v.name, data[max(0, len(data)-4000):])
+	}
+}
+
+// kill ends a daemon with SIGKILL.
+func (f *fleet) kill(v *vm) {
+	f.t.Helper()
+	f.must(v.process.Process.Kill())
+	_ = v.process.Wait()
+}
+
+func (f *fleet) waitFor(what string, done func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	f.t.Fatalf("timed out: %s", what)
+}
+
+type bearer struct{}
+
+func (bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+operatorToken)
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+func admin(v *vm) adminv1.Admin {
+	return adminv1.NewAdminProtobufClient("http://"+v.admin, &http.Client{Transport: bearer{}, Timeout: 5 * time.Second})
+}
+
+// change repeats a call under one request identifier, through one VM after the
+// other, until it is decided.
+func (f *fleet) change(call func(ctx context.Context, a adminv1.Admin) error) {
+	f.t.Helper()
+	i := 0
+	f.waitFor("a change to be decided", func() bool {
+		i++
+		return call(context.Background(), admin(f.vms[i%len(f.vms)])) == nil
+	})
+}
+
+// voters counts the voters that the first answering VM knows of, if all of its
+// members vote; zero otherwise.
+func (f *fleet) voters() int {
+	for _, v := range f.vms {
+		list, err := admin(v).ListVMs(context.Background(), &adminv1.ListVMsRequest{})
+		if err != nil {
+			continue
+		}
+		n := 0
+		for _, one := range list.GetVms() {
+			switch one.GetControlRole() {
+			case "leader", "voter":
+				n++
+			case "learner":
+				return 0
+			}
+		}
+		return n
+	}
+	return 0
+}
+
+// leader returns the daemon that leads, as the first answering VM sees it.
+func (f *fleet) leader() *vm {
+	f.t.Helper()
+	var found *vm
+	f.waitFor("a leader", func() bool {
+		for _, v := range f.vms {
+			s, err := admin(v).Status(context.Background(), &adminv1.StatusRequest{})
+			if err != nil {
+				continue
+			}
+			for _, o := range f.vms {
+				if o.name == s.GetLeaderVm() {
+					found = o
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func (f *fleet) configure(rate, burst uint64) {
+	f.t.Helper()
+	document := &statev1.Config{
+		Profiles:  []*statev1.Profile{{Name: "p", Priority: 1, FirstTokenMs: 1000, TokenGapMs: 100, DeadlineMs: 20_000, SilenceMs: 10_000}},
+		Customers: []*statev1.Customer{{Name: "c", RateTokensPerSecond: rate, BurstTokens: burst, MaxOpenRequests: 1000}},
+		Models:    []*statev1.Model{{Name: "m", Version: "1", MemoryMb: 1000}},
+		Endpoints: []*statev1.Endpoint{
+			{Name: "engine", Kind: statev1.EndpointKind_ENDPOINT_KIND_ENGINE, Address: f.engine.Addr(), DataCentre: "dc", MemoryMb: 10_000, Slots: 16, Accelerators: 1, ChecksFencing: true, PinnedModels: []string{"m"}},
+			{Name: "service", Kind: statev1.EndpointKind_ENDPOINT_KIND_SERVICE, Address: f.service.Addr(), DataCentre: "dc", Pool: "s", Slots: 64},
+		},
+		Routes: []*statev1.Route{
+			{Name: "chat", Kind: statev1.RouteKind_ROUTE_KIND_MODEL, Model: "m", Profile: "p", Idempotent: true},
+			{Name: "ledger", Kind: statev1.RouteKind_ROUTE_KIND_SERVICE, PathPrefix: "/ledger", Pool: "s", Profile: "p", RequireIdempotencyKey: true},
+			{Name: "open", Kind: statev1.RouteKind_ROUTE_KIND_SERVICE, PathPrefix: "/open", Pool: "s", Profile: "p", Idempotent: true, Open: true},
+		},
+	}
+	f.change(func(ctx context.Context, a adminv1.Admin) error {
+		r, err := a.ApplyConfig(ctx, &adminv1.ApplyConfigRequest{RequestId: "setup", Change: &statev1.ConfigChange{Replace: document}})
+		if err == nil && r.GetCode() != 0 {
+			f.t.Fatalf("configuration refused: %v", r)
+		}
+		return err
+	})
+	f.change(func(ctx context.Context, a adminv1.Admin) error {
+		r, err := a.CreateKey(ctx, &adminv1.CreateKeyRequest{RequestId: "key", Customer: "c"})
+		f.key, f.keyID = r.GetSecret(), r.GetKeyId()
+		return err
+	})
+	for _, v := range f.vms {
+		f.waitReady(v)
+	}
+}
+
+func (f *fleet) waitReady(v *vm) {
+	f.t.Helper()
+	f.waitFor(v.name+" is ready", func() bool {
+		resp, err := http.Get("http://" + v.caller + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// state reads a stand-in's counters.
+func state[T any](f *fleet, address string) T {
+	f.t.Helper()
+	var s T
+	resp, err := http.Get("http://" + address + "/admin/state")
+	f.must(err)
+	defer resp.Body.Close()
+	f.must(json.NewDecoder(resp.Body).Decode(&s))
+	return s
+}
+
+func (f *fleet) engineState() standinengine.State {
+	return state[standinengine.State](f, f.engine.Addr())
+}
+
+func (f *fleet) serviceState() service.State { return state[service.State](f, f.service.Addr()) }
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	code   string // Radishloom-Result
+	body   string
+	err    error
+}
+
+// post sends one request of a caller on a connection of its own.
+func (f *fleet) post(v *vm, path, key, idempotencyKey, body string) reply {
+	r, err := http.NewRequest(http.MethodPost, "http://"+v.caller+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	r.Close = true
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	if idempotencyKey != "" {
+		r.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, code: resp.Header.Get(resultcode.Header), body: string(data), err: err}
+}
+
+func (f *fleet) chat(v *vm, tokens int) reply {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, tokens)
+	return f.post(v, "/v1/chat/completions", f.key, "", body)
+}
+
+// whole says that a streamed answer has all its tokens and its end marker.
+func (r reply) whole(tokens int) bool {
+	return r.err == nil && r.status == http.StatusOK && strings.Count(r.body, `"content"`) == tokens &&
+		strings.HasSuffix(strings.TrimSpace(r.body), "data: [DONE]")
+}
