state/raft: test work between Ready and Advance, and full disks

Cause: the test cluster saved each Ready at once, so that messages between Ready and Advance, which the driver contract allows, were never tested. Disks did not fill up in it either, and no sync failed while wal.Open recovered.

Change: members can have slow disks, whose Ready is saved only after their next event, and full disks; the log's fuzz test fails syncs inside Open.

--- a/internal/state/raft/cluster_test.go
+++ b/internal/state/raft/cluster_test.go
@@ -40,6 +40,7 @@
 	applied uint64
 	value   uint64
 	hash    uint64
+	pending *Ready                // not saved yet
 	writes  map[uint64]*operation // by index
 	reads   map[uint64]*operation // by context
 	waiting []ReadState
@@ -80,6 +81,7 @@
 	loss    int // percent
 	delay   int // most ticks
 	batch   int
+	slow    int // how likely a write to the disk is still running at the next event, in percent
 	// killOnCommit is how likely a leader ends when it commits, in percent.
 	killOnCommit int
 	now          int
@@ -136,6 +138,7 @@
 // open recovers a member's disk and starts its core.
 func (c *cluster) open(m *member) {
 	m.fs.FailSync(1 << 30)
+	m.fs.SetFree(1 << 30)
 	l, r, err := wal.Open(m.fs, "data/raft", wal.Options{SegmentBytes: 4096, Random: randReader{c.rand}})
 	c.check(err)
 	if m.id == 0 || !c.variant.keepIdentity {
@@ -151,7 +154,7 @@
 	m.core, err = New(cfg, r.HardState, r.Snapshot, r.Entries)
 	c.check(err)
 	m.frozen = false
-	m.writes, m.reads, m.waiting = map[uint64]*operation{}, map[uint64]*operation{}, nil
+	m.writes, m.reads, m.waiting, m.pending = map[uint64]*operation{}, map[uint64]*operation{}, nil, nil
 	m.applied, m.value, m.hash = 0, 0, 0
 	if r.Snapshot != nil {
 		c.restore(m, r.Snapshot)
@@ -254,44 +257,61 @@
 	}
 }
 
-// pump does a member's pending work. A failed write ends the member.
+// pump does a member's pending work. A failed write ends the member. On a slow
+// disk the rest of the work follows with the member's next event.
 func (c *cluster) pump(m *member) {
-	for m.core != nil && m.core.HasReady() {
-		r := m.core.Ready()
-		if c.variant.sendBeforeSync {
-			c.send(m, r.Messages)
-		}
-		if r.Snapshot != nil {
-			if m.log.SaveSnapshot(r.Snapshot) != nil {
-				c.crash(m)
+	for m.core != nil {
+		if m.pending == nil {
+			if !m.core.HasReady() {
+				return
+			}
+			r := m.core.Ready()
+			m.pending = &r
+			if c.rand.IntN(100) < c.slow {
 				return
 			}
-			c.restore(m, r.Snapshot)
-		}
-		if m.log.Append(r.HardState, r.Entries) != nil {
-			c.crash(m)
-			return
-		}
-		if !c.variant.sendBeforeSync {
-			c.send(m, r.Messages)
-		}
-		for _, e := range r.Committed {
-			c.apply(m, e)
 		}
-		m.waiting = append(m.waiting, r.ReadStates...)
-		m.core.Advance(r)
-		c.finishReads(m)
-		if c.observe(m) && c.rand.IntN(100) < c.killOnCommit {
+		r := *m.pending
+		m.pending = nil
+		c.process(m, r)
+	}
+}
+
+func (c *cluster) process(m *member, r Ready) {
+	if c.variant.sendBeforeSync {
+		c.send(m, r.Messages)
+	}
+	if r.Snapshot != nil {
+		if m.log.SaveSnapshot(r.Snapshot) != nil {
 			c.crash(m)
 			return
 		}
-		if s := m.core.Status(); m.applied >= s.SnapshotIndex+12 {
-			snap, err := m.core.CreateSnapshot(m.applied, encodeState(m.value, m.hash))
-			c.check(err)
-			if m.log.SaveSnapshot(snap) != nil {
-				c.crash(m)
-			}
-		}
+		c.restore(m, r.Snapshot)
+	}
+	if m.log.Append(r.HardState, r.Entries) != nil {
+		c.crash(m)
+		return
+	}
+	if !c.variant.sendBeforeSync {
+		c.send(m, r.Messages)
+	}
+	for _, e := range r.Committed {
+		c.apply(m, e)
+	}
+	m.waiting = append(m.waiting, r.ReadStates...)
+	m.core.Advance(r)
+	c.finishReads(m)
+	if c.observe(m) && c.rand.IntN(100) < c.killOnCommit {
+		c.crash(m)
+		return
+	}
+	if m.applied < m.core.Status().SnapshotIndex+12 {
+		return
+	}
+	snap, err := m.core.CreateSnapshot(m.applied, encodeState(m.value, m.hash))
+	c.check(err)
+	if m.log.SaveSnapshot(snap) != nil {
+		c.crash(m)
 	}
 }
 
@@ -449,11 +469,12 @@
 // heal ends all faults.
 func (c *cluster) heal() {
 	c.cut = map[[2]int]bool{}
-	c.loss, c.delay, c.killOnCommit = 0, 0, 0
+	c.loss, c.delay, c.slow, c.killOnCommit = 0, 0, 0, 0
 	for _, m := range c.members {
 		c.restart(m)
 		m.frozen = false
 		m.fs.FailSync(1 << 30)
+		m.fs.SetFree(1 << 30)
 	}
 }
 
--- a/internal/state/raft/fuzz_test.go
+++ b/internal/state/raft/fuzz_test.go
@@ -79,9 +79,11 @@
 		c.restart(other)
 	case 10:
 		m.fs.FailSync(rapid.IntRange(0, 5).Draw(t, "syncs"))
+		other.fs.SetFree(rapid.IntRange(0, 3000).Draw(t, "free"))
 	case 11:
 		c.loss = rapid.SampledFrom([]int{0, 0, 5, 30}).Draw(t, "loss")
 		c.delay = rapid.SampledFrom([]int{0, 1, 3, 8}).Draw(t, "delay")
+		c.slow = rapid.SampledFrom([]int{0, 0, 20, 60}).Draw(t, "slow")
 		c.killOnCommit = rapid.SampledFrom([]int{0, 0, 10, 50}).Draw(t, "kill")
 	case 12:
 		if l := c.leader(); l != nil && !c.variant.keepIdentity {
--- a/internal/state/raft/read.go
+++ b/internal/state/raft/read.go
@@ -4,6 +4,10 @@
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 )
 
+// maxForwarded bounds the memory for forwarded reads whose answers were lost.
+// When it is reached, all are dropped and their callers ask again.
+const maxForwarded = 16384
+
 // pendingRead is a read that this member's leader role has to confirm. Member
 // is where it came from.
 type pendingRead struct {
@@ -57,7 +61,7 @@
 	case c.leader == 0:
 		return ErrNoLeader
 	}
-	if c.reads.forwarded == nil {
+	if c.reads.forwarded == nil || len(c.reads.forwarded) >= maxForwarded {
 		c.reads.forwarded = make(map[uint64]uint64)
 	}
 	c.reads.nextWire++
--- a/internal/state/raft/snapshot.go
+++ b/internal/state/raft/snapshot.go
@@ -70,12 +70,12 @@
 	p.outgoing.sentAt = c.ticks
 }
 
-// resendSnapshots repeats chunks that were not answered for an election
-// timeout.
+// resendSnapshots repeats chunks that active followers did not answer for an
+// election timeout.
 func (c *Core) resendSnapshots() {
 	for _, id := range c.followers() {
 		p := c.progress[id]
-		if p.state == stateSnapshot && c.ticks-p.outgoing.sentAt >= uint64(c.cfg.ElectionTicks) {
+		if p.state == stateSnapshot && c.isActive(p) && c.ticks-p.outgoing.sentAt >= uint64(c.cfg.ElectionTicks) {
 			c.sendChunk(id, p)
 		}
 	}
--- a/internal/state/wal/fuzz_test.go
+++ b/internal/state/wal/fuzz_test.go
@@ -96,8 +96,13 @@
 				t.Fatal("append to an unusable log succeeded")
 			}
 			fs.Crash()
-			fs.FailSync(1 << 30)
 			fs.SetFree(1 << 30)
+			fs.FailSync(rapid.IntRange(0, 5).Draw(t, "syncs of open"))
+			if l, _, err = wal.Open(fs, "data/raft", o); err == nil {
+				must(t, l.Close())
+			}
+			fs.Crash()
+			fs.FailSync(1 << 30)
 			l, r, err = wal.Open(fs, "data/raft", o)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/state/wal/wal_test.go
+++ b/internal/state/wal/wal_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/state/wal"
@@ -40,7 +41,7 @@
 	return l, r
 }
 
-func must(t testing.TB, err error) {
+func must(t rapid.TB, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
