--- a/internal/state/account/account.go
+++ b/internal/state/account/account.go
@@ -37,6 +37,13 @@
 	return Holder{VM: s.GetVm(), Incarnation: s.GetIncarnation()}
 }
 
+// Grant is the answer to an Ask.
+type Grant struct {
+	Granted uint64
+	// Outstanding is what the session holds after the grant.
+	Outstanding uint64
+}
+
 // Ask is one session's wish for tokens of one customer.
 type Ask struct {
 	Holder   Holder
@@ -153,19 +160,24 @@
 	a.level += min(room, elapsed*a.rate)
 }
 
-// Settle books what a session charged and returned since its last sync. Both
-// are bounded by what the session holds: the rest was written off before.
-func (b *Bank) Settle(now uint64, h Holder, customer string, charged, returned uint64) {
+// Settle books what a session charged and returned since its last sync, and
+// returns what it still holds. Both are bounded by what the session held: the
+// rest was written off before.
+func (b *Bank) Settle(now uint64, h Holder, customer string, charged, returned uint64) (outstanding uint64) {
 	a := b.accounts[customer]
-	if a == nil || a.leases[h] == nil {
-		return
+	if a == nil {
+		return 0
 	}
-	b.advance(a, now)
 	l := a.leases[h]
+	if l == nil {
+		return 0
+	}
+	b.advance(a, now)
 	charged = min(charged, l.tokens)
 	l.tokens -= charged
 	a.outstanding -= charged
 	b.giveBack(a, l, min(returned, l.tokens))
+	return l.tokens
 }
 
 func (b *Bank) giveBack(a *account, l *lease, tokens uint64) {
@@ -174,11 +186,11 @@
 	a.level = min(a.level+tokens*milli, b.ceiling(a))
 }
 
-// Grant leases tokens to the sessions that ask and returns the granted amounts
-// in the order of the asks. Sessions that ask for more than there is share it
+// Grant leases tokens to the sessions that ask and answers in the order of the
+// asks; an ask for nothing gets an empty answer. Sessions that ask for more than there is share it
 // in proportion to what they want.
-func (b *Bank) Grant(now uint64, asks []Ask) []uint64 {
-	granted := make([]uint64, len(asks))
+func (b *Bank) Grant(now uint64, asks []Ask) []Grant {
+	granted := make([]Grant, len(asks))
 	byCustomer := map[string][]int{}
 	var order []string
 	for i, ask := range asks {
@@ -196,34 +208,39 @@
 	return granted
 }
 
-func (b *Bank) grantOne(now uint64, customer string, asks []Ask, lines []int, granted []uint64) {
+func (b *Bank) grantOne(now uint64, customer string, asks []Ask, lines []int, granted []Grant) {
 	a := b.accounts[customer]
 	b.advance(a, now)
 	var total uint64
-	for _, i := range lines {
+	leases := make([]*lease, len(lines))
+	for n, i := range lines {
 		total += min(asks[i].Want, a.burst)
-		b.leaseOf(a, customer, asks[i].Holder).askedMs = now
+		leases[n] = b.leaseOf(a, customer, asks[i].Holder)
+		leases[n].askedMs = now
 	}
 	left := a.level / milli
 	limit := left
-	if left >= smallLevel && a.askers(now) > 1 {
+	if left >= smallLevel && a.severalAsk(now) {
 		limit = left / 2
 	}
 	level := left
 	// The first pass shares in proportion, the second hands out what rounding
 	// and the limit left over.
 	for pass := range 2 {
-		for _, i := range lines {
-			want := min(asks[i].Want, a.burst, limit) - granted[i]
+		for n, i := range lines {
+			want := min(asks[i].Want, a.burst, limit) - granted[i].Granted
 			if pass == 0 && total > level {
 				want = min(want, portion(level, min(asks[i].Want, a.burst), total))
 			}
 			give := min(want, left)
-			granted[i] += give
+			granted[i].Granted += give
 			left -= give
-			b.lend(a, b.leaseOf(a, customer, asks[i].Holder), give)
+			b.lend(a, leases[n], give)
 		}
 	}
+	for n, i := range lines {
+		granted[i].Outstanding = leases[n].tokens
+	}
 }
 
 func (b *Bank) lend(a *account, l *lease, tokens uint64) {
@@ -239,15 +256,18 @@
 	return q
 }
 
-// askers counts the sessions that asked lately.
-func (a *account) askers(now uint64) int {
+// severalAsk reports whether more than one session asked lately.
+func (a *account) severalAsk(now uint64) bool {
 	n := 0
 	for _, l := range a.leases {
 		if l.askedMs+askerWindowMs >= now {
 			n++
 		}
+		if n > 1 {
+			return true
+		}
 	}
-	return n
+	return false
 }
 
 func (b *Bank) leaseOf(a *account, customer string, h Holder) *lease {
@@ -284,15 +304,6 @@
 	delete(b.held, h)
 }
 
-// Outstanding returns the tokens of a customer that a session holds.
-func (b *Bank) Outstanding(h Holder, customer string) uint64 {
-	a := b.accounts[customer]
-	if a == nil || a.leases[h] == nil {
-		return 0
-	}
-	return a.leases[h].tokens
-}
-
 // Balance returns a customer's level and outstanding tokens at a fleet time.
 func (b *Bank) Balance(now uint64, customer string) (level, outstanding uint64) {
 	a := b.accounts[customer]
--- a/internal/state/fleet/sync.go
+++ b/internal/state/fleet/sync.go
@@ -41,8 +41,8 @@
 		}
 	}
 	for i, granted := range m.bank.Grant(m.accountTime(), asks) {
-		lines[i].Granted = granted
-		lines[i].Outstanding = m.bank.Outstanding(asks[i].Holder, asks[i].Customer)
+		lines[i].Granted = granted.Granted
+		lines[i].Outstanding = granted.Outstanding
 	}
 	return result
 }
@@ -72,10 +72,9 @@
 func (m *Machine) settle(s *session, e *statev1.EntrySync) []*statev1.TokenGrant {
 	grants := make([]*statev1.TokenGrant, 0, len(e.GetUsage()))
 	for _, u := range e.GetUsage() {
-		m.bank.Settle(m.accountTime(), s.key.holder(), u.GetCustomer(), u.GetCharged(), u.GetReturned())
 		grants = append(grants, &statev1.TokenGrant{
 			Customer:    u.GetCustomer(),
-			Outstanding: m.bank.Outstanding(s.key.holder(), u.GetCustomer()),
+			Outstanding: m.bank.Settle(m.accountTime(), s.key.holder(), u.GetCustomer(), u.GetCharged(), u.GetReturned()),
 		})
 	}
 	return grants
