--- a/internal/state/wal/fuzz_test.go
+++ b/internal/state/wal/fuzz_test.go
@@ -96,8 +96,13 @@
 				t.Fatal("append to an unusable log succeeded")
 			}
 			fs.Crash()
-			fs.FailSync(1 << 30)
 			fs.SetFree(1 << 30)
+			fs.FailSync(rapid.IntRange(0, 5).Draw(t, "syncs of open"))
+			if l, _, err = wal.Open(fs, "data/raft", o); err == nil {
+				must(t, l.Close())
+			}
+			fs.Crash()
+			fs.FailSync(1 << 30)
 			l, r, err = wal.Open(fs, "data/raft", o)
 			if err != nil {
 				t.Fatal(err)
@@ -122,13 +127,13 @@
 // Guards against lost acknowledged writes, half-done operations, and writes
 // after a failed sync.
 func TestCrashes(t *testing.T) {
-	checkSeeds(t, 400, property(small))
+	faultfs.CheckSeeds(t, 400, property(small))
 }
 
 func TestCrashesNoticeMissingSync(t *testing.T) {
-	expectFailure(t, 1, property(wal.BreakSync(small)))
+	faultfs.ExpectFailure(t, 1, "came back as", property(wal.BreakSync(small)))
 }
 
 func TestCrashesNoticePartialFrame(t *testing.T) {
-	expectFailure(t, 1, property(wal.BreakUndo(small)))
+	faultfs.ExpectFailure(t, 1, "is corrupt at offset", property(wal.BreakUndo(small)))
 }
