entry: stop abandoned model requests at their engine

Cause: an engine went on generating for a request that was silent or whose caller had left. Change: Cancel is sent for idempotent model requests without an answer so far; streams are cancelled by Close, non-idempotent calls never.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -14,6 +14,9 @@
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
+// cancelTimeout bounds the order to an engine to stop a request.
+const cancelTimeout = time.Second
+
 // attempt is one send of a request to one endpoint.
 type attempt struct {
 	id     string
@@ -54,6 +57,7 @@
 	if err != nil {
 		err = cancelled(send, err)
 		c.note(err)
+		s.cancelAtEngine(c, a, err)
 	}
 	s.endSuspect(c, a, err)
 	s.schedule.release(ticket, wait, s.outcome(send, c, a, err), c.route.Name, s.now()-a.began, max(1, c.used))
@@ -69,6 +73,26 @@
 	return context.WithTimeout(context.WithoutCancel(ctx), maxRun)
 }
 
+// cancelAtEngine stops the work on a model request whose answer nobody will
+// read. A stream is cancelled by its Close, and a non-idempotent call never.
+func (s *Server) cancelAtEngine(c *call, a *attempt, err error) {
+	if !c.model() || !c.route.Idempotent || a.answering {
+		return
+	}
+	switch resultcode.Of(err) {
+	case resultcode.EndpointSilent, resultcode.AnswerMismatch, resultcode.CallerGone:
+	default:
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		if err := s.config.Engine.Cancel(ctx, a.to, a.id); err != nil {
+			s.log.Debug("cancel failed", "endpoint", a.to.Name, "error", err)
+		}
+	}()
+}
+
 // note remembers a failure after which the request may have run.
 func (c *call) note(err error) {
 	if e := refusal(err); e.Code.Info().Run != resultcode.NotRun {
--- a/internal/coordination/entry/fake_ports_test.go
+++ b/internal/coordination/entry/fake_ports_test.go
@@ -23,10 +23,11 @@
 	replica       *fakeReplica
 	mu            sync.Mutex
 	rng           *rand.Rand
-	faults        []string       // drawn for each attempt; "" answers it
-	streamFaults  []string       // drawn for each event
-	runs          map[string]int // by body
-	requests      map[string]int // runs by request identifier
+	faults        []string        // drawn for each attempt; "" answers it
+	streamFaults  []string        // drawn for each event
+	runs          map[string]int  // by body
+	requests      map[string]int  // runs by request identifier
+	once          map[string]bool // by attempt identifier: not idempotent
 	dead          map[string]time.Time
 	leaving       map[string]bool
 	violations    []string
@@ -35,7 +36,7 @@
 
 func newFakePorts(r *fakeReplica, seed uint64) *fakePorts {
 	return &fakePorts{
-		replica: r, rng: rand.New(rand.NewPCG(seed, 1)), runs: map[string]int{}, requests: map[string]int{},
+		replica: r, rng: rand.New(rand.NewPCG(seed, 1)), runs: map[string]int{}, requests: map[string]int{}, once: map[string]bool{},
 		dead: map[string]time.Time{}, leaving: map[string]bool{}, took: 10 * time.Millisecond,
 	}
 }
@@ -84,6 +85,7 @@
 	f.mu.Lock()
 	f.runs[string(body)]++
 	f.requests[request]++
+	f.once[id] = once
 	if fault == "crash" {
 		f.dead[to.Name] = time.Now().Add(3 * time.Second)
 	}
@@ -191,6 +193,16 @@
 	return nil, nil
 }
 
+func (f *fakePorts) Cancel(_ context.Context, _ engine.Target, id string) error {
+	f.mu.Lock()
+	once := f.once[id]
+	f.mu.Unlock()
+	if once {
+		f.violation("non-idempotent %s was cancelled at its engine", id)
+	}
+	return nil
+}
+
 func (f *fakePorts) List(context.Context) (list []engine.VMState, _ error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
