--- a/internal/protocol/inference/handler.go
+++ b/internal/protocol/inference/handler.go
@@ -10,7 +10,9 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
+	"sync/atomic"
 
 	"github.com/google/uuid"
 
@@ -35,6 +37,7 @@
 	defaultMaxBodyBytes  = 4 << 20
 	defaultBudgetBytes   = 64 << 20
 	defaultMaxTokens     = 1024
+	defaultMaxOpen       = 4096
 	maxRequestIDBytes    = 128
 	maxIdempotencyKeyLen = 255
 )
@@ -49,6 +52,7 @@
 // Routes is one version of the look-up tables. *config.Index implements it.
 type Routes interface {
 	Config() *statev1.Config
+	Model(name string) *statev1.Model
 	Route(name string) *statev1.Route
 	RouteForPath(path string) *statev1.Route
 	RouteForModel(model string) *statev1.Route
@@ -58,7 +62,8 @@
 // Options configures a Handler.
 type Options struct {
 	Server Server
-	// Routes returns the version in force, or nil before the first one.
+	// Routes returns the version in force, or a nil interface before the first
+	// one.
 	Routes func() Routes
 	// Fresh says that withdrawn keys are known as of now; the list of models is
 	// refused without it.
@@ -67,6 +72,8 @@
 	MaxBodyBytes int64
 	// BudgetBytes bounds the bodies of all open requests together.
 	BudgetBytes int64
+	// MaxOpen bounds the open requests of all callers together.
+	MaxOpen int64
 	// DefaultMaxTokens is assumed where a request states no maximum output.
 	DefaultMaxTokens int
 	// TrustForwardedFor keeps the X-Forwarded-For that a load balancer in front
@@ -79,6 +86,7 @@
 type Handler struct {
 	opts   Options
 	budget *Budget
+	open   atomic.Int64
 	faults faults
 }
 
@@ -101,6 +109,9 @@
 	if o.BudgetBytes <= 0 {
 		o.BudgetBytes = defaultBudgetBytes
 	}
+	if o.MaxOpen <= 0 {
+		o.MaxOpen = defaultMaxOpen
+	}
 	if o.DefaultMaxTokens <= 0 {
 		o.DefaultMaxTokens = defaultMaxTokens
 	}
@@ -113,6 +124,11 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, unique := requestID(r.Header)
+	defer h.open.Add(-1)
+	if h.open.Add(1) > h.opts.MaxOpen {
+		h.refuse(w, id, resultcode.New(resultcode.VMOverloaded, "this VM has too many open requests"))
+		return
+	}
 	req, release, err := h.parse(w, r, id)
 	defer release()
 	if err != nil {
@@ -209,7 +225,7 @@
 		return err
 	}
 	if req.Route == nil {
-		req.Route = routes.RouteForModel(doc.model)
+		req.Route = routeForName(routes, doc.model)
 		if req.Route == nil {
 			return resultcode.New(resultcode.ModelUnknown, "model %q is not configured", shorten(doc.model))
 		}
@@ -227,22 +243,27 @@
 	return nil
 }
 
-// serves says whether a route's model, or one of its adapters, has the name.
-func serves(routes Routes, route *statev1.Route, model string) bool {
-	if model == route.GetModel() {
-		return true
+// routeForName returns the route of a model, or of the model that has the
+// adapter, or nil.
+func routeForName(routes Routes, name string) *statev1.Route {
+	if route := routes.RouteForModel(name); route != nil {
+		return route
 	}
 	for _, m := range routes.Config().GetModels() {
-		if m.GetName() != route.GetModel() {
-			continue
-		}
-		for _, adapter := range m.GetAdapters() {
-			if model == adapter || model == m.GetName()+":"+adapter {
-				return true
-			}
+		route := routes.RouteForModel(m.GetName())
+		if route != nil && serves(routes, route, name) {
+			return route
 		}
 	}
-	return false
+	return nil
+}
+
+// serves says whether a route's model, or one of its adapters, has the name.
+func serves(routes Routes, route *statev1.Route, name string) bool {
+	if name == route.GetModel() {
+		return true
+	}
+	return slices.Contains(routes.Model(route.GetModel()).GetAdapters(), name)
 }
 
 // complete takes the key and fills in what endpoints may see.
--- a/internal/protocol/inference/route.go
+++ b/internal/protocol/inference/route.go
@@ -23,7 +23,8 @@
 	kind requestKind
 	// route is nil if the model in the body selects it.
 	route *statev1.Route
-	// path is the escaped path that the endpoint gets.
+	// path is the escaped path: that of the inference API for a model, and the
+	// caller's for a service.
 	path string
 }
 
@@ -116,17 +117,12 @@
 	}
 }
 
+// serviceSelection leaves the prefix in the path; the entry removes it.
 func serviceSelection(route *statev1.Route, escaped string) (selection, error) {
-	sel := selection{kind: kindService, route: route, path: escaped}
-	if !route.GetStripPrefix() {
-		return sel, nil
-	}
-	rest, ok := cutPrefix(escaped, route.GetPathPrefix())
-	if !ok {
+	if _, ok := cutPrefix(escaped, route.GetPathPrefix()); route.GetStripPrefix() && !ok {
 		return selection{}, resultcode.New(resultcode.NoRoute, "the path does not start with the prefix of route %q", route.GetName())
 	}
-	sel.path = rest
-	return sel, nil
+	return selection{kind: kindService, route: route, path: escaped}, nil
 }
 
 // cutPrefix removes a prefix that ends at a segment border. The rest starts
--- a/internal/protocol/platformhttp/platform.go
+++ b/internal/protocol/platformhttp/platform.go
@@ -6,8 +6,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
+	"net/url"
 	"time"
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
@@ -31,9 +34,17 @@
 
 var _ engine.Platform = (*Platform)(nil)
 
-// New returns a Platform that reads the list at a path of an address.
-func New(client exchange.Client, address, path string) *Platform {
-	return &Platform{client: client, address: address, target: path}
+// New returns a Platform that reads the list at a URL such as
+// http://10.0.0.9:8000/vms. Names are not resolved and TLS is not supported.
+func New(client exchange.Client, listURL string) (*Platform, error) {
+	u, err := url.Parse(listURL)
+	if err != nil {
+		return nil, fmt.Errorf("URL of the platform's list: %w", err)
+	}
+	if _, err := netip.ParseAddrPort(u.Host); err != nil || u.Scheme != "http" || u.User != nil {
+		return nil, fmt.Errorf("URL %q of the platform's list: want http://IP:PORT/PATH", u.Redacted())
+	}
+	return &Platform{client: client, address: u.Host, target: u.RequestURI()}, nil
 }
 
 // vm is one line of the list.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -102,6 +102,7 @@
 	faults   Faults
 	counters counters
 	runs     map[string]*run
+	swept    time.Time // when old runs were dropped last
 	running  []*run
 	waiting  []*run
 	kv       map[string][]byte
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,110 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+func start(t *testing.T, c Config) *Engine {
+	t.Helper()
+	c.Models, c.Resident = append(c.Models, Model{Name: "m"}), append(c.Resident, "m")
+	e, err := Start("127.0.0.1:0", c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+// queue submits a run without HTTP.
+func (e *Engine) queue(id string, priority, tokens int) *run {
+	r := newRun(id)
+	r.priority, r.target, r.text = priority, tokens, TextOf([]byte(id))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.submit(r)
+	return r
+}
+
+// Guards against a stand-in that ignores priorities, so that tests of
+// priorities prove nothing.
+func TestPriority(t *testing.T) {
+	e := start(t, Config{Slots: 1})
+	e.mu.Lock() // nothing is admitted before all are queued
+	runs := make([]*run, 0, 3)
+	for i, priority := range []int{1, 9, 5} {
+		r := newRun(fmt.Sprint(i))
+		r.priority, r.target, r.text = priority, 10, TextOf(nil)
+		e.submit(r)
+		runs = append(runs, r)
+	}
+	e.mu.Unlock()
+	for _, r := range runs {
+		r.wait(context.Background(), 10)
+	}
+	if !runs[1].endedAt.Before(runs[2].endedAt) || !runs[2].endedAt.Before(runs[0].endedAt) {
+		t.Fatal("runs did not end by priority")
+	}
+}
+
+// Guards against a stand-in whose batch is free: a step must take longer with
+// more requests.
+func TestBatchSlowsDown(t *testing.T) {
+	e := &Engine{config: Config{Slots: 4, TokenTime: time.Second, BatchSlowdown: 0.5}.withDefaults(), counters: newCounters()}
+	e.reset()
+	for i, want := range []time.Duration{time.Second, 1500 * time.Millisecond, 2 * time.Second, 2500 * time.Millisecond, 2500 * time.Millisecond} {
+		e.waiting = append(e.waiting, newRun(fmt.Sprint(i)))
+		if batch, step, _ := e.nextBatch(); step != want {
+			t.Errorf("a step of %d requests takes %s, want %s", len(batch), step, want)
+		}
+	}
+	if len(e.waiting) != 1 {
+		t.Errorf("%d requests wait beyond 4 slots, want 1", len(e.waiting))
+	}
+}
+
+// Guards against admin paths that do not do what the demo asks for, and against
+// counters that a crash loses.
+func TestAdmin(t *testing.T) {
+	e := start(t, Config{RestartAfter: time.Millisecond})
+	do := func(method, path, body string) int {
+		r, err := http.NewRequest(method, "http://"+e.Addr()+path, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+			resp, err := client.Do(r.Clone(context.Background()))
+			if err == nil {
+				_ = resp.Body.Close()
+				return resp.StatusCode
+			}
+			if time.Now().After(end) {
+				t.Fatal(err)
+			}
+		}
+	}
+	e.queue("r1", 0, 1).wait(context.Background(), 1)
+	for path, body := range map[string]string{"/admin/faults": `{"refuse":true,"late":5}`, "/admin/faults?": `{"refused":true}`} {
+		if got, want := do(http.MethodPut, path, body), map[bool]int{true: 204, false: 400}[path == "/admin/faults"]; got != want {
+			t.Errorf("%s %s: %d", path, body, got)
+		}
+	}
+	for _, path := range []string{"/admin/leave", "/admin/stay", "/admin/crash"} {
+		if got := do(http.MethodPost, path, ""); got != 204 {
+			t.Errorf("%s: %d", path, got)
+		}
+	}
+	resp := do(http.MethodGet, "/admin/state", "")
+	if resp != 200 || e.Runs("r1") != 1 || e.Crashes() != 1 {
+		t.Errorf("state %d, %d runs, %d crashes", resp, e.Runs("r1"), e.Crashes())
+	}
+	if text, err := json.Marshal(Faults{}); err != nil || string(text) != "{}" {
+		t.Errorf("no faults are %s, %v", text, err)
+	}
+}
--- a/internal/standin/engine/reports.go
+++ b/internal/standin/engine/reports.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	port "github.com/radishloom/radishloom/internal/coordination/engine"
+	"github.com/radishloom/radishloom/internal/coordination/routing"
 	"github.com/radishloom/radishloom/internal/protocol/enginejson"
 	"github.com/radishloom/radishloom/internal/protocol/exchange"
 )
@@ -95,7 +95,7 @@
 // cachePrefix caches the prefixes of a body and says whether its longest one
 // was cached already. Callers hold mu.
 func (e *Engine) cachePrefix(body []byte) bool {
-	prefixes := port.PrefixHashes(body)
+	prefixes := routing.Prefixes(body)
 	if len(prefixes) == 0 {
 		return false
 	}
--- a/internal/transport/httpclient/client.go
+++ b/internal/transport/httpclient/client.go
@@ -139,7 +139,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.pools[address]
 	if !ok {
-		p = &pool{opts: c.opts, keepSilent: c.faults.keepSilent, reuseAny: c.faults.reuseAny, closed: c.closing}
+		p = &pool{opts: c.opts, framing: framingFields(), keepSilent: c.faults.keepSilent, reuseAny: c.faults.reuseAny, closed: c.closing}
 		c.pools[address] = p
 	}
 	return p
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -129,7 +129,7 @@
 func (cn *conn) send(req *exchange.Request) error {
 	var head bytes.Buffer
 	head.Grow(512 + min(len(req.Body), joinLimit))
-	if err := writeHead(&head, req); err != nil {
+	if err := writeHead(&head, req, cn.pool.framing); err != nil {
 		return err
 	}
 	if req.Stream != nil {
@@ -169,15 +169,16 @@
 	}
 }
 
-// writeHead writes the request line and the header with its framing fields.
-func writeHead(w *bytes.Buffer, req *exchange.Request) error {
+// writeHead writes the request line and the header with its own framing fields
+// in place of those that the request may hold.
+func writeHead(w *bytes.Buffer, req *exchange.Request, framing map[string]bool) error {
 	w.WriteString(req.Method)
 	w.WriteByte(' ')
 	w.WriteString(req.Target)
 	w.WriteString(" HTTP/1.1\r\nHost: ")
 	w.WriteString(req.Address)
 	w.WriteString("\r\n")
-	if err := req.Header.WriteSubset(w, framingFields()); err != nil {
+	if err := req.Header.WriteSubset(w, framing); err != nil {
 		return err
 	}
 	switch {
--- a/internal/transport/httpclient/pool.go
+++ b/internal/transport/httpclient/pool.go
@@ -8,6 +8,7 @@
 // pool holds the unused connections to one address.
 type pool struct {
 	opts       Options
+	framing    map[string]bool // see framingFields
 	keepSilent bool
 	reuseAny   bool
 
