--- a/internal/protocol/enginehttp/engine.go
+++ b/internal/protocol/enginehttp/engine.go
@@ -88,7 +88,7 @@
 		cancel()
 		return nil, e.resumeError(err, &req)
 	}
-	s.cancel = cancel
+	s.cancel, s.opener = cancel, ctx.Done()
 	return s, nil
 }
 
--- a/internal/protocol/enginehttp/stream.go
+++ b/internal/protocol/enginehttp/stream.go
@@ -29,6 +29,8 @@
 	br     *bufio.Reader
 	ctx    context.Context
 	cancel context.CancelFunc
+	// opener is the Done channel of the context that Open was given.
+	opener <-chan struct{}
 
 	next  int // sequence number of the next event
 	first int // sequence number of the first event of this exchange
@@ -70,7 +72,7 @@
 	if s.err != nil {
 		return engine.Event{}, s.err
 	}
-	if ctx.Done() != s.ctx.Done() && ctx.Done() != nil {
+	if ctx.Done() != s.opener && ctx.Done() != nil {
 		stop := context.AfterFunc(ctx, s.cancel)
 		defer stop()
 	}
--- a/internal/protocol/inference/bench_test.go
+++ b/internal/protocol/inference/bench_test.go
@@ -37,7 +37,8 @@
 	}
 	client := httpclient.New(httpclient.Options{})
 	pass := &passOn{engine: enginehttp.New(client), to: engine.Target{Name: "e", Address: e.Addr()}}
-	h := New(Options{Server: pass, Routes: func() Routes { return testRoutes() }, Logger: slog.New(slog.DiscardHandler)})
+	routes := testRoutes()
+	h := New(Options{Server: pass, Routes: func() Routes { return routes }, Logger: slog.New(slog.DiscardHandler)})
 	s, err := httpserver.New(httpserver.Config{Address: "127.0.0.1:0", Handler: h})
 	if err != nil {
 		b.Fatal(err)
