httpserver: end connections of callers that vanished

Cause: a write deadline takes effect only once the send buffer is full, so a caller that vanished held a short stream for as long as TCP resends. Change: TCP_USER_TIMEOUT of the write timeout on accepted connections; Stop closes the listener of a server that was never started. Proof: TestListener reads the option back.

--- a/internal/transport/httpserver/listener.go
+++ b/internal/transport/httpserver/listener.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/radishloom/radishloom/internal/protocol/refusal"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
@@ -25,15 +27,19 @@
 // refused at once: left in the backlog it would wait without a code.
 type limitListener struct {
 	net.Listener
-	limit    int64
-	plain    bool
-	count    atomic.Int64
-	refusing atomic.Int64
-	refusal  []byte
+	limit int64
+	// userTimeout is TCP_USER_TIMEOUT of accepted connections.
+	userTimeout time.Duration
+	plain       bool
+	count       atomic.Int64
+	refusing    atomic.Int64
+	refusal     []byte
 }
 
-func newLimitListener(l net.Listener, limit int, plain bool) *limitListener {
-	return &limitListener{Listener: l, limit: int64(limit), plain: plain, refusal: overloaded()}
+func newLimitListener(l net.Listener, limits Limits, plain bool) *limitListener {
+	return &limitListener{
+		Listener: l, limit: int64(limits.OpenConnections), userTimeout: limits.WriteTimeout, plain: plain, refusal: overloaded(),
+	}
 }
 
 // overloaded is the answer on a connection beyond the bound.
@@ -55,6 +61,7 @@
 			return nil, err
 		}
 		if l.count.Add(1) <= l.limit {
+			l.setUserTimeout(c)
 			return &countedConn{Conn: c, listener: l}, nil
 		}
 		l.count.Add(-1)
@@ -62,6 +69,24 @@
 	}
 }
 
+// setUserTimeout makes the kernel close a connection whose caller acknowledges
+// nothing for so long. A caller that vanished would else hold its stream until
+// the send buffer is full, since only then a write deadline takes effect.
+func (l *limitListener) setUserTimeout(c net.Conn) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	// Without the option the connection still ends, only later.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(l.userTimeout.Milliseconds()))
+	})
+}
+
 // refuse tells the caller why and closes the connection. Over TLS that would
 // take a handshake, so the connection is only closed.
 func (l *limitListener) refuse(c net.Conn) {
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -113,7 +113,7 @@
 		}
 	}
 	s := &Server{config: c, limits: c.Limits.withDefaults()}
-	s.listener = newLimitListener(l, s.limits.OpenConnections, c.TLS == nil)
+	s.listener = newLimitListener(l, s.limits, c.TLS == nil)
 	s.kratos = s.newKratos()
 	return s, nil
 }
@@ -166,6 +166,8 @@
 	ctx, cancel := context.WithTimeout(ctx, s.limits.Grace)
 	defer cancel()
 	err := s.kratos.Shutdown(ctx)
+	// A server that was never started does not know its listener.
+	_ = s.listener.Close()
 	if err == nil || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/internal/transport/httpserver/server_test.go
+++ b/internal/transport/httpserver/server_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/radishloom/radishloom/internal/protocol/refusal"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
@@ -274,6 +276,37 @@
 	}
 }
 
+// Guards against a vanished caller that holds its stream, and against a server
+// that keeps its address although it was stopped before it was started.
+func TestListener(t *testing.T) {
+	s, err := New(Config{Address: "127.0.0.1:0", Limits: Limits{WriteTimeout: 7 * time.Second}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	dial(t, s)
+	c, err := s.listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := c.(*countedConn).Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got int
+	if e := raw.Control(func(fd uintptr) { got, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) }); e != nil || err != nil || got != 7000 {
+		t.Errorf("TCP_USER_TIMEOUT is %d, want 7000 (%v, %v)", got, e, err)
+	}
+	_ = c.Close()
+	if err := s.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+	if again, err := net.Listen("tcp", s.Addr().String()); err != nil {
+		t.Errorf("the address is still taken: %v", err)
+	} else {
+		_ = again.Close()
+	}
+}
+
 // Guards against a TLS listener that negotiates HTTP/2, for which the limits of
 // this package do not hold, or that hides TLS from the handler.
 func TestTLS(t *testing.T) {
