daemon: take the platform list's URL as the protocol layer checks it

Cause: platformhttp.New now parses the URL itself. Change: pass the URL on, report its error at the start.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -147,13 +147,16 @@
 		Logger:     d.log,
 		OnConfig:   d.setKnownNames,
 	})
-	var err error
+	platform, err := platformList(d.client, d.settings.PlatformListURL)
+	if err != nil {
+		return err
+	}
 	d.entry, err = entry.New(entry.Config{
 		VM:         d.settings.VM,
 		DataCentre: d.settings.DataCentre,
 		Engine:     enginehttp.New(d.client),
 		Service:    servicehttp.New(d.client),
-		Platform:   platformList(d.client, d.settings.PlatformListURL),
+		Platform:   platform,
 		Replica:    d.replica,
 		Observer:   observer{metrics: d.metrics, replica: d.replica, log: d.log},
 		Logger:     d.log,
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -4,7 +4,6 @@
 	"crypto/tls"
 	"fmt"
 	"log/slog"
-	"net/url"
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
 	"github.com/radishloom/radishloom/internal/protocol/exchange"
@@ -40,12 +39,14 @@
 	return secure, source.Server(), nil
 }
 
-// platformList returns the platform's list, or nil if there is none. The
-// settings have checked the URL.
-func platformList(client exchange.Client, address string) engine.Platform {
-	u, err := url.Parse(address)
-	if address == "" || err != nil {
-		return nil
+// platformList returns the platform's list, or nil if there is none.
+func platformList(client exchange.Client, address string) (engine.Platform, error) {
+	if address == "" {
+		return nil, nil
+	}
+	list, err := platformhttp.New(client, address)
+	if err != nil {
+		return nil, fmt.Errorf("platform list: %w", err)
 	}
-	return platformhttp.New(client, u.Host, u.RequestURI())
+	return list, nil
 }
