--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	d.transport = peerrpc.NewTransport(secure)
+	d.transport = peerrpc.NewTransport(peerrpc.Options{Secure: secure})
 	if d.settings.Control == nil {
 		d.calls = peerrpc.NewFleet(d.transport, nil, d.settings.ControlVMs)
 		return nil
--- a/internal/protocol/peerrpc/transport.go
+++ b/internal/protocol/peerrpc/transport.go
@@ -33,7 +33,7 @@
 // Transport sends the control role's messages to other members. It implements
 // control.Transport and is safe for concurrent use.
 type Transport struct {
-	secure SecureDial
+	options Options
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -56,9 +56,20 @@
 // SecureDial wraps a dial function so that its connections speak mutual TLS.
 type SecureDial func(dial DialFunc) DialFunc
 
-// NewTransport returns a Transport. A nil secure means plain HTTP.
-func NewTransport(secure SecureDial) *Transport {
-	t := &Transport{secure: secure}
+// Options of a Transport. The zero value speaks plain HTTP.
+type Options struct {
+	// Secure makes connections speak mutual TLS.
+	Secure SecureDial
+	// Dial replaces the system's dialer, for example to count bytes.
+	Dial DialFunc
+}
+
+// NewTransport returns a Transport.
+func NewTransport(o Options) *Transport {
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}).DialContext
+	}
+	t := &Transport{options: o}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.mu.lanes = make(map[string]*lane)
 	t.mu.clients = make(map[string]*http.Client)
@@ -191,7 +202,7 @@
 }
 
 func (t *Transport) baseURL(address string) string {
-	if t.secure != nil {
+	if t.options.Secure != nil {
 		return "https://" + address
 	}
 	return "http://" + address
@@ -203,23 +214,22 @@
 	if c, ok := t.mu.clients[address]; ok {
 		return c
 	}
-	c := newClient(t.secure)
+	c := newClient(t.options)
 	t.mu.clients[address] = c
 	return c
 }
 
 // newClient returns a client for one VM, so that closing its idle connections
 // touches no other VM.
-func newClient(secure SecureDial) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}
+func newClient(o Options) *http.Client {
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         o.Dial,
 		MaxIdleConnsPerHost: idleConnectionsPerVM,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	if secure != nil {
-		transport.DialTLSContext = secure(dialer.DialContext)
+	if o.Secure != nil {
+		transport.DialTLSContext = o.Secure(o.Dial)
 	}
 	return &http.Client{Transport: transport}
 }
