--- a/internal/coordination/control/config.go
+++ b/internal/coordination/control/config.go
@@ -10,6 +10,7 @@
 
 import (
 	"errors"
+	"io"
 	"time"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
@@ -100,6 +101,8 @@
 	Clock Clock
 	// Rand returns a number in [0, n); it is math/rand's if nil.
 	Rand func(n int) int
+	// Random is the source of the member's identifier; nil means crypto/rand.
+	Random io.Reader
 	// Metrics may be nil.
 	Metrics Metrics
 	// Demand receives the load that entries report to the leader. It may be nil
--- a/internal/coordination/control/loop.go
+++ b/internal/coordination/control/loop.go
@@ -111,7 +111,7 @@
 
 // open opens the log and makes a core from what it holds.
 func (l *loop) open() (*wal.Recovered, error) {
-	log, recovered, err := wal.Open(l.cfg.FS, l.cfg.Dir, wal.Options{})
+	log, recovered, err := wal.Open(l.cfg.FS, l.cfg.Dir, wal.Options{Random: l.cfg.Random})
 	if err != nil {
 		return nil, fmt.Errorf("open the data folder: %w", err)
 	}
--- /dev/null
+++ b/internal/state/fleet/rules_test.go
@@ -0,0 +1,178 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+func at(ms uint64, c *statev1.Command) *statev1.Command {
+	c.FleetTimeMs = ms
+	return c
+}
+
+func syncOf(e *statev1.EntrySync) *statev1.Command {
+	return &statev1.Command{Op: &statev1.Command_SyncBatch{SyncBatch: &statev1.SyncBatch{Entries: []*statev1.EntrySync{e}}}}
+}
+
+func wanting(seq, want uint64) *statev1.EntrySync {
+	return &statev1.EntrySync{
+		Session: &statev1.Session{Vm: "vm", Incarnation: "1"}, Seq: seq,
+		Usage: []*statev1.TokenUsage{{Customer: "acme", Want: want}},
+	}
+}
+
+func claimBy(key, attempt string) *statev1.Command {
+	return &statev1.Command{Op: &statev1.Command_ClaimBegin{ClaimBegin: &statev1.ClaimBegin{
+		Key: &statev1.ClaimKey{Customer: "acme", Route: "r", IdempotencyKey: key}, Attempt: attempt,
+		Session: &statev1.Session{Vm: "vm", Incarnation: "1"},
+	}}}
+}
+
+// Guards against sessions and leases that outlast their time, a late sync that
+// revives an ended session, and a claim that runs again after its owner is gone.
+func TestSessionsLeasesAndClaimsEnd(t *testing.T) {
+	m := New()
+	m.Apply(1, replace("", 0, document()))
+	first := m.Apply(2, at(1000, syncOf(wanting(1, 2000)))).GetSyncs()[0]
+	if g := first.GetGrants()[0]; g.GetGranted() != 2000 || g.GetOutstanding() != 2000 {
+		t.Fatalf("granted %v", g)
+	}
+	if r := m.Apply(3, claimBy("k", "a1")); r.GetClaim().GetState() != statev1.ClaimState_CLAIM_STATE_GRANTED {
+		t.Fatalf("claim: %v", r)
+	}
+	m.Apply(4, at(5999, &statev1.Command{Op: &statev1.Command_Stamp{Stamp: &statev1.Stamp{}}}))
+	if _, outstanding := m.Balance("acme"); outstanding != 2000 {
+		t.Fatalf("outstanding before the lease's end: %d", outstanding)
+	}
+	m.Apply(5, at(6000, &statev1.Command{Op: &statev1.Command_Stamp{Stamp: &statev1.Stamp{}}}))
+	if level, outstanding := m.Balance("acme"); outstanding != 0 || level != 3000 {
+		t.Fatalf("level %d, outstanding %d after the lease's end: the lease counts as spent", level, outstanding)
+	}
+	m = restored(t, m)
+	m.Apply(6, at(11_000, &statev1.Command{Op: &statev1.Command_Stamp{Stamp: &statev1.Stamp{}}}))
+	if n := m.LiveSessions(); n != 0 {
+		t.Fatalf("%d sessions after 10 s without a sync", n)
+	}
+	for _, seq := range []uint64{1, 2} {
+		if r := m.Apply(7, syncOf(wanting(seq, 1))).GetSyncs()[0]; !r.GetSessionEnded() {
+			t.Fatalf("a late sync got %v", r)
+		}
+	}
+	if r := m.Apply(8, claimBy("k", "a2")); r.GetCode() != uint32(resultcode.ClaimMayHaveRun) {
+		t.Fatalf("the claim of an ended session: %v", r)
+	}
+	if r := m.Apply(9, claimBy("k2", "a3")); r.GetCode() != uint32(resultcode.ClaimUnavailable) {
+		t.Fatalf("a claim without a session: %v", r)
+	}
+	if m.Apply(10, at(5, &statev1.Command{})); m.FleetTime() != 11_000 {
+		t.Fatalf("fleet time went back to %d", m.FleetTime())
+	}
+}
+
+// Guards against a closing session whose tokens are lost to the customer.
+func TestClosingReturnsLeases(t *testing.T) {
+	m := New()
+	m.Apply(1, replace("", 0, document()))
+	m.Apply(2, syncOf(wanting(1, 2000)))
+	closing := wanting(2, 0)
+	closing.Usage[0].Charged = 500
+	closing.Closing = true
+	m.Apply(3, syncOf(closing))
+	if level, outstanding := m.Balance("acme"); level != 4500 || outstanding != 0 || m.LiveSessions() != 0 {
+		t.Fatalf("level %d, outstanding %d, %d sessions", level, outstanding, m.LiveSessions())
+	}
+}
+
+// Guards against requests that are blamed alone although another one ran too,
+// and suspicions that never end.
+func TestSuspects(t *testing.T) {
+	m := New()
+	report := func(crash string, prints ...string) {
+		r := &statev1.SuspectReport{Endpoint: "e1", Crash: crash}
+		for _, p := range prints {
+			r.Fingerprints = append(r.Fingerprints, []byte(p))
+		}
+		m.Apply(1, &statev1.Command{Op: &statev1.Command_SuspectReport{SuspectReport: r}})
+	}
+	report("c1", "p")
+	report("c1", "p")
+	report("c2", "p")
+	report("c3", "q")
+	report("c3", "r")
+	m = restored(t, m)
+	version, list := m.Suspects()
+	got := map[string]string{}
+	for _, s := range list {
+		got[string(s.GetFingerprint())] = fmt.Sprint(s.GetAlone(), s.GetInCompany())
+	}
+	if fmt.Sprint(got) != "map[p:2 0 q:0 1 r:0 1]" || version != 4 {
+		t.Fatalf("suspects %v, version %d", got, version)
+	}
+	m.Apply(2, at(suspectMs, &statev1.Command{}))
+	if version, list := m.Suspects(); len(list) != 0 || version != 5 {
+		t.Fatalf("%d suspects after their time, version %d", len(list), version)
+	}
+}
+
+// Guards against a history or a memory of requests without a limit, and against
+// deltas over versions that are no longer known.
+func TestHistoryAndRequestsAreBounded(t *testing.T) {
+	m := New()
+	m.Apply(1, replace("r0", 0, document()))
+	for i := range maxRequests {
+		m.Apply(2, upsert(fmt.Sprint("s", i), 99_999, false, nil))
+	}
+	if r := m.Apply(3, replace("r0", 0, document())); r.GetCode() != uint32(resultcode.ConfigConflict) {
+		t.Fatalf("the request before the last %d got %v", maxRequests, r)
+	}
+	if r := m.Apply(4, upsert("s9999", 1, false, nil)); r.GetIndex() != 2 {
+		t.Fatalf("the last request got %v", r)
+	}
+	for i := range maxVersions {
+		m.Apply(5, upsert("", 0, true, &statev1.Config{Customers: []*statev1.Customer{{Name: "acme", RateTokensPerSecond: uint64(i + 1), BurstTokens: 1}}}))
+	}
+	if m.DeltaSince(1).GetFull() == nil || m.DeltaSince(2).GetFull() != nil || len(m.History(0)) != maxVersions {
+		t.Fatalf("%d versions; delta from 1: %v", len(m.History(0)), m.DeltaSince(1))
+	}
+	expect(t, m.Apply(6, rollbackTo("", maxVersions+1, 1)), resultcode.VersionUnknown, maxVersions+1)
+	expect(t, restored(t, m).Apply(6, rollbackTo("", maxVersions+1, 2)), resultcode.OK, maxVersions+2)
+}
+
+// Guards against orders of a replaced owner, orders to engines whose content is
+// not known, memory that pinned models take, and unloading a pinned model.
+func TestOrdersFollowTheConfiguration(t *testing.T) {
+	m := New()
+	d := document()
+	d.Endpoints[0].PinnedModels = []string{"m3"}
+	m.Apply(1, replace("", 0, d))
+	m.Apply(2, &statev1.Command{Op: &statev1.Command_TakeOwnership{TakeOwnership: &statev1.TakeOwnership{Owner: 1}}})
+	order := func(token uint64, kind statev1.OrderKind, model string, memory uint64) resultcode.Code {
+		r := m.Apply(3, &statev1.Command{Op: &statev1.Command_OrderIssue{OrderIssue: &statev1.OrderIssue{FencingToken: token, Endpoint: "e1", Kind: kind, Model: model, MemoryMb: memory}}})
+		return resultcode.Code(r.GetCode())
+	}
+	const load, unload = statev1.OrderKind_ORDER_KIND_LOAD_MODEL, statev1.OrderKind_ORDER_KIND_UNLOAD_MODEL
+	steps := []struct {
+		got  func() resultcode.Code
+		want resultcode.Code
+	}{
+		{func() resultcode.Code { return order(1, load, "m1", 30) }, resultcode.FencingTokenOld},
+		{func() resultcode.Code { return order(2, load, "m1", 30) }, resultcode.MemoryOvercommitted},
+		{func() resultcode.Code {
+			return resultcode.Code(m.Apply(4, &statev1.Command{Op: &statev1.Command_EndpointObserved{EndpointObserved: &statev1.EndpointObserved{FencingToken: 2, Endpoint: "e1"}}}).GetCode())
+		}, resultcode.OK},
+		{func() resultcode.Code { return order(2, load, "m1", 29) }, resultcode.BadRequest},
+		{func() resultcode.Code { return order(2, load, "m1", 31) }, resultcode.OK},
+		{func() resultcode.Code { return order(2, load, "m2", 30) }, resultcode.MemoryOvercommitted},
+		{func() resultcode.Code { return order(2, load, "none", 30) }, resultcode.ResourceUnknown},
+		{func() resultcode.Code { return order(2, unload, "m3", 0) }, resultcode.BadRequest},
+		{func() resultcode.Code { return order(2, unload, "m1", 0) }, resultcode.OK},
+	}
+	for i, s := range steps {
+		if got := s.got(); got != s.want {
+			t.Errorf("step %d got %v, want %v", i, got, s.want)
+		}
+	}
+}
