--- a/internal/coordination/entry/scenario_test.go
+++ b/internal/coordination/entry/scenario_test.go
@@ -117,7 +117,9 @@
 			want(t, "left", code, resultcode.CallerGone)
 			_, code = w.serve(context.Background(), r)
 			want(t, "running", code, resultcode.ClaimRunning)
+			want(t, "open while draining", w.server.Drain(true), 1)
 			time.Sleep(2 * time.Second)
+			want(t, "open at the end", w.server.Drain(false), 0)
 			r.ID = name + "again"
 			_, code = w.serve(context.Background(), r)
 			want(t, "replayed", code, resultcode.OK)
