--- a/internal/coordination/admission/queue_test.go
+++ b/internal/coordination/admission/queue_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
@@ -190,14 +191,14 @@
 
 // Guards the dispatch order, eviction and expiry against a brute-force model.
 func TestQueue(t *testing.T) {
-	check(t, queueProperty(false))
-	t.Run("unfair", func(t *testing.T) { mustFail(t, queueProperty(true)) })
+	proptest.Check(t, 100, 1, queueProperty(false))
+	t.Run("unfair", func(t *testing.T) { proptest.MustFail(t, 100, 1, queueProperty(true)) })
 }
 
 // Guards the reserved shares: a higher priority never has less room, and one
 // with a share has room that the next lower one cannot fill.
 func TestReserve(t *testing.T) {
-	check(t, func(t *rapid.T) {
+	proptest.Check(t, 100, 1, func(t *rapid.T) {
 		levels := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Level {
 			return Level{Priority: rapid.Int32Range(0, 4).Draw(t, "priority"), SharePercent: rapid.IntRange(0, 60).Draw(t, "share")}
 		}), 0, 5).Draw(t, "levels")
--- a/internal/coordination/entry/fuzz_test.go
+++ b/internal/coordination/entry/fuzz_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
@@ -202,7 +203,7 @@
 // caller's own, "not run" true, non-idempotent requests run at most once, no
 // key sent on, no send without a valid key and lease, nothing left behind.
 func TestServeFuzz(t *testing.T) {
-	check(t, serveProperty(t, faults{}))
+	proptest.Check(t, 100, 1, serveProperty(t, faults{}))
 	for name, broken := range map[string]faults{
 		"sendUnconfirmed": {sendUnconfirmed: true},
 		"skipRecheck":     {skipRecheck: true},
@@ -211,6 +212,6 @@
 		"keepKeys":        {keepKeys: true},
 		"cancelClaimed":   {cancelClaimed: true},
 	} {
-		t.Run(name, func(t *testing.T) { mustFail(t, serveProperty(t, broken)) })
+		t.Run(name, func(t *testing.T) { proptest.MustFail(t, 100, 1, serveProperty(t, broken)) })
 	}
 }
--- a/internal/coordination/entry/scenario_test.go
+++ b/internal/coordination/entry/scenario_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
@@ -283,8 +283,6 @@
 // Guards the service of a customer that stays within its share while another
 // one sends five times its own.
 func TestWorstShare(t *testing.T) {
-	defer flag.Set("rapid.checks", flag.Lookup("rapid.checks").Value.String())
-	_ = flag.Set("rapid.checks", "5") // each runs a minute of traffic
-	check(t, shareProperty(t, faults{}))
-	t.Run("ignoreCustomer", func(t *testing.T) { mustFail(t, shareProperty(t, faults{ignoreCustomer: true})) })
+	proptest.Check(t, 5, 1, shareProperty(t, faults{}))
+	t.Run("ignoreCustomer", func(t *testing.T) { proptest.MustFail(t, 5, 1, shareProperty(t, faults{ignoreCustomer: true})) })
 }
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/proptest"
 )
 
 type running struct {
@@ -115,8 +116,8 @@
 // Guards that innocent requests are never refused and poison ones are after
 // two crashes.
 func TestCrashes(t *testing.T) {
-	check(t, crashProperty(false))
-	t.Run("blameAll", func(t *testing.T) { mustFail(t, crashProperty(true)) })
+	proptest.Check(t, 100, 1, crashProperty(false))
+	t.Run("blameAll", func(t *testing.T) { proptest.MustFail(t, 100, 1, crashProperty(true)) })
 }
 
 // Guards against taking a single broken connection, or losses far apart, for a
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/radishloom/radishloom/internal/proptest"
 )
 
 // quotaProperty runs a lease, waiters and holds against plain sums: tokens are
@@ -122,8 +124,8 @@
 
 // Guards the sums of tokens and the order of waiting requests.
 func TestQuota(t *testing.T) {
-	check(t, quotaProperty(false))
-	t.Run("overtaking", func(t *testing.T) { mustFail(t, quotaProperty(true)) })
+	proptest.Check(t, 100, 1, quotaProperty(false))
+	t.Run("overtaking", func(t *testing.T) { proptest.MustFail(t, 100, 1, quotaProperty(true)) })
 	h := Hold{Tokens: 10}
 	if h.Charge(8) != 8 || h.Charge(8) != 2 || h.Over != 6 || h.Rest() != 0 || Fits(11, Limits{Burst: 10}) {
 		t.Fatal("a hold was overdrawn")
--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
@@ -68,8 +69,8 @@
 
 // Guards the retry budgets against a counter.
 func TestBudget(t *testing.T) {
-	check(t, budgetProperty(false))
-	t.Run("unlimited", func(t *testing.T) { mustFail(t, budgetProperty(true)) })
+	proptest.Check(t, 100, 1, budgetProperty(false))
+	t.Run("unlimited", func(t *testing.T) { proptest.MustFail(t, 100, 1, budgetProperty(true)) })
 }
 
 // Guards that only idempotent requests, or those known not to have run, are
--- a/internal/coordination/routing/table_test.go
+++ b/internal/coordination/routing/table_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
+	"github.com/radishloom/radishloom/internal/proptest"
 )
 
 // health is what the oracle knows of an endpoint.
@@ -172,8 +173,8 @@
 // long as they are at most half, and windows and adapter loads keep their
 // bounds.
 func TestTable(t *testing.T) {
-	check(t, tableProperty(false))
-	t.Run("careless", func(t *testing.T) { mustFail(t, tableProperty(true)) })
+	proptest.Check(t, 100, 1, tableProperty(false))
+	t.Run("careless", func(t *testing.T) { proptest.MustFail(t, 100, 1, tableProperty(true)) })
 }
 
 // Guards the preferences: the less loaded of two, a cached prefix until a gap
