entry: suspect requests whose endpoint restarts at once

Cause: a crash counted only if the endpoint did not answer right after it, so a process that restarts within milliseconds was never found. Change: if the endpoint answers, a request without an earlier suspicion is weakly suspected; a second loss counts as its own. Weak suspicions refuse nothing, and one success clears them.

--- a/internal/coordination/entry/fake_ports_test.go
+++ b/internal/coordination/entry/fake_ports_test.go
@@ -106,7 +106,7 @@
 		return "", resultcode.Wrap(resultcode.EndpointSilent, ctx.Err(), "cancelled")
 	}
 	switch {
-	case fault == "crash":
+	case fault == "crash" || fault == "reset":
 		return "", resultcode.New(resultcode.EndpointLost, "connection reset")
 	case fault == "mismatch":
 		return "", resultcode.New(resultcode.AnswerMismatch, "another request's answer")
--- a/internal/coordination/entry/ports.go
+++ b/internal/coordination/entry/ports.go
@@ -20,6 +20,8 @@
 	Path     string
 	RawQuery string
 	// Header has every key source of the route removed already.
+	// Header and Body must not be changed after Serve returned: a
+	// non-idempotent call can go on after its caller left.
 	Header http.Header
 	Body   []byte
 	// Model is the model or adapter that the body names; empty for the route's.
--- a/internal/coordination/entry/scenario_test.go
+++ b/internal/coordination/entry/scenario_test.go
@@ -181,8 +181,13 @@
 // crashes alone, and no endpoint sees it again. A leaving endpoint gets
 // nothing.
 func TestPoisonAndLeaving(t *testing.T) {
+	t.Run("crash", func(t *testing.T) { poisonAndLeaving(t, "crash") })
+	t.Run("restarts at once", func(t *testing.T) { poisonAndLeaving(t, "reset") })
+}
+
+func poisonAndLeaving(t *testing.T, fault string) {
 	bubble(t, testConfig(), func(t *testing.T, w *world) {
-		w.fakePorts.faults = []string{"crash"}
+		w.fakePorts.faults = []string{fault}
 		r := w.request("1", "read", "a", "x")
 		_, code := w.serve(context.Background(), r)
 		want(t, "crash", code, resultcode.EndpointLost)
--- a/internal/coordination/entry/suspects.go
+++ b/internal/coordination/entry/suspects.go
@@ -16,7 +16,7 @@
 	// the same endpoint within it count as one.
 	crashBucket = 30 * time.Second
 	// deathCheck bounds the call that tells a dead endpoint from one that only
-	// closed a connection.
+	// closed a connection, or restarted at once.
 	deathCheck     = time.Second
 	reportAttempts = 3
 )
@@ -65,7 +65,9 @@
 	}
 }
 
-// reportCrash tells the fleet of suspects, unless the endpoint still answers.
+// reportCrash tells the fleet of suspects. If the endpoint answers, it may only
+// have closed a connection: a request without an earlier suspicion is then
+// weakly suspected, whatever ran beside it.
 func (s *Server) reportCrash(c *call, to engine.Target, crash quarantine.Crash) {
 	ctx, cancel := context.WithTimeout(context.Background(), deathCheck)
 	load := s.config.Engine.Load
@@ -74,13 +76,14 @@
 	}
 	_, err := load(ctx, to)
 	cancel()
-	if err == nil {
-		return
-	}
+	s.suspects.mu.Lock()
+	known := s.suspects.tracker.Suspected(crash.Fingerprints[0])
+	s.suspects.mu.Unlock()
+	weak := s.schedule.othersRunning(crash.Endpoint) || err == nil && !known
 	bucket := time.Now().UnixNano() / int64(crashBucket)
-	report := crash.Report(fmt.Sprintf("%s/%d", crash.Endpoint, bucket), s.schedule.othersRunning(crash.Endpoint))
+	report := crash.Report(fmt.Sprintf("%s/%d", crash.Endpoint, bucket), weak)
 	s.observer.Crashed(crash.Endpoint, len(crash.Fingerprints))
-	s.log.Warn("endpoint crashed", "endpoint", crash.Endpoint, "suspects", len(crash.Fingerprints))
+	s.log.Warn("endpoint crashed", "endpoint", crash.Endpoint, "suspects", len(crash.Fingerprints), "answers", err == nil)
 	command := &statev1.Command{Op: &statev1.Command_SuspectReport{SuspectReport: report}}
 	for range reportAttempts {
 		ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -146,6 +146,12 @@
 	return Alone
 }
 
+// Suspected says whether any crash is counted against a request.
+func (t *Tracker) Suspected(f Fingerprint) bool {
+	_, suspected := t.suspects[f]
+	return suspected
+}
+
 // Begin notes that a request runs on an endpoint.
 func (t *Tracker) Begin(endpoint string, id uint64, f Fingerprint) {
 	s := t.endpoints[endpoint]
