httpclient, enginehttp: keep other listeners off the ports that tests freed

Change: the refusing address is bound without listening; the restart is tried again until the port is free. The assertions are unchanged.

--- a/internal/protocol/enginehttp/engine_test.go
+++ b/internal/protocol/enginehttp/engine_test.go
@@ -149,9 +149,8 @@
 				t.Fatalf("code %s, but %d runs", tt.code, runs)
 			}
 			f.standin.SetFaults(standin.Faults{})
-			if err := f.standin.Restart(); err != nil {
-				t.Fatal(err)
-			}
+			// Another test may hold the port for a moment.
+			eventually(t, "a restart", func() bool { return f.standin.Restart() == nil })
 			codeOf(t, f.run(request("r2", 5, tt.stream)), resultcode.OK)
 		})
 	}
--- a/internal/transport/httpclient/client_test.go
+++ b/internal/transport/httpclient/client_test.go
@@ -242,10 +242,35 @@
 	}
 }
 
+// reservedPort is an address that refuses connections and that no other
+// listener can get meanwhile.
+type reservedPort struct {
+	net.Listener
+	address *net.TCPAddr
+}
+
+func (r reservedPort) Addr() net.Addr { return r.address }
+
+func reserved(t *testing.T) net.Listener {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reservedPort{address: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: name.(*unix.SockaddrInet4).Port}}
+}
+
 // Guards against a false run state: not run only if no byte was written.
 func TestRunState(t *testing.T) {
-	refused := startRaw(t, nil)
-	_ = refused.Close()
+	refused := &rawServer{Listener: reserved(t)}
 	ignore := startRaw(t, func(c net.Conn, _ int, _ *http.Request, _ int) bool { time.Sleep(2 * silence); return false })
 	closing := startRaw(t, func(net.Conn, int, *http.Request, int) bool { return false })
 	background := func() (context.Context, context.CancelFunc) { return context.WithCancel(context.Background()) }
