inference, httpserver: drop what the daemon and the entry already do

Cause: the daemon passes kratos messages to slog itself, and a bound of 4,096 open requests by default would have undercut a larger limits.open_requests.

--- a/internal/protocol/inference/bench_test.go
+++ b/internal/protocol/inference/bench_test.go
@@ -41,7 +41,7 @@
 	pass := &passOn{engine: enginehttp.New(client), to: engine.Target{Name: "e", Address: e.Addr()}}
 	routes := testRoutes()
 	h := New(Options{Server: pass, Routes: func() Routes { return routes }, Logger: slog.New(slog.DiscardHandler)})
-	log.SetLogger(httpserver.KratosLogger(slog.New(slog.DiscardHandler)))
+	log.SetLogger(log.NewStdLogger(io.Discard)) // kratos would write into the figures
 	s, err := httpserver.New(httpserver.Config{Address: "127.0.0.1:0", Handler: h})
 	if err != nil {
 		b.Fatal(err)
--- a/internal/protocol/inference/handler.go
+++ b/internal/protocol/inference/handler.go
@@ -37,7 +37,6 @@
 	defaultMaxBodyBytes  = 4 << 20
 	defaultBudgetBytes   = 64 << 20
 	defaultMaxTokens     = 1024
-	defaultMaxOpen       = 4096
 	maxRequestIDBytes    = 128
 	maxIdempotencyKeyLen = 255
 )
@@ -72,7 +71,8 @@
 	MaxBodyBytes int64
 	// BudgetBytes bounds the bodies of all open requests together.
 	BudgetBytes int64
-	// MaxOpen bounds the open requests of all callers together.
+	// MaxOpen bounds the open requests from their head on; zero is no bound. The
+	// entry has a bound of its own, which counts whole requests only.
 	MaxOpen int64
 	// DefaultMaxTokens is assumed where a request states no maximum output.
 	DefaultMaxTokens int
@@ -109,9 +109,6 @@
 	if o.BudgetBytes <= 0 {
 		o.BudgetBytes = defaultBudgetBytes
 	}
-	if o.MaxOpen <= 0 {
-		o.MaxOpen = defaultMaxOpen
-	}
 	if o.DefaultMaxTokens <= 0 {
 		o.DefaultMaxTokens = defaultMaxTokens
 	}
@@ -125,7 +122,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, unique := requestID(r.Header)
 	defer h.open.Add(-1)
-	if h.open.Add(1) > h.opts.MaxOpen {
+	if open := h.open.Add(1); h.opts.MaxOpen > 0 && open > h.opts.MaxOpen {
 		h.refuse(w, id, resultcode.New(resultcode.VMOverloaded, "this VM has too many open requests"))
 		return
 	}
