wire: name the fuzz tests as scripts/fuzz.sh selects them

Cause: the script runs tests by name and passes a first seed, which two of the three fuzz tests here did not follow. Change: TestFuzzNoSecretReachesEndpoints and TestFuzzCutsAtAnyByte; RADISHLOOM_FUZZ_SEED is the first of the further seeds.

--- a/internal/protocol/enginehttp/fuzz_test.go
+++ b/internal/protocol/enginehttp/fuzz_test.go
@@ -32,8 +32,8 @@
 func (r *recorder) Failed() bool          { return r.failed }
 func (r *recorder) Logf(string, ...any)   {}
 
-// check runs a property under a fixed seed, and under further seeds for
-// RADISHLOOM_FUZZ_SECONDS.
+// check runs a property under a fixed seed, and for RADISHLOOM_FUZZ_SECONDS
+// under further ones from RADISHLOOM_FUZZ_SEED on.
 func check(t *testing.T, tb rapid.TB, seed uint64, checks int, prop func(*rapid.T)) {
 	t.Helper()
 	set := func(name string, value any) {
@@ -46,6 +46,10 @@
 	set("steps", 8)
 	set("checks", checks)
 	seconds, _ := strconv.Atoi(os.Getenv("RADISHLOOM_FUZZ_SECONDS"))
+	next, err := strconv.ParseUint(os.Getenv("RADISHLOOM_FUZZ_SEED"), 10, 64)
+	if err != nil {
+		next = uint64(time.Now().UnixNano())
+	}
 	end := time.Now().Add(time.Duration(seconds) * time.Second)
 	for {
 		set("seed", seed)
@@ -53,7 +57,8 @@
 		if tb.Failed() || time.Now().After(end) || tb != rapid.TB(t) {
 			return
 		}
-		seed = uint64(time.Now().UnixNano())
+		seed = next
+		next++
 		t.Logf("seed %d", seed)
 	}
 }
--- a/internal/protocol/inference/keys_test.go
+++ b/internal/protocol/inference/keys_test.go
@@ -35,8 +35,8 @@
 func (r *recorder) Failed() bool          { return r.failed }
 func (r *recorder) Logf(string, ...any)   {}
 
-// check runs a property under a fixed seed, and under further seeds for
-// RADISHLOOM_FUZZ_SECONDS.
+// check runs a property under a fixed seed, and for RADISHLOOM_FUZZ_SECONDS
+// under further ones from RADISHLOOM_FUZZ_SEED on.
 func check(t *testing.T, tb rapid.TB, seed uint64, checks int, prop func(*rapid.T)) {
 	t.Helper()
 	set := func(name string, value any) {
@@ -48,6 +48,10 @@
 	set("shrinktime", "2s")
 	set("checks", checks)
 	seconds, _ := strconv.Atoi(os.Getenv("RADISHLOOM_FUZZ_SECONDS"))
+	next, err := strconv.ParseUint(os.Getenv("RADISHLOOM_FUZZ_SEED"), 10, 64)
+	if err != nil {
+		next = uint64(time.Now().UnixNano())
+	}
 	end := time.Now().Add(time.Duration(seconds) * time.Second)
 	for {
 		set("seed", seed)
@@ -55,7 +59,8 @@
 		if tb.Failed() || time.Now().After(end) || tb != rapid.TB(t) {
 			return
 		}
-		seed = uint64(time.Now().UnixNano())
+		seed = next
+		next++
 		t.Logf("seed %d", seed)
 	}
 }
@@ -170,7 +175,7 @@
 
 // Guards against a key that reaches an endpoint (promise P4). The defect
 // keepKeys must be found under the same seed.
-func TestNoSecretReachesEndpoints(t *testing.T) {
+func TestFuzzNoSecretReachesEndpoints(t *testing.T) {
 	const seed, checks = 7, 150
 	check(t, t, seed, checks, newLeakFinder(t, faults{}).property)
 	broken := &recorder{T: t}
--- a/internal/transport/httpclient/cut_test.go
+++ b/internal/transport/httpclient/cut_test.go
@@ -128,7 +128,7 @@
 
 // Guards completeness and run state when the endpoint ends an exchange at any
 // byte of the request or of the answer. The defect claimNotRun must be found.
-func TestCutsAtAnyByte(t *testing.T) {
+func TestFuzzCutsAtAnyByte(t *testing.T) {
 	const cases = 400
 	if fault := runCuts(t, 5, cases, faults{}); fault != "" {
 		t.Fatal(fault)
@@ -137,8 +137,11 @@
 		t.Fatalf("the defect claimNotRun was not found: %q", fault)
 	}
 	seconds, _ := strconv.Atoi(os.Getenv("RADISHLOOM_FUZZ_SECONDS"))
-	for end := time.Now().Add(time.Duration(seconds) * time.Second); time.Now().Before(end); {
-		seed := uint64(time.Now().UnixNano())
+	seed, err := strconv.ParseUint(os.Getenv("RADISHLOOM_FUZZ_SEED"), 10, 64)
+	if err != nil {
+		seed = uint64(time.Now().UnixNano())
+	}
+	for end := time.Now().Add(time.Duration(seconds) * time.Second); time.Now().Before(end); seed++ {
 		t.Logf("seed %d", seed)
 		if fault := runCuts(t, seed, cases, faults{}); fault != "" {
 			t.Fatal(fault)
