entry: choose the polled endpoints once for each configuration

Cause: an idle entry before 890 engines used 2.8% of a core; a profile showed 46% of it in sorting the endpoints for each poll. Change: sort once for each configuration, hash each name once. Conclusion: the rest is the polls themselves.

--- a/internal/coordination/entry/loops.go
+++ b/internal/coordination/entry/loops.go
@@ -230,18 +230,24 @@
 	if len(endpoints) <= maxPolled {
 		return endpoints
 	}
-	weight := func(e *statev1.Endpoint) uint64 { return xxhash.Sum64String(s.config.VM + "\x00" + e.Name) }
-	slices.SortFunc(endpoints, func(a, b *statev1.Endpoint) int { return cmp.Compare(weight(b), weight(a)) })
+	weight := make(map[string]uint64, len(endpoints))
+	for _, e := range endpoints {
+		weight[e.Name] = xxhash.Sum64String(s.config.VM + "\x00" + e.Name)
+	}
+	slices.SortFunc(endpoints, func(a, b *statev1.Endpoint) int { return cmp.Compare(weight[b.Name], weight[a.Name]) })
 	return endpoints[:maxPolled]
 }
 
 // pollReports asks one endpoint after the other for its load.
 func (s *Server) pollReports(ctx context.Context) {
 	slots := make(chan struct{}, pollers)
+	var endpoints []*statev1.Endpoint
+	var chosenFrom *config.Index
 	for turn := 0; ; turn++ {
-		var endpoints []*statev1.Endpoint
-		if index := s.replica.Index(); index != nil {
+		// Sorting 890 endpoints for each poll took half of an idle entry's time.
+		if index := s.replica.Index(); index != chosenFrom {
 			endpoints = s.polled(index)
+			chosenFrom = index
 		}
 		select {
 		case <-time.After(s.pollPause(len(endpoints))):
