e2e, controlbench: take ports below the range of outgoing connections

Cause: a run of controlbench stopped at its start now and then, and the same may be behind the one timeout of the shutdown test: a freed port of the ephemeral range can go to an outgoing connection of another test. Change: listen.FreeAddress gives ports from 20000 on. Conclusion: kept under watch.

--- a/internal/controlbench/fleet.go
+++ b/internal/controlbench/fleet.go
@@ -16,6 +16,7 @@
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/protocol/peerrpc"
 	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/standin/listen"
 )
 
 const (
@@ -69,15 +70,6 @@
 	return n, err
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // startFleet starts n control VMs and waits until all of them vote.
 func startFleet(daemon string, n int) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "controlbench")
@@ -105,7 +97,7 @@
 func newVM(name string, control bool) (*vm, error) {
 	v := &vm{name: name, control: control}
 	for _, a := range []*string{&v.caller, &v.admin, &v.peer} {
-		address, err := freeAddress()
+		address, err := listen.FreeAddress()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +21,7 @@
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	standinengine "github.com/radishloom/radishloom/internal/standin/engine"
+	"github.com/radishloom/radishloom/internal/standin/listen"
 	"github.com/radishloom/radishloom/internal/standin/service"
 )
 
@@ -75,12 +75,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := listen.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // startFleet starts n daemons, all with the control role, and applies a
