control: let a learner that crashed early finish its repair

Change: it asks once its log names it. The simulated fleet fails syncs; tests of servers repeat calls across elections and remove a leader.

--- a/internal/coordination/control/join.go
+++ b/internal/coordination/control/join.go
@@ -108,13 +108,15 @@
 // member that it replaces is gone.
 func (s *Server) joinFleet(ctx context.Context) {
 	for {
-		joined, err := ask(ctx, s, noLeader("stopped"), func(done func(bool, error)) {
-			done(s.loop.removed || s.loop.joined(), nil)
+		joined, mayAsk := false, false
+		_, err := ask(ctx, s, noLeader("stopped"), func(done func(struct{}, error)) {
+			joined, mayAsk = s.loop.joined(), s.loop.mayAsk()
+			done(struct{}{}, nil)
 		})
 		if err == nil && joined {
 			return
 		}
-		if err == nil {
+		if err == nil && mayAsk {
 			s.askPeers(ctx)
 		}
 		if !s.pause(ctx, joinInterval) {
--- a/internal/coordination/control/loop.go
+++ b/internal/coordination/control/loop.go
@@ -49,7 +49,7 @@
 	// hasLog says that the folder held a log when it was opened.
 	hasLog bool
 	// removed says that the log, when it was opened, was that of a fleet to which
-	// this member no longer belongs. It does not ask to join again.
+	// this member does not belong.
 	removed bool
 
 	status raft.Status
--- a/internal/coordination/control/membership.go
+++ b/internal/coordination/control/membership.go
@@ -121,6 +121,13 @@
 	return s.MembershipIndex <= s.Commit && nextChange(s.Membership, l.member, replacedBy(s.Membership, r)) == nil
 }
 
+// mayAsk reports whether this member asks to join. A member whose log, when it
+// was opened, was that of a fleet without it has left that fleet, unless the log
+// goes on to name it: then it was opened before the learner had all of it.
+func (l *loop) mayAsk() bool {
+	return !l.removed || findMember(l.core.Status().Membership, l.member.GetId()) != nil
+}
+
 // learnContacts remembers the members that a JoinResponse names.
 func (l *loop) learnContacts(m *statev1.Membership) {
 	for _, x := range m.GetMembers() {
