entry: do not send when the caller left or the deadline passed on the way

Cause: a request that got its tokens or endpoint at the instant its caller left was still sent, and a non-idempotent one could not be stopped any more. A reservation for a request that ran elsewhere as a probe stayed until its deadline. Change: the context is checked right before the send; reservations are dropped whenever their request leaves the queue.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -43,6 +43,9 @@
 	if err == nil && stored == nil {
 		err = s.recheck(c)
 	}
+	if err == nil && stored == nil {
+		err = inTime(ctx)
+	}
 	if err != nil || stored != nil {
 		s.schedule.release(ticket, wait, routing.Neutral, c.route.Name, 0, 0)
 		if err != nil {
@@ -65,6 +68,20 @@
 	return err
 }
 
+// inTime refuses a send whose caller left, or whose deadline passed, while the
+// request was on its way here. A non-idempotent call could not be stopped any
+// more.
+func inTime(ctx context.Context) error {
+	switch ctx.Err() {
+	case nil:
+		return nil
+	case context.Canceled:
+		return resultcode.New(resultcode.CallerGone, "the caller left before the request was sent")
+	default:
+		return resultcode.New(resultcode.DeadlineTooClose, "the deadline passed before the request was sent")
+	}
+}
+
 // sendContext is that of the caller and the deadline, except for a
 // non-idempotent call, which runs to its end.
 func (s *Server) sendContext(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
--- a/internal/coordination/entry/scheduler.go
+++ b/internal/coordination/entry/scheduler.go
@@ -150,7 +150,7 @@
 func (s *scheduler) finish(w *waiter, a assignment) {
 	w.queued = false
 	s.pools[w.pool].count(w, -1)
-	if w.query.Alone && a.ticket == nil {
+	if w.query.Alone {
 		s.table.Forget(w.query.Group, w.query.ID)
 	}
 	w.assigned <- a
