placement: test the owner, wire it into the daemon, compare baselines

Cause: the owner had no test, the daemon did not start it, and the planner's benefit was not measured.

Change: tests drive two owners that take turns over the real state machine with failing engines; the daemon runs an Owner beside the control role (internal/daemon/placement.go) and passes it the entries' demand.

Faults found on the way: - Residency was published on every tick: reflect.DeepEqual saw the cached sizes that marshalling leaves in a message. proto.Equal ends this.

Proof: `go test -race ./internal/coordination/placement` passes in 40 s.

--- a/internal/coordination/placement/evict.go
+++ b/internal/coordination/placement/evict.go
@@ -14,6 +14,7 @@
 	// moves are copies in out that have to be loaded elsewhere first.
 	moves []*copyState
 	cost  float64
+	loss  slotSums
 }
 
 // continueFreeing goes on with a reservation: it drains what has become
@@ -87,9 +88,11 @@
 	}
 }
 
-// option is a copy that may go, and the slots of demand that this costs.
+// option is a copy that may go, the slots of demand that this costs, and what
+// it costs in all.
 type option struct {
 	c    *copyState
+	loss slotSums
 	cost float64
 	move bool
 }
@@ -108,9 +111,10 @@
 			out = append(out, option{c: c}) // the new version takes its place
 		case m == n.model:
 		case r.removable(c) && !(young && n.class == classReplica):
-			out = append(out, option{c: c, cost: m.loss(c)})
+			loss := m.loss(c)
+			out = append(out, option{c: c, loss: loss, cost: loss.mean()})
 		case n.class != classReplica && r.movable(m, e):
-			out = append(out, option{c, moveCost + m.slots, true})
+			out = append(out, option{c: c, cost: moveCost + m.slots, move: true})
 		}
 	}
 	return out
@@ -136,6 +140,9 @@
 		missing -= int64(o.c.memoryMB)
 		x.out = append(x.out, o.c)
 		x.cost += o.cost
+		for i := range x.loss {
+			x.loss[i] += o.loss[i]
+		}
 		if o.move {
 			x.moves = append(x.moves, o.c)
 		}
@@ -154,11 +161,11 @@
 
 // worth weighs the gain of a replica against what the evicted copies served.
 func (r *run) worth(n need, x *eviction) bool {
-	spare := x.engine.spare()
+	var freed float64
 	for _, c := range x.out {
-		spare += c.share
+		freed += c.share
 	}
-	return min(n.gain, spare)-x.cost >= 2*minGain
+	return x.engine.gain(n.unmet, freed)-x.loss.mean() >= 2*minGain
 }
 
 // movable reports whether another copy of the model is on its way already, or
--- a/internal/coordination/placement/needs.go
+++ b/internal/coordination/placement/needs.go
@@ -14,6 +14,7 @@
 	classAbsent         // no copy
 	classFew            // fewer copies than the minimum, or none of the new version
 	classReplica        // unmet demand
+	classFill           // a copy that a burst would need
 )
 
 // need is a copy that is missing.
@@ -21,6 +22,7 @@
 	model *modelState
 	class int
 	gain  float64
+	unmet slotSums
 	// only, if set, is the engine that has to hold the copy.
 	only *engineState
 }
@@ -73,17 +75,20 @@
 	case have < m.min(), current < m.min():
 		return need{model: m, class: classFew, gain: awaited}, true
 	}
-	gain := m.unmet()
+	unmet := m.unmet()
 	for _, c := range m.copies {
 		// An old copy that is still needed is replaced by one more new copy.
 		if !m.current(c) && c.secure() {
-			gain = max(gain, m.loss(c))
+			for i, lost := range m.loss(c) {
+				unmet[i] = max(unmet[i], lost)
+			}
 		}
 	}
 	if r.faults.restless {
-		gain = max(gain, 2*minGain+1)
+		unmet = slotSums{2, 2}
 	}
-	return need{model: m, class: classReplica, gain: gain}, gain >= minGain
+	n := need{model: m, class: classReplica, gain: unmet.mean(), unmet: unmet}
+	return n, n.gain >= minGain
 }
 
 // pinnedNeeds are the pinned models that a live engine does not hold.
@@ -202,7 +207,7 @@
 		if !r.able(e, n) || r.room(e, n.model) < e.extra(n.model) || r.outdated(e, n.model) != nil {
 			continue
 		}
-		if n.class == classReplica && min(n.gain, e.spare()) < minGain {
+		if n.class == classReplica && e.gain(n.unmet, 0) < minGain {
 			continue
 		}
 		if s := r.score(e, n.model); best == nil || s.less(bestScore) {
--- a/internal/coordination/placement/owner.go
+++ b/internal/coordination/placement/owner.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"log/slog"
-	"reflect"
 	"slices"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
@@ -165,7 +165,7 @@
 	o.issue(ctx, plan.Orders)
 	if !slices.Equal(o.blocked, plan.Blocked) {
 		o.blocked = plan.Blocked
-		o.cfg.Logger.Warn("placement: models that no memory can be found for now", "models", plan.Blocked)
+		o.cfg.Logger.Warn("placement: models that cannot get the copies they need now", "models", plan.Blocked)
 	}
 	if len(v.Config.GetEndpoints()) > largeFleet {
 		return tickIntervalLarge
@@ -316,7 +316,8 @@
 }
 
 func (o *Owner) publish(ctx context.Context, list []*peerv1.EndpointResidency) {
-	if o.published != nil && reflect.DeepEqual(o.published, list) {
+	same := func(a, b *peerv1.EndpointResidency) bool { return proto.Equal(a, b) }
+	if list == nil || slices.EqualFunc(o.published, list, same) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/coordination/placement/planner.go
+++ b/internal/coordination/placement/planner.go
@@ -71,9 +71,11 @@
 
 // Plan is the result of one run of the planner.
 type Plan struct {
-	Orders    []Order
+	Orders []Order
+	// Residency is nil until the engines have had time to report to a new owner;
+	// what was published before stays in force.
 	Residency []*peerv1.EndpointResidency
-	// Blocked names the models that no memory can be found for.
+	// Blocked names the models whose least copies no engine can take now.
 	Blocked []string
 	// Unmet is the demand without slots, in requests at once.
 	Unmet float64
@@ -152,12 +154,14 @@
 			r.serve(n)
 		}
 		r.releaseUnwanted()
+		r.fill()
 		r.retire()
 		r.unload()
+		r.publish()
+		slices.Sort(r.plan.Blocked)
 	}
-	r.publish()
 	for _, m := range r.models {
-		r.plan.Unmet += m.unmet()
+		r.plan.Unmet += m.unmet()[1]
 	}
 	return &r.plan
 }
@@ -322,7 +326,7 @@
 			continue
 		}
 		for _, c := range m.copies {
-			if !m.current(c) && c.stays() && r.removable(c) && m.loss(c) < minGain {
+			if !m.current(c) && c.stays() && r.removable(c) && m.loss(c).mean() < minGain {
 				r.drain(c, "")
 				break
 			}
--- a/internal/coordination/placement/state.go
+++ b/internal/coordination/placement/state.go
@@ -60,8 +60,33 @@
 func (e *engineState) name() string { return e.cfg.GetName() }
 func (e *engineState) usable() bool { return e.live && !e.leaving }
 
+// slotSums are numbers of slots at two levels of use. At usableShare an engine
+// has room for bursts; at the full level demand finds no slot. Both count, so
+// that a fleet without room for bursts still spreads what exceeds its engines.
+type slotSums [2]float64
+
+func levels() slotSums { return slotSums{usableShare, 1} }
+
+func (s slotSums) mean() float64 { return (s[0] + s[1]) / 2 }
+
 // spare is the part of the engine's slots that more demand may use.
-func (e *engineState) spare() float64 { return usableShare*e.slots - e.load }
+func (e *engineState) spare() slotSums {
+	var out slotSums
+	for i, level := range levels() {
+		out[i] = max(0, level*e.slots-e.load)
+	}
+	return out
+}
+
+// gain is the part of unmet demand that a copy on an engine would serve there if
+// freed slots of it were given up by other models.
+func (e *engineState) gain(unmet slotSums, freed float64) float64 {
+	var out slotSums
+	for i, level := range levels() {
+		out[i] = min(unmet[i], max(0, level*e.slots-e.load+freed))
+	}
+	return out.mean()
+}
 
 func (e *engineState) holds(model string) bool {
 	return slices.ContainsFunc(e.copies, func(c *copyState) bool { return c.key.model == model })
@@ -289,23 +314,35 @@
 }
 
 // unmet is the part of a model's demand that its copies have no slots for.
-func (m *modelState) unmet() float64 {
-	var unmet float64
+func (m *modelState) unmet() slotSums {
+	var out slotSums
 	for _, c := range m.copies {
-		if room := usableShare * c.engine.slots; c.share > 0 && c.engine.load > room {
-			unmet += c.share * (1 - room/c.engine.load)
+		for i, served := range c.served() {
+			out[i] += c.share - served
 		}
 	}
-	return unmet
+	return out
+}
+
+// served is the part of a copy's share that has slots.
+func (c *copyState) served() slotSums {
+	var out slotSums
+	for i, level := range levels() {
+		out[i] = c.share * min(1, level*c.engine.slots/max(c.engine.load, 1e-9))
+	}
+	return out
 }
 
 // loss is the demand that would lose its slots without a copy.
-func (m *modelState) loss(gone *copyState) float64 {
-	rest := gone.share
+func (m *modelState) loss(gone *copyState) slotSums {
+	out := gone.served()
 	for _, c := range m.copies {
-		if c != gone && c.counts() && !c.loading {
-			rest -= max(0, c.engine.spare())
+		if c == gone || !c.counts() || c.loading {
+			continue
+		}
+		for i, spare := range c.engine.spare() {
+			out[i] = max(0, out[i]-spare)
 		}
 	}
-	return max(0, rest)
+	return out
 }
--- a/internal/coordination/placement/world_test.go
+++ b/internal/coordination/placement/world_test.go
@@ -13,8 +13,7 @@
 )
 
 const (
-	stepMs     = 500
-	loadTimeMs = 2_000
+	stepMs = 500
 	// recentMs covers what the owner cannot know yet about a crash: the lag of a
 	// report, the time to the next one, and the lifetime of an order on its way.
 	recentMs = reportLagMs + LifetimeMs + 5_000
@@ -59,9 +58,11 @@
 	fail     func(format string, args ...any)
 	machine  *fleet.Machine
 	planner  *Planner
+	decide   func(v *View) *Plan
 	token    uint64
 	index    uint64
 	now      uint64 // real time
+	loadMs   uint64
 	behind   uint64 // how far fleet time is behind
 	engines  []*simEngine
 	models   []*statev1.Model
@@ -83,10 +84,11 @@
 
 func newWorld(fail func(string, ...any), pick func(int) int) *world {
 	w := &world{
-		fail: fail, pick: pick, machine: fleet.New(), planner: NewPlanner(), now: 10_000,
+		fail: fail, pick: pick, machine: fleet.New(), planner: NewPlanner(), now: 10_000, loadMs: 2_000,
 		reports: map[string]Report{}, demand: map[string]Demand{}, crashed: map[string]uint64{},
 		listed: map[copyKey]uint64{}, observed: map[string]uint64{},
 	}
+	w.decide = func(v *View) *Plan { return w.planner.Plan(v) }
 	w.lossy = func(percent int) bool { return w.faulty && w.pick(100) < percent }
 	return w
 }
@@ -188,7 +190,7 @@
 			}}})
 		}
 	}
-	w.lastPlan = w.planner.Plan(w.view())
+	w.lastPlan = w.decide(w.view())
 	for _, e := range w.lastPlan.Residency {
 		for _, m := range e.GetReadyModels() {
 			w.listed[copyKey{engine: e.GetEndpoint(), model: m}] = w.now
@@ -261,13 +263,10 @@
 }
 
 func (w *world) checkPinned(o Order) {
-	for _, e := range w.engines {
-		for _, m := range w.models {
-			pinned := e.cfg.GetName() == o.Endpoint && slices.Contains(e.cfg.GetPinnedModels(), o.Model)
-			if pinned && m.GetName() == o.Model && m.GetVersion() == o.Version {
-				w.fail("%s is pinned to %s and is ordered away", o.Model, o.Endpoint)
-			}
-		}
+	e := slices.IndexFunc(w.engines, func(e *simEngine) bool { return e.cfg.GetName() == o.Endpoint })
+	m := slices.IndexFunc(w.models, func(m *statev1.Model) bool { return m.GetName() == o.Model && m.GetVersion() == o.Version })
+	if e >= 0 && m >= 0 && slices.Contains(w.engines[e].cfg.GetPinnedModels(), o.Model) {
+		w.fail("%s is pinned to %s and is ordered away", o.Model, o.Endpoint)
 	}
 }
 
@@ -305,8 +304,8 @@
 	case m.order.GetKind() == statev1.OrderKind_ORDER_KIND_UNLOAD_MODEL:
 		w.remove(e, key)
 	case e.copies[key] == nil:
-		e.copies[key] = &simCopy{memory: m.order.GetMemoryMb(), readyAt: w.now + loadTimeMs, repeat: m.repeat || e.seen[m.id], order: m.id}
-		answer.at = w.now + loadTimeMs
+		e.copies[key] = &simCopy{memory: m.order.GetMemoryMb(), readyAt: w.now + w.loadMs, repeat: m.repeat || e.seen[m.id], order: m.id}
+		answer.at = w.now + w.loadMs
 	}
 	e.seen[m.id] = true
 	e.highest = max(e.highest, m.order.GetFencingToken())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/coordination/control"
 	"github.com/radishloom/radishloom/internal/coordination/entry"
+	"github.com/radishloom/radishloom/internal/coordination/placement"
 	"github.com/radishloom/radishloom/internal/coordination/replica"
 	"github.com/radishloom/radishloom/internal/protocol/adminrpc"
 	"github.com/radishloom/radishloom/internal/protocol/enginehttp"
@@ -53,6 +54,8 @@
 	replica   *replica.Replica
 	entry     *entry.Server
 	client    *httpclient.Client
+	placement *placement.Owner   // nil without the control role
+	orders    *httpclient.Client // nil without the control role
 
 	peer    *httpserver.Server // nil without the control role
 	caller  *httpserver.Server
@@ -92,6 +95,7 @@
 	if err != nil {
 		return fmt.Errorf("start the control role: %w", err)
 	}
+	d.buildPlacement()
 	addresses := preferred(d.settings.Control.Address, d.settings.ControlVMs)
 	d.calls = peerrpc.NewFleet(d.transport, d.control, addresses)
 	d.peer, err = httpserver.New(httpserver.Config{
@@ -112,6 +116,7 @@
 		Member:    member,
 		Bootstrap: c.Bootstrap,
 		Transport: d.transport,
+		Demand:    d.takeDemand,
 		Metrics: controlMetrics{
 			metrics: d.metrics, log: d.log, self: func() uint64 { return member.GetId() },
 		},
@@ -266,6 +271,7 @@
 	loops.Go(func() { d.must("replica", d.replica.Run(parts)) })
 	loops.Go(func() { d.must("entry", d.entry.Run(parts)) })
 	loops.Go(func() { d.gauges(parts) })
+	loops.Go(func() { d.runPlacement(parts) })
 
 	app := d.newApp(ctx)
 	var failure error
