bench: measure decisions under load and faults

Round robin, least-loaded choice and first-in first-out admission are behind entry.Config.Baseline for comparison.

--- /dev/null
+++ b/internal/bench/fleet.go
@@ -0,0 +1,309 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/coordination/control"
+	"github.com/radishloom/radishloom/internal/coordination/entry"
+	coordreplica "github.com/radishloom/radishloom/internal/coordination/replica"
+	"github.com/radishloom/radishloom/internal/protocol/enginehttp"
+	"github.com/radishloom/radishloom/internal/protocol/inference"
+	"github.com/radishloom/radishloom/internal/protocol/servicehttp"
+	standinengine "github.com/radishloom/radishloom/internal/standin/engine"
+	standinservice "github.com/radishloom/radishloom/internal/standin/service"
+	"github.com/radishloom/radishloom/internal/state/config"
+	"github.com/radishloom/radishloom/internal/state/wal"
+	"github.com/radishloom/radishloom/internal/transport/httpclient"
+	"github.com/radishloom/radishloom/internal/transport/httpserver"
+)
+
+const (
+	startTimeout = 20 * time.Second
+	startPause   = 20 * time.Millisecond
+)
+
+var errUnreachable = errors.New("there is one control VM")
+
+// alone is the transport of the only control server.
+type alone struct{}
+
+func (alone) Send(*statev1.Member, []*statev1.Message) {}
+
+func (alone) Propose(context.Context, *statev1.Member, *peerv1.ProposeRequest) (*peerv1.ProposeResponse, error) {
+	return nil, errUnreachable
+}
+
+func (alone) Sync(context.Context, *statev1.Member, *peerv1.SyncRequest) (*peerv1.SyncResponse, error) {
+	return nil, errUnreachable
+}
+
+func (alone) Join(context.Context, *statev1.Member, *peerv1.JoinRequest) (*peerv1.JoinResponse, error) {
+	return nil, errUnreachable
+}
+
+// direct calls the control server in this process. Messages are copied, as a
+// connection would do.
+type direct struct {
+	control *control.Server
+	lost    atomic.Bool
+}
+
+// Propose implements replica.Fleet.
+func (d *direct) Propose(ctx context.Context, c *statev1.Command) (*statev1.Result, error) {
+	if d.lost.Load() {
+		return nil, errUnreachable
+	}
+	resp, err := d.control.Propose(ctx, &peerv1.ProposeRequest{Command: proto.CloneOf(c)})
+	return proto.CloneOf(resp.GetResult()), err
+}
+
+// Sync implements replica.Fleet.
+func (d *direct) Sync(ctx context.Context, r *peerv1.SyncRequest) (*peerv1.SyncResponse, error) {
+	if d.lost.Load() {
+		return nil, errUnreachable
+	}
+	resp, err := d.control.Sync(ctx, proto.CloneOf(r))
+	return proto.CloneOf(resp), err
+}
+
+// vm is one entry VM.
+type vm struct {
+	address string
+	entry   *entry.Server
+	fleet   *direct
+	client  *httpclient.Client
+	server  *httpserver.Server
+	cancel  context.CancelFunc
+	ended   chan struct{}
+	lost    atomic.Bool
+}
+
+// fleet is a whole deployment in this process.
+type fleet struct {
+	d        Deployment
+	engines  []*standinengine.Engine
+	services []*standinservice.Service
+	vms      []*vm
+	keys     []string
+	control  *control.Server
+	stop     []func() // in the order of the starts
+}
+
+// startFleet returns once every entry is ready. Close must be called in any
+// case.
+func startFleet(d Deployment, t traffic, p *probe, seed uint64, baseline entry.Baseline) (*fleet, error) {
+	f := &fleet{d: d}
+	for _, step := range []func() error{
+		f.startControl, f.startEngines, f.startServices,
+		func() error { return f.configure(t.rate, baseline) },
+	} {
+		if err := step(); err != nil {
+			return f, err
+		}
+	}
+	for i := range entries {
+		v, err := startVM(i, d.dataCentre(i), f.control, p, seed+uint64(i), baseline)
+		if err != nil {
+			return f, err
+		}
+		f.vms = append(f.vms, v)
+	}
+	return f, await("ready entries", func() bool {
+		for _, v := range f.vms {
+			if !v.entry.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func await(what string, done func() bool) error {
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(startPause) {
+		if done() {
+			return nil
+		}
+	}
+	return fmt.Errorf("timed out: %s", what)
+}
+
+func (f *fleet) close() {
+	for _, v := range f.vms {
+		v.close()
+	}
+	for i := len(f.stop) - 1; i >= 0; i-- {
+		f.stop[i]()
+	}
+}
+
+func (f *fleet) startControl() error {
+	dir, err := os.MkdirTemp("", "radishloom-bench")
+	if err != nil {
+		return err
+	}
+	f.stop = append(f.stop, func() { _ = os.RemoveAll(dir) })
+	member := &statev1.Member{Vm: "control", Address: "127.0.0.1:1"}
+	f.control, err = control.New(control.Config{
+		Dir: dir, FS: wal.OS{}, Member: member, Peers: []*statev1.Member{member}, Bootstrap: true, Transport: alone{},
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = f.control.Run(ctx) }()
+	f.stop = append(f.stop, func() { cancel(); <-ended })
+	return nil
+}
+
+func (f *fleet) startEngines() error {
+	for _, held := range f.d.residency() {
+		c := standinengine.Config{
+			MemoryMB: modelsPerEngine * modelMemoryMB, Slots: slots, TokenTime: tokenTime, BatchSlowdown: batchSlowdown,
+			PromptTokenTime: promptTokenTime, AdapterLoadTime: f.d.AdapterLoad, ReportLag: reportLag, CacheLag: cacheLag,
+			RestartAfter: restartAfter,
+		}
+		for _, m := range held {
+			c.Resident = append(c.Resident, modelName(m))
+			c.Models = append(c.Models, standinengine.Model{
+				Name: modelName(m), Version: "1", MemoryMB: modelMemoryMB, Adapters: f.d.adaptersOf(m),
+			})
+		}
+		e, err := standinengine.Start("127.0.0.1:0", c)
+		if err != nil {
+			return err
+		}
+		e.SetFaults(standinengine.Faults{CrashMark: poisonMark})
+		f.engines = append(f.engines, e)
+		f.stop = append(f.stop, e.Close)
+	}
+	return nil
+}
+
+func (f *fleet) startServices() error {
+	for range f.d.Pooled {
+		s, err := standinservice.Start("127.0.0.1:0", standinservice.Config{Slots: serviceSlots, RestartAfter: restartAfter})
+		if err != nil {
+			return err
+		}
+		s.SetFaults(standinservice.Faults{Delay: serviceTime})
+		f.services = append(f.services, s)
+		f.stop = append(f.stop, s.Close)
+	}
+	return nil
+}
+
+func (f *fleet) configure(rate float64, baseline entry.Baseline) error {
+	var keys []*statev1.Key
+	for c := range customers() {
+		secret, key, err := config.NewKey(keyBytes{byte(c + 1)}, customerName(c), "")
+		if err != nil {
+			return err
+		}
+		f.keys, keys = append(f.keys, secret), append(keys, key)
+	}
+	document := f.d.document(addresses(f.engines), addresses(f.services), keys, rate, baseline)
+	command := &statev1.Command{RequestId: "bench", Author: "bench", Op: &statev1.Command_ConfigChange{
+		ConfigChange: &statev1.ConfigChange{Replace: document},
+	}}
+	calls := &direct{control: f.control}
+	var refused error
+	err := await("a leader", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		result, err := calls.Propose(ctx, command)
+		if err == nil && result.GetCode() != 0 {
+			refused = fmt.Errorf("configuration refused: %v", result)
+		}
+		return err == nil
+	})
+	return errors.Join(err, refused)
+}
+
+// keyBytes is the fixed source of a customer's key: callers and fleet are one
+// process, and a run shall not depend on anything but its seed.
+type keyBytes struct{ b byte }
+
+// Read implements io.Reader.
+func (k keyBytes) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = k.b
+	}
+	return len(p), nil
+}
+
+func addresses[T interface{ Addr() string }](servers []T) []string {
+	var out []string
+	for _, s := range servers {
+		out = append(out, s.Addr())
+	}
+	return out
+}
+
+func startVM(i int, dataCentre string, c *control.Server, p *probe, seed uint64, baseline entry.Baseline) (*vm, error) {
+	v := &vm{fleet: &direct{control: c}, client: httpclient.New(httpclient.Options{}), ended: make(chan struct{})}
+	name := fmt.Sprintf("vm-%d", i)
+	quiet := slog.New(slog.DiscardHandler)
+	state := coordreplica.New(coordreplica.Config{VM: name, DataCentre: dataCentre, Fleet: v.fleet})
+	var err error
+	v.entry, err = entry.New(entry.Config{
+		VM: name, DataCentre: dataCentre, Engine: engines{enginehttp.New(v.client), p}, Service: servicehttp.New(v.client),
+		Replica: replica{state, p}, Seed: seed, Baseline: baseline,
+	})
+	if err != nil {
+		return nil, err
+	}
+	v.server, err = httpserver.New(httpserver.Config{
+		Address: "127.0.0.1:0", Logger: quiet, Ready: v.entry.Ready,
+		Handler: inference.New(inference.Options{
+			Server: v.entry, Fresh: state.Fresh, Logger: quiet,
+			Routes: func() inference.Routes {
+				if index := state.Index(); index != nil {
+					return index
+				}
+				return nil
+			},
+		}),
+	})
+	if err != nil {
+		return nil, err
+	}
+	v.address = v.server.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	v.cancel = cancel
+	go func() { _ = v.server.Start(ctx) }()
+	go func() {
+		defer close(v.ended)
+		done := make(chan struct{})
+		go func() { defer close(done); _ = state.Run(ctx) }()
+		_ = v.entry.Run(ctx)
+		<-done
+	}()
+	return v, nil
+}
+
+// lose ends the VM without a word to the control role.
+func (v *vm) lose() {
+	v.lost.Store(true)
+	v.fleet.lost.Store(true)
+	v.close()
+}
+
+func (v *vm) close() {
+	at, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = v.server.Stop(at)
+	v.cancel()
+	<-v.ended
+	v.client.Close()
+}
--- /dev/null
+++ b/internal/bench/traffic_test.go
@@ -0,0 +1,73 @@
+package bench
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/radishloom/radishloom/internal/coordination/entry"
+	"github.com/radishloom/radishloom/internal/state/config"
+
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+)
+
+// Guards against runs that differ in more than what they compare, and against
+// customers that count as within their rate when they are not.
+func TestTraffic(t *testing.T) {
+	const length = 9 * time.Second
+	for _, s := range Scenarios() {
+		a, b := newTraffic(Lima(), s, length, 7), newTraffic(Lima(), s, length, 7)
+		if !reflect.DeepEqual(a, b) {
+			t.Errorf("%s: the same seed gave different traffic", s)
+		}
+		if reflect.DeepEqual(a, newTraffic(Lima(), s, length, 8)) {
+			t.Errorf("%s: another seed gave the same traffic", s)
+		}
+		tokens := make([]float64, len(customers()))
+		for _, r := range a.requests {
+			if r.inside && r.kind == modelRequest {
+				tokens[r.customer] += float64(r.prompt + r.tokens)
+			}
+		}
+		for c, share := range customers() {
+			if limit := share * a.rate * (length.Seconds() + burstSeconds); tokens[c] > limit {
+				t.Errorf("%s: %s has %v tokens within its rate, which allows %v", s, customerName(c), tokens[c], limit)
+			}
+		}
+	}
+}
+
+// Guards against deployments that the fleet would refuse, and models without a
+// second copy to retry on.
+func TestDeployments(t *testing.T) {
+	for _, d := range []Deployment{North(), Lima()} {
+		addresses := make([]string, d.Engines+d.Pooled)
+		for i := range addresses {
+			addresses[i] = fmt.Sprint("127.0.0.1:", i+1)
+		}
+		var keys []*statev1.Key
+		for c := range customers() {
+			_, key, err := config.NewKey(keyBytes{byte(c + 1)}, customerName(c), "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			keys = append(keys, key)
+		}
+		if faults := config.Validate(d.document(addresses, addresses[d.Engines:], keys, 1000, entry.Baseline{})); len(faults) > 0 {
+			t.Errorf("%s: %v", d.Name, faults)
+		}
+		for m := range d.Models {
+			copies := 0
+			for _, held := range d.residency() {
+				if slices.Contains(held, m) {
+					copies++
+				}
+			}
+			if copies < 2 {
+				t.Errorf("%s: %s has %d copies", d.Name, modelName(m), copies)
+			}
+		}
+	}
+}
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -32,6 +32,7 @@
 	Value any
 
 	seq     uint64
+	due     time.Duration // order within a lane; zero in a queue in order of arrival
 	flow    *flow
 	element *list.Element // in flow.arrivals
 	order   int           // position in the heap of the lane
@@ -78,8 +79,14 @@
 	// unfair makes the order first come, first served. Tests set it to show
 	// that they detect an unfair queue.
 	unfair bool
+	// arrival also ignores deadlines within one customer.
+	arrival bool
 }
 
+// OrderByArrival makes an empty queue first in, first out within each priority.
+// It is the baseline of the bench program.
+func (q *Queue) OrderByArrival() { q.unfair, q.arrival = true, true }
+
 // NewQueue returns a queue of at most limit items.
 func NewQueue(limit int) *Queue {
 	return &Queue{limit: limit, classes: make(map[string][]*level)}
@@ -123,6 +130,9 @@
 func (q *Queue) insert(it *Item) {
 	q.seq++
 	it.seq = q.seq
+	if !q.arrival {
+		it.due = it.LatestStart
+	}
 	s := q.share(it.Priority)
 	f := s.flows[it.Customer]
 	if f == nil {
@@ -260,13 +270,13 @@
 	return out
 }
 
-// itemHeap orders the items of one lane by latest start.
+// itemHeap orders the items of one lane by latest start, or by arrival.
 type itemHeap []*Item
 
 func (h itemHeap) Len() int { return len(h) }
 func (h itemHeap) Less(i, j int) bool {
-	if h[i].LatestStart != h[j].LatestStart {
-		return h[i].LatestStart < h[j].LatestStart
+	if h[i].due != h[j].due {
+		return h[i].due < h[j].due
 	}
 	return h[i].seq < h[j].seq
 }
--- a/internal/coordination/entry/scheduler.go
+++ b/internal/coordination/entry/scheduler.go
@@ -28,7 +28,9 @@
 	times   *admission.ServiceTimes
 	limit   int // items in each queue
 	nextID  uint64
-	ticks   int
+	// byArrival is Baseline.ByArrival.
+	byArrival bool
+	ticks     int
 }
 
 // pool is a queue with the classes that wait in it, by group.
@@ -110,6 +112,9 @@
 	p := s.pools[w.pool]
 	if p == nil {
 		p = &pool{queue: admission.NewQueue(s.limit), classes: make(map[string]map[string]int)}
+		if s.byArrival {
+			p.queue.OrderByArrival()
+		}
 		s.pools[w.pool] = p
 	}
 	s.nextID++
--- a/internal/coordination/entry/serve.go
+++ b/internal/coordination/entry/serve.go
@@ -357,11 +357,13 @@
 	case !c.route.Idempotent:
 		w.item.Class += "\x00noprobe"
 	}
-	if !s.faults.ignoreCustomer {
+	if !s.faults.ignoreCustomer && !s.config.Baseline.ByArrival {
 		w.item.Customer = c.customerName()
 	}
 	w.item.Weight = c.customer.GetWeight()
-	w.item.Priority = c.profile.Priority
+	if !s.config.Baseline.ByArrival {
+		w.item.Priority = c.profile.Priority
+	}
 	w.item.Tokens = uint64(max(1, c.PromptTokens+c.MaxTokens))
 	w.item.LatestStart = c.deadline - s.usualTime(c)
 	return w
--- a/internal/coordination/entry/server.go
+++ b/internal/coordination/entry/server.go
@@ -41,6 +41,17 @@
 	// MaxOpen bounds the open requests of the VM, MaxQueue those that wait for
 	// an endpoint in one pool. Zero means the default.
 	MaxOpen, MaxQueue int
+	// Baseline replaces a decision by a simple rule, for comparison only.
+	Baseline Baseline
+}
+
+// Baseline is a simple rule that the bench program compares with.
+type Baseline struct {
+	// Choice is the rule for the choice of an endpoint.
+	Choice routing.Choice
+	// ByArrival admits requests first in, first out, without customers and
+	// priorities.
+	ByArrival bool
 }
 
 // Server takes requests through admission, routing and retries. It is safe for
@@ -112,6 +123,8 @@
 		start: time.Now(), incarnation: uuid.NewString(), random: lockedRandom(c.Seed),
 	}
 	s.schedule = newScheduler(s.now, s.random, c.MaxOpen, c.MaxQueue)
+	s.schedule.byArrival = c.Baseline.ByArrival
+	s.schedule.table.SetChoice(c.Baseline.Choice)
 	s.tokens = newTokens(s.now, c.Replica)
 	s.finisher = newFinisher(c.Replica)
 	s.streams.open = make(map[*call]context.CancelCauseFunc)
--- a/internal/coordination/routing/pick.go
+++ b/internal/coordination/routing/pick.go
@@ -81,6 +81,9 @@
 	if q.Alone {
 		return t.pickAlone(now, group, &q, usable)
 	}
+	if t.choice != ByScore {
+		return t.pickSimply(now, group, &q, usable)
+	}
 	a, b := t.draw(group, usable)
 	if a == nil {
 		return nil
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -112,6 +112,8 @@
 	adapterLimit int
 	adapterLoads int
 	ejected      int
+	choice       Choice
+	turn         uint64 // picks so far, for ByTurn
 
 	// careless ignores leaving and ejected. Tests set it to show that they
 	// detect it.
