--- a/internal/coordination/entry/scenario_test.go
+++ b/internal/coordination/entry/scenario_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
@@ -117,7 +117,9 @@
 			want(t, "left", code, resultcode.CallerGone)
 			_, code = w.serve(context.Background(), r)
 			want(t, "running", code, resultcode.ClaimRunning)
+			want(t, "open while draining", w.server.Drain(true), 1)
 			time.Sleep(2 * time.Second)
+			want(t, "open at the end", w.server.Drain(false), 0)
 			r.ID = name + "again"
 			_, code = w.serve(context.Background(), r)
 			want(t, "replayed", code, resultcode.OK)
@@ -179,8 +181,13 @@
 // crashes alone, and no endpoint sees it again. A leaving endpoint gets
 // nothing.
 func TestPoisonAndLeaving(t *testing.T) {
+	t.Run("crash", func(t *testing.T) { poisonAndLeaving(t, "crash") })
+	t.Run("restarts at once", func(t *testing.T) { poisonAndLeaving(t, "reset") })
+}
+
+func poisonAndLeaving(t *testing.T, fault string) {
 	bubble(t, testConfig(), func(t *testing.T, w *world) {
-		w.fakePorts.faults = []string{"crash"}
+		w.fakePorts.faults = []string{fault}
 		r := w.request("1", "read", "a", "x")
 		_, code := w.serve(context.Background(), r)
 		want(t, "crash", code, resultcode.EndpointLost)
@@ -281,8 +288,6 @@
 // Guards the service of a customer that stays within its share while another
 // one sends five times its own.
 func TestWorstShare(t *testing.T) {
-	defer flag.Set("rapid.checks", flag.Lookup("rapid.checks").Value.String())
-	_ = flag.Set("rapid.checks", "5") // each runs a minute of traffic
-	check(t, shareProperty(t, faults{}))
-	t.Run("ignoreCustomer", func(t *testing.T) { mustFail(t, shareProperty(t, faults{ignoreCustomer: true})) })
+	proptest.Check(t, 5, 1, shareProperty(t, faults{}))
+	t.Run("ignoreCustomer", func(t *testing.T) { proptest.MustFail(t, 5, 1, shareProperty(t, faults{ignoreCustomer: true})) })
 }
