--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,7 +73,7 @@
 		return nil, err
 	}
 	d := &Daemon{settings: s, version: version, log: log, metrics: metrics, failed: make(chan error, 1)}
-	for _, build := range []func() error{d.buildControl, d.buildEntry, d.buildAdmin, d.buildScrapes} {
+	for _, build := range []func() error{d.buildControl, d.buildPlacement, d.buildEntry, d.buildAdmin, d.buildScrapes} {
 		if err := build(); err != nil {
 			return nil, err
 		}
@@ -95,7 +95,6 @@
 	if err != nil {
 		return fmt.Errorf("start the control role: %w", err)
 	}
-	d.buildPlacement()
 	addresses := preferred(d.settings.Control.Address, d.settings.ControlVMs)
 	d.calls = peerrpc.NewFleet(d.transport, d.control, addresses)
 	d.peer, err = httpserver.New(httpserver.Config{
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -39,18 +39,23 @@
 
 // buildPlacement builds the owner of placement. It has its own connections, so
 // that polls and orders do not wait behind requests.
-func (d *Daemon) buildPlacement() {
+func (d *Daemon) buildPlacement() error {
 	if d.control == nil {
-		return
+		return nil
 	}
 	d.orders = httpclient.New(httpclient.Options{})
+	platform, err := platformList(d.orders, d.settings.PlatformListURL)
+	if err != nil {
+		return err
+	}
 	d.placement = placement.NewOwner(placement.Config{
 		Member:   d.control.MemberID(),
 		Control:  placementControl{d.control},
 		Engine:   enginehttp.New(d.orders),
-		Platform: platformList(d.orders, d.settings.PlatformListURL),
+		Platform: platform,
 		Logger:   d.log,
 	})
+	return nil
 }
 
 // takeDemand passes what entries report to placement, once it is built.
--- a/internal/protocol/peerrpc/transport.go
+++ b/internal/protocol/peerrpc/transport.go
@@ -34,9 +34,9 @@
 // control.Transport and is safe for concurrent use.
 type Transport struct {
 	options Options
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
 
 	mu struct {
 		sync.Mutex
