control: a learner asks to join until its log says that it votes

It took itself for removed, did not ask, and so did not know the address of the leader whose messages it received.

Change: a member whose log does not name it asks. A member that left and restarts with the settings of a control VM therefore asks again; its settings decide. The simulated fleet also suspends members. RADISHLOOM_SEED repeats the run of a seed.

--- a/internal/coordination/control/join.go
+++ b/internal/coordination/control/join.go
@@ -108,15 +108,13 @@
 // member that it replaces is gone.
 func (s *Server) joinFleet(ctx context.Context) {
 	for {
-		joined, mayAsk := false, false
-		_, err := ask(ctx, s, noLeader("stopped"), func(done func(struct{}, error)) {
-			joined, mayAsk = s.loop.joined(), s.loop.mayAsk()
-			done(struct{}{}, nil)
+		joined, err := ask(ctx, s, noLeader("stopped"), func(done func(bool, error)) {
+			done(s.loop.joined(), nil)
 		})
 		if err == nil && joined {
 			return
 		}
-		if err == nil && mayAsk {
+		if err == nil {
 			s.askPeers(ctx)
 		}
 		if !s.pause(ctx, joinInterval) {
--- a/internal/coordination/control/loop.go
+++ b/internal/coordination/control/loop.go
@@ -48,9 +48,6 @@
 	member  *statev1.Member
 	// hasLog says that the folder held a log when it was opened.
 	hasLog bool
-	// removed says that the log, when it was opened, was that of a fleet to which
-	// this member does not belong.
-	removed bool
 
 	status raft.Status
 	// applied is the index up to which the machine is; the core may be behind
@@ -107,8 +104,6 @@
 	l.hasLog = recovered.HardState != nil || recovered.Snapshot != nil || len(recovered.Entries) != 0
 	l.member = proto.CloneOf(cfg.Member)
 	l.member.Id = recovered.MemberID
-	members := l.status.Membership
-	l.removed = len(members.GetMembers()) != 0 && findMember(members, l.member.GetId()) == nil
 	if s := recovered.Snapshot; s != nil {
 		if err := l.restore(s); err != nil {
 			return nil, errors.Join(err, l.log.Close())
--- a/internal/coordination/control/loop_test.go
+++ b/internal/coordination/control/loop_test.go
@@ -35,6 +35,7 @@
 	clock  *fakeClock
 	loop   *loop
 	cut    bool
+	frozen bool // suspended: it wakes up with its old state and its mail
 }
 
 type packet struct {
@@ -139,7 +140,7 @@
 		w.deliver()
 		tick := w.now%tickInterval == 0
 		for _, v := range w.vms {
-			if v.loop == nil {
+			if v.loop == nil || v.frozen {
 				continue
 			}
 			if tick {
@@ -167,6 +168,10 @@
 	w.packets = nil
 	for _, p := range packets {
 		to := w.at(p.to)
+		if to.frozen {
+			w.packets = append(w.packets, p)
+			continue
+		}
 		switch w.rand.IntN(40) {
 		case 0:
 			continue
@@ -202,7 +207,7 @@
 		return nil
 	}
 	to := w.at(m.GetAddress())
-	if to.loop == nil || to.cut || to.loop.member.GetId() != m.GetId() {
+	if to.loop == nil || to.cut || to.frozen || to.loop.member.GetId() != m.GetId() {
 		return nil
 	}
 	return to
@@ -211,11 +216,11 @@
 // joinAll lets members that are not in the fleet yet ask whoever leads.
 func (w *world) joinAll() {
 	for _, v := range w.vms {
-		if v.loop == nil || v.cut || v.loop.joined() || !v.loop.mayAsk() {
+		if v.loop == nil || v.cut || v.frozen || v.loop.joined() {
 			continue
 		}
 		for _, peer := range w.vms {
-			if peer.loop == nil || peer.cut || !peer.loop.leading() {
+			if peer.loop == nil || peer.cut || peer.frozen || !peer.loop.leading() {
 				continue
 			}
 			joining := v.loop
@@ -282,15 +287,17 @@
 // step is one operator's call or one failure.
 func (w *world) step() {
 	v := w.vms[proptest.Choose(w.t, len(w.vms))]
-	action := proptest.Choose(w.t, 13)
+	action := proptest.Choose(w.t, 14)
 	switch {
+	case v.frozen:
+		v.frozen = false
 	case v.loop == nil:
 		w.start(v)
 	case action < 4:
 		// Two operators race on one base version, through different VMs.
 		base := v.loop.machine.Config().GetVersion()
 		w.send(v, w.newChange(base))
-		if other := w.vms[proptest.Choose(w.t, len(w.vms))]; other.loop != nil {
+		if other := w.vms[proptest.Choose(w.t, len(w.vms))]; other.loop != nil && !other.frozen {
 			w.send(other, w.newChange(base))
 		}
 	case action < 6:
@@ -305,6 +312,8 @@
 		v.cut = !v.cut
 	case action == 10:
 		v.clock.step += time.Duration(proptest.Choose(w.t, 3)-1) * time.Hour
+	case action == 13:
+		v.frozen = true
 	case action == 12:
 		v.disk.FailSync(proptest.Choose(w.t, 4))
 	case action == 11 && proptest.Choose(w.t, 3) == 0:
@@ -316,7 +325,7 @@
 // majority that loses its disks loses changes under any protocol.
 func (w *world) loseDisk(v *vm) {
 	for _, x := range w.vms {
-		if x.loop == nil || x.cut || !x.loop.joined() || len(x.loop.core.Status().Membership.GetMembers()) != simulatedVMs {
+		if x.loop == nil || x.cut || x.frozen || !x.loop.joined() || len(x.loop.core.Status().Membership.GetMembers()) != simulatedVMs {
 			return
 		}
 	}
@@ -339,7 +348,7 @@
 
 func (w *world) heal() {
 	for _, v := range w.vms {
-		v.cut = false
+		v.cut, v.frozen = false, false
 		v.disk.FailSync(1 << 30)
 		if v.loop == nil {
 			w.start(v)
@@ -380,7 +389,7 @@
 // Guards against accepted changes that are lost or revert, two winners of one
 // race, a re-sent change with another answer, stale confirmed reads, fleet time
 // that runs faster than real time, and repairs that do not finish, with kills,
-// cuts, failed syncs, lost disks and clock steps.
+// cuts, suspended members, failed syncs, lost disks and clock steps.
 func TestAcceptedChangesSurvive(t *testing.T) { proptest.Check(t, 150, 1, loopProperty(faults{})) }
 
 // Shows that the same test notices answers before the commit.
--- a/internal/coordination/control/membership.go
+++ b/internal/coordination/control/membership.go
@@ -114,20 +114,15 @@
 }
 
 // joined reports whether, according to its own log, this member votes and the
-// member that it replaces is gone.
+// member that it replaces is gone. A learner that restarts with a log that does
+// not name it yet has to ask again: only the answer tells it the addresses of
+// the others.
 func (l *loop) joined() bool {
 	s := l.core.Status()
 	r := &peerv1.JoinRequest{Member: l.member, Replaces: l.cfg.Replaces}
 	return s.MembershipIndex <= s.Commit && nextChange(s.Membership, l.member, replacedBy(s.Membership, r)) == nil
 }
 
-// mayAsk reports whether this member asks to join. A member whose log, when it
-// was opened, was that of a fleet without it has left that fleet, unless the log
-// goes on to name it: then it was opened before the learner had all of it.
-func (l *loop) mayAsk() bool {
-	return !l.removed || findMember(l.core.Status().Membership, l.member.GetId()) != nil
-}
-
 // learnContacts remembers the members that a JoinResponse names.
 func (l *loop) learnContacts(m *statev1.Membership) {
 	for _, x := range m.GetMembers() {
--- a/internal/proptest/proptest.go
+++ b/internal/proptest/proptest.go
@@ -16,8 +16,12 @@
 
 // Check checks a property with a number of runs from a fixed seed, and from
 // more seeds for as many seconds as RADISHLOOM_FUZZ_SECONDS says.
+// RADISHLOOM_SEED replaces the fixed seed, to repeat a run that failed.
 func Check(t *testing.T, runs int, seed uint64, prop func(*rapid.T)) {
 	t.Helper()
+	if given, err := strconv.ParseUint(os.Getenv("RADISHLOOM_SEED"), 10, 64); err == nil {
+		seed = given
+	}
 	configure(t, runs, seed)
 	rapid.Check(t, prop)
 	seconds, _ := strconv.Atoi(os.Getenv("RADISHLOOM_FUZZ_SECONDS"))
