--- a/internal/coordination/entry/scenario_test.go
+++ b/internal/coordination/entry/scenario_test.go
@@ -15,6 +15,7 @@
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/state/config"
 )
 
 // bubble runs a scenario without faults against a fake clock.
@@ -291,3 +292,19 @@
 	proptest.Check(t, 5, 1, shareProperty(t, faults{}))
 	t.Run("ignoreCustomer", func(t *testing.T) { proptest.MustFail(t, 5, 1, shareProperty(t, faults{ignoreCustomer: true})) })
 }
+
+// Guards the polling of a large fleet: each entry asks few endpoints, and all
+// entries together leave none out.
+func TestPolledSubset(t *testing.T) {
+	index := config.NewIndex(size{470, 890, 1}.config())
+	asked := map[string]bool{}
+	for i := range 420 {
+		s := &Server{config: Config{VM: fmt.Sprint("vm", i)}}
+		endpoints := s.polled(index)
+		want(t, "endpoints of one entry", len(endpoints), maxPolled)
+		for _, e := range endpoints {
+			asked[e.Name] = true
+		}
+	}
+	want(t, "endpoints of all entries", len(asked), 890)
+}
