--- a/internal/state/raft/broken_test.go
+++ b/internal/state/raft/broken_test.go
@@ -24,8 +24,9 @@
 	}
 }
 
-// isolatedFollower cuts off a follower, also in one direction, and requires
-// that its return leaves term and leader as they were.
+// isolatedFollower cuts off a follower from all others or from the leader only,
+// also in one direction, and requires that its return leaves term and leader as
+// they were.
 func isolatedFollower(v variant) func(*rapid.T) {
 	return func(t *rapid.T) {
 		c := drawCluster(t, rapid.IntRange(3, 5).Draw(t, "voters"), v)
@@ -35,6 +36,9 @@
 		m := c.members[(l.slot+rapid.IntRange(1, len(c.members)-1).Draw(t, "member"))%len(c.members)]
 		ways := rapid.IntRange(1, 3).Draw(t, "ways")
 		c.isolate(m, ways&1 != 0, ways&2 != 0)
+		if rapid.Bool().Draw(t, "leader only") {
+			c.cut = map[[2]int]bool{{l.slot, m.slot}: ways&1 != 0, {m.slot, l.slot}: ways&2 != 0}
+		}
 		c.run(rapid.IntRange(1, 20*electionTicks).Draw(t, "ticks"))
 		c.heal()
 		c.mustProgress(recoveryTicks)
--- a/internal/state/raft/doc.go
+++ b/internal/state/raft/doc.go
@@ -11,6 +11,11 @@
 // are allowed between Ready and Advance; a second Ready is not. Messages may be
 // lost, repeated and reordered.
 //
+// If saving fails for lack of space, the driver keeps the Ready, stops calling
+// the core as if the member were frozen, and saves the same Ready again later;
+// the other members elect a new leader meanwhile. After any other failure to
+// save, the process must stop.
+//
 // HardState is returned when term or vote changed, and also with new entries.
 // The commit index alone is never a reason for a sync: a leader tells it again
 // after a restart.
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -249,6 +249,10 @@
 	if l.failure != nil {
 		return l.failure
 	}
+	if s.GetIndex() == l.snapIndex && s.GetTerm() == l.snapTerm {
+		// A repeated call, for example after a full disk failed the next Append.
+		return nil
+	}
 	if s.GetIndex() <= l.snapIndex {
 		return fmt.Errorf("snapshot %d after snapshot %d: %w", s.GetIndex(), l.snapIndex, ErrOrder)
 	}
--- a/internal/state/wal/wal_test.go
+++ b/internal/state/wal/wal_test.go
@@ -72,6 +72,7 @@
 	must(t, l.Append(&statev1.HardState{Term: 1}, entries(1, 1, 10)))
 	must(t, l.Append(nil, entries(1, 11, 20)))
 	must(t, l.SaveSnapshot(snapshotAt(1, 15)))
+	must(t, l.SaveSnapshot(snapshotAt(1, 15)))
 	must(t, l.Append(&statev1.HardState{Term: 2}, entries(2, 18, 22)))
 	must(t, l.Close())
 	last, err := filepath.Glob(filepath.Join(dir, "*.wal"))
