--- a/internal/state/raft/broken_test.go
+++ b/internal/state/raft/broken_test.go
@@ -265,6 +265,8 @@
 		{"ReadWithoutRound", variant{faults: faults{readWithoutAcks: true}}, anyFaults, 204, "confirms a read"},
 		{"ReadWithoutRoundHistory", variant{faults: faults{readWithoutAcks: true}, historyOnly: true}, anyFaults, 375, "linearizable"},
 		{"ReadBeforeCommit", variant{faults: faults{readAnyTerm: true}}, anyFaults, 234, "confirms a read"},
+		{"PlainContexts", variant{faults: faults{plainContexts: true}}, anyFaults, 1796365931470748, "confirms a read"},
+		{"KeepReads", variant{faults: faults{keepReads: true}}, anyFaults, 1796365963472749, "confirms a read"},
 		{"ForgetVote", variant{faults: faults{forgetVote: true}}, anyFaults, 787, "has the leaders"},
 		{"TruncateOnMatch", variant{faults: faults{truncateOnMatch: true}}, anyFaults, 3940, "changed from"},
 		{"MembershipTwice", variant{faults: faults{membershipTwice: true}}, dividedMembership, 26, "changed from"},
--- a/internal/state/raft/core.go
+++ b/internal/state/raft/core.go
@@ -71,6 +71,8 @@
 	forgetVote      bool // do not save term and vote
 	truncateOnMatch bool // cut the log at each append, matching or not
 	membershipEarly bool // change the membership before an entry of the term is committed
+	plainContexts   bool // number forwarded reads from zero in each incarnation
+	keepReads       bool // keep reads when the leader changes
 	membershipTwice bool // change the membership while a change is uncommitted
 }
 
@@ -183,6 +185,9 @@
 	}
 	l.commitTo(hs.GetCommit())
 	core.reads.nextWire = uint64(c.Rand(math.MaxInt32))<<31 + uint64(c.Rand(math.MaxInt32)) + 1
+	if c.faults.plainContexts {
+		core.reads.nextWire = 0
+	}
 	core.becomeFollower(core.term, 0)
 	return core, nil
 }
--- a/internal/state/raft/election.go
+++ b/internal/state/raft/election.go
@@ -15,7 +15,7 @@
 		c.vote = 0
 	}
 	if c.leader != leader || c.role == Leader {
-		c.reads.reset()
+		c.dropReads()
 	}
 	c.role = Follower
 	c.leader = leader
@@ -35,7 +35,7 @@
 func (c *Core) preCampaign() {
 	c.role = PreCandidate
 	c.leader = 0
-	c.reads.reset()
+	c.dropReads()
 	c.votes = map[uint64]bool{c.cfg.ID: true}
 	if c.wonVotes() {
 		c.campaign(false)
@@ -47,7 +47,7 @@
 func (c *Core) campaign(forced bool) {
 	c.role = Candidate
 	c.leader = 0
-	c.reads.reset()
+	c.dropReads()
 	c.term++
 	c.vote = c.cfg.ID
 	c.votes = map[uint64]bool{c.cfg.ID: true}
--- a/internal/state/raft/leader.go
+++ b/internal/state/raft/leader.go
@@ -12,7 +12,7 @@
 	c.electionElapsed = 0
 	c.heartbeatTimer = 0
 	c.votes = nil
-	c.reads.reset()
+	c.dropReads()
 	c.progress = map[uint64]*progress{c.cfg.ID: {match: c.log.stable, next: c.log.lastIndex() + 1}}
 	c.updateProgress()
 	// Entries of earlier terms are committed together with this one.
--- a/internal/state/raft/read.go
+++ b/internal/state/raft/read.go
@@ -33,9 +33,12 @@
 	nextWire  uint64
 }
 
-// reset drops all reads; their callers ask again.
-func (q *readQueue) reset() {
-	*q = readQueue{nextWire: q.nextWire}
+// dropReads drops all reads; their callers ask again. A round of an earlier term
+// confirms nothing in a later one.
+func (c *Core) dropReads() {
+	if !c.cfg.faults.keepReads {
+		c.reads = readQueue{nextWire: c.reads.nextWire}
+	}
 }
 
 func (q *readQueue) startRound() {
