entry: try the only endpoint again on a new connection after a silence

Cause: with one endpoint in a pool, an idempotent request that met a silent open connection ended with 4004, since a retry went only to another endpoint. Change: a retry always uses a new connection, and after a silence it may go to the same endpoint if there is no other. Test: e2e TestSilentConnections silences all open connections to the only engine during three streams; all answers are whole. The fake of the entry's fuzz took any new connection for a non-idempotent request; it now goes by the request, and also demands a new connection for each of those.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -169,10 +169,14 @@
 	}
 }
 
+// freshConnection forbids the reuse of a connection that may have gone silent:
+// for requests that cannot be sent twice, and for retries.
+func (c *call) freshConnection() bool { return !c.route.Idempotent || c.retries > 0 }
+
 func (s *Server) engineRequest(c *call, a *attempt) engine.Request {
 	return engine.Request{
 		ID: a.id, Path: c.Path, Body: c.Body, Priority: c.profile.Priority, Stream: c.Stream,
-		Silence: c.silence(), FreshConnection: !c.route.Idempotent,
+		Silence: c.silence(), FreshConnection: c.freshConnection(),
 	}
 }
 
@@ -244,7 +248,7 @@
 	}
 	answer, err := s.config.Service.Do(ctx, a.to, engine.ServiceRequest{
 		ID: a.id, Method: c.Method, Path: c.servicePath(), RawQuery: query, Header: header, Body: c.Body,
-		Silence: c.silence(), FreshConnection: !c.route.Idempotent,
+		Silence: c.silence(), FreshConnection: c.freshConnection(),
 	})
 	if err != nil {
 		return err
--- a/internal/coordination/entry/fake_ports_test.go
+++ b/internal/coordination/entry/fake_ports_test.go
@@ -64,13 +64,17 @@
 
 // run receives an attempt. Bodies are "customer:text"; those of open routes
 // start with a colon.
-func (f *fakePorts) run(ctx context.Context, to engine.Target, id string, body []byte, silence time.Duration, once bool, parts ...string) (string, error) {
+func (f *fakePorts) run(ctx context.Context, to engine.Target, id string, body []byte, silence time.Duration, fresh bool, parts ...string) (string, error) {
 	for _, p := range append(parts, string(body), id) {
 		if strings.Contains(p, "key-secret") {
 			f.violation("key text in %q", p)
 		}
 	}
-	customer, _, _ := strings.Cut(string(body), ":")
+	customer, text, _ := strings.Cut(string(body), ":")
+	once := strings.HasPrefix(text, "pay") || strings.HasPrefix(text, "once")
+	if once && !fresh {
+		f.violation("non-idempotent %s was sent on an open connection", body)
+	}
 	if customer != "" && !with(f.replica, func() bool { return f.replica.mayServe(customer) }) {
 		f.violation("%s was sent without a valid key or lease", body)
 	}
--- a/internal/coordination/entry/serve.go
+++ b/internal/coordination/entry/serve.go
@@ -314,10 +314,18 @@
 		Code: code, Idempotent: c.route.Idempotent, Keyed: c.claim != nil,
 		Started: c.started, Retries: c.retries, Deadline: c.deadline,
 	}
-	exclude := append(c.exclude, endpoint)
-	if !retry.Eligible(a) || !s.schedule.another(c.group, exclude) {
+	if !retry.Eligible(a) {
 		return false
 	}
+	exclude := append(c.exclude, endpoint)
+	if !s.schedule.another(c.group, exclude) {
+		if code != resultcode.EndpointSilent {
+			return false
+		}
+		// Only this endpoint is left. Its open connection may have gone silent
+		// while new ones work, and a retry uses a new one.
+		exclude = c.exclude
+	}
 	s.retries.mu.Lock()
 	d := s.retries.decider.Decide(s.now(), key, a)
 	s.retries.mu.Unlock()
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -254,3 +254,31 @@
 		t.Error("nothing was generated")
 	}
 }
+
+// Guards against callers that wait for good, or get a cut or doubled answer,
+// when open connections to the only engine go silent while new ones work.
+func TestSilentConnections(t *testing.T) {
+	f := startFleet(t, 3, 100_000, 100_000)
+	for _, v := range f.vms {
+		f.chat(v, 1) // leaves an idle connection that is silenced, too
+	}
+	const tokens = 400
+	replies := make(chan reply, len(f.vms))
+	for _, v := range f.vms {
+		go func() { replies <- f.chat(v, tokens) }()
+	}
+	f.waitFor("the streams are at the engine", func() bool { return f.engineState().Running == len(f.vms) })
+	resp, err := http.Post("http://"+f.engine.Addr()+"/admin/silence-open", "", nil)
+	f.must(err)
+	f.must(resp.Body.Close())
+	for range f.vms {
+		if r := <-replies; !r.whole(tokens) {
+			t.Errorf("stream: status %d, code %q, error %v, end of body %q", r.status, r.code, r.err, r.body[max(0, len(r.body)-300):])
+		}
+	}
+	for _, v := range f.vms {
+		if r := f.chat(v, 3); !r.whole(3) {
+			t.Errorf("%s: answer %+v", v.name, r)
+		}
+	}
+}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -277,7 +277,7 @@
 func (f *fleet) configure(rate, burst uint64) {
 	f.t.Helper()
 	document := &statev1.Config{
-		Profiles:  []*statev1.Profile{{Name: "p", Priority: 1, FirstTokenMs: 1000, TokenGapMs: 100, DeadlineMs: 20_000, SilenceMs: 10_000}},
+		Profiles:  []*statev1.Profile{{Name: "p", Priority: 1, FirstTokenMs: 1000, TokenGapMs: 100, DeadlineMs: 20_000, SilenceMs: 2000}},
 		Customers: []*statev1.Customer{{Name: "c", RateTokensPerSecond: rate, BurstTokens: burst, MaxOpenRequests: 1000}},
 		Models:    []*statev1.Model{{Name: "m", Version: "1", MemoryMb: 1000}},
 		Endpoints: []*statev1.Endpoint{
