replica: return a part of a burst that blocks another entry

Cause: two entries that each hold half of a customer's burst and wait for more blocked each other until their deadlines, which refuses requests inside their rate (reported with the state machine's accounts). Change: after 300 to 600 ms without a grant an entry returns its part and asks for nothing for 200 to 400 ms.

--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -39,10 +39,10 @@
 	acceptOlder     bool // apply a version older than the one in force
 }
 
-func newCore(session *statev1.Session) *core {
+func newCore(session *statev1.Session, random func(n int64) int64) *core {
 	return &core{
 		session:     session,
-		ledger:      newLedger(),
+		ledger:      newLedger(random),
 		liveEntries: 1,
 		demand:      make(map[string]*peerv1.ModelDemand),
 		residency:   make(map[string]*peerv1.EndpointResidency),
--- a/internal/coordination/replica/fuzz_test.go
+++ b/internal/coordination/replica/fuzz_test.go
@@ -78,13 +78,16 @@
 		},
 	}}})
 	for i := range 3 {
-		e := &entryModel{core: newCore(&statev1.Session{Vm: fmt.Sprint("vm", i), Incarnation: "0"})}
+		e := &entryModel{core: newCore(&statev1.Session{Vm: fmt.Sprint("vm", i), Incarnation: "0"}, half)}
 		e.core.faults = faults
 		w.entries = append(w.entries, e)
 	}
 	return w
 }
 
+// half is a source of numbers for the entries that needs no seed.
+func half(n int64) int64 { return n / 2 }
+
 func (w *world) apply(c *statev1.Command) *statev1.Result {
 	w.log++
 	c.FleetTimeMs = w.fleetMs
@@ -296,3 +299,50 @@
 	fuzztest.MustFail(t, 696, "tokens admitted in a window", property(coreFaults{keepOnLapse: true}))
 	fuzztest.MustFail(t, 2103, "version went back", property(coreFaults{acceptOlder: true}))
 }
+
+// Guards against two entries that each hold a part of the burst, wait for more
+// and block each other until their deadlines.
+func TestEntriesYieldToEachOther(t *testing.T) {
+	w := newWorld(nil, coreFaults{})
+	var numbers int64
+	first, second := w.entries[0], w.entries[1]
+	for _, e := range []*entryModel{first, second} {
+		e.core.ledger.random = func(n int64) int64 {
+			numbers += 7
+			return numbers * n / 10 % n
+		}
+	}
+	exchange := func(e *entryModel) {
+		req := e.core.usage(w.now)
+		if req == nil {
+			return
+		}
+		result := w.apply(&statev1.Command{Op: &statev1.Command_SyncBatch{SyncBatch: &statev1.SyncBatch{Entries: []*statev1.EntrySync{req.GetEntry()}}}})
+		resp := &peerv1.SyncResponse{Delta: w.machine.DeltaSince(req.GetConfigVersion()), ConfigVersion: 1, Entry: result.GetSyncs()[0], LeaseMs: leaseMs}
+		if _, err := e.core.handle(w.instant(), w.instant(), req, resp); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// Each gets half of the burst and then wants four fifths of it.
+	for _, e := range []*entryModel{first, second} {
+		e.core.ledger.want(customer, burst/2)
+		exchange(e)
+		e.core.ledger.want(customer, burst*4/5)
+	}
+	served := 0
+	for range 200 {
+		w.now += 20 * time.Millisecond
+		for _, e := range []*entryModel{first, second} {
+			exchange(e)
+			if e.core.ledger.line(customer).waiting > 0 && e.core.hold(w.instant(), customer, burst*4/5) {
+				e.core.ledger.want(customer, 0)
+				e.core.ledger.charge(customer, burst/10)
+				e.core.ledger.release(customer, burst*7/10)
+				served++
+			}
+		}
+	}
+	if served != 2 {
+		t.Errorf("%d of 2 requests got their tokens", served)
+	}
+}
--- a/internal/coordination/replica/ledger.go
+++ b/internal/coordination/replica/ledger.go
@@ -13,6 +13,13 @@
 	useWindow = 2 * time.Second
 	// useHalfLife is the half-life of the measured use.
 	useHalfLife = time.Second
+	// stuckTime is how long requests wait without any grant before the entry
+	// returns what it holds. Two entries that each hold a part of a burst and wait
+	// for more would otherwise block each other until their deadlines.
+	stuckTime = 300 * time.Millisecond
+	// yieldTime is how long an entry asks for nothing after it returned its part,
+	// so that the other one gets it. Both times vary by up to as much again.
+	yieldTime = 200 * time.Millisecond
 	// keepFactor times the target stays leased before the surplus is returned;
 	// returning at the target itself would swap tokens back and forth.
 	keepFactor = 2
@@ -25,6 +32,8 @@
 // only granted out of free, so what is charged never exceeds what was leased.
 type ledger struct {
 	customers map[string]*line
+	// random returns a number below n.
+	random func(n int64) int64
 	// seq is the number of the last report; it is in flight while report is set.
 	seq    uint64
 	report []*statev1.TokenUsage
@@ -43,6 +52,10 @@
 	// written off.
 	orphaned uint64
 	waiting  uint64
+	// stuckSince is when requests began to wait without a grant; zero if none do.
+	stuckSince time.Duration
+	// yieldUntil is when the line may ask again after it returned its part.
+	yieldUntil time.Duration
 	// verify puts the line into the next report, so that its answer tells what
 	// the account still counts as leased.
 	verify bool
@@ -52,8 +65,8 @@
 	usedAt time.Duration
 }
 
-func newLedger() *ledger {
-	return &ledger{customers: make(map[string]*line)}
+func newLedger(random func(n int64) int64) *ledger {
+	return &ledger{customers: make(map[string]*line), random: random}
 }
 
 func (g *ledger) line(customer string) *line {
@@ -138,6 +151,7 @@
 		return g.seq, g.report
 	}
 	for customer, l := range g.customers {
+		g.yield(now, l)
 		if u := l.usage(now, customer); u != nil {
 			g.report = append(g.report, u)
 		}
@@ -150,12 +164,29 @@
 	return g.seq, g.report
 }
 
+// yield notes since when requests wait in vain, and decides to return the
+// line's part after a while.
+func (g *ledger) yield(now time.Duration, l *line) {
+	free := l.free()
+	switch {
+	case l.waiting <= free || free == 0:
+		l.stuckSince = 0
+	case l.stuckSince == 0:
+		l.stuckSince = now + time.Duration(g.random(int64(stuckTime)))
+	case now-l.stuckSince >= stuckTime:
+		l.stuckSince = 0
+		l.yieldUntil = now + yieldTime + time.Duration(g.random(int64(yieldTime)))
+	}
+}
+
 // usage moves what the line has to say into a report.
 func (l *line) usage(now time.Duration, customer string) *statev1.TokenUsage {
 	u := &statev1.TokenUsage{Customer: customer, Charged: l.unreported}
 	target := l.target(now)
 	free := l.free()
 	switch {
+	case now < l.yieldUntil:
+		u.Returned = free
 	case free > keepFactor*target:
 		u.Returned = free - target
 	case free < target:
@@ -184,6 +215,9 @@
 	for _, grant := range grants {
 		l := g.line(grant.GetCustomer())
 		l.outstanding = grant.GetOutstanding()
+		if grant.GetGranted() > 0 {
+			l.stuckSince = 0
+		}
 		grew = grew || grant.GetGranted() > 0 || l.free() > 0
 	}
 	g.report = nil
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -92,7 +92,7 @@
 	if r.log == nil {
 		r.log = slog.New(slog.DiscardHandler)
 	}
-	r.mu.core = newCore(r.newSession())
+	r.mu.core = newCore(r.newSession(), rand.Int64N)
 	r.mu.arrived = make(chan struct{})
 	return r
 }
