--- a/internal/coordination/placement/bench_test.go
+++ b/internal/coordination/placement/bench_test.go
@@ -26,6 +26,9 @@
 var sizes = []size{
 	{"north-20x12", 20, 12, 1500, 10, 64, 160_000, 20_000, 40_000, 6_500},
 	{"lima-13x9", 13, 9, 1000, 2, 64, 160_000, 20_000, 40_000, 2_000},
+	// Memory for about 1.5 and 1.7 copies of each model in place of 2.4 and 2.8.
+	{"north-scarce-20x12", 20, 12, 1500, 10, 64, 100_000, 20_000, 40_000, 6_500},
+	{"lima-scarce-13x9", 13, 9, 1000, 2, 64, 100_000, 20_000, 40_000, 2_000},
 	{"target-470x890", 470, 890, 20_000, 100, 512, 640_000, 20_000, 140_000, 5_000},
 }
 
@@ -47,14 +50,7 @@
 	t.limits = &statev1.Platform{StoreMilliLoadsPerSecond: s.milliRate, StoreParallelLoads: s.parallel}
 	t.loadMs = s.loadMs
 	for i := range s.engines {
-		t.engines = append(t.engines, &simEngine{
-			cfg: &statev1.Endpoint{
-				Name: fmt.Sprintf("e%03d", i), Kind: statev1.EndpointKind_ENDPOINT_KIND_ENGINE,
-				Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), DataCentre: fmt.Sprintf("dc%d", i%3), Accelerators: 8,
-				MemoryMb: s.engineMB, Slots: s.slots, ChecksFencing: true,
-			},
-			copies: map[copyKey]*simCopy{}, seen: map[uint64]bool{}, dedupes: true, lagMs: 2_000,
-		})
+		t.engines = append(t.engines, newEngine(i, s.engineMB, s.slots))
 	}
 	var sum float64
 	for i := range s.models {
@@ -164,15 +160,16 @@
 	return &r.plan
 }
 
-// place gives one copy to each model, largest first, and then one after the
-// other to the model with the most unmet demand, where most slots are free.
+// place gives one copy to each model, the largest first, and then one after
+// the other to the model with the most unmet demand, each time on the engine with
+// the most free slots. A static placement then fills the memory with copies of
+// the models with the most demand per copy.
 func (g *greedy) place(r *run) map[copyKey]bool {
-	target := map[copyKey]bool{}
-	free, spare, unmet := map[*engineState]int64{}, map[*engineState]float64{}, map[*modelState]float64{}
+	target, copies, unmet := map[copyKey]bool{}, map[*modelState]float64{}, map[*modelState]float64{}
+	free, spare := map[*engineState]int64{}, map[*engineState]float64{}
 	for _, e := range r.engines {
 		free[e], spare[e] = int64(e.cfg.GetMemoryMb()), e.slots
 	}
-	copies := map[*modelState]float64{}
 	add := func(m *modelState) bool {
 		var best *engineState
 		for _, e := range r.engines {
@@ -197,19 +194,13 @@
 		unmet[m] = m.slots
 		add(m)
 	}
-	for range 4 * len(r.engines) {
-		m := slices.MaxFunc(r.models, func(a, b *modelState) int { return cmp.Compare(unmet[a], unmet[b]) })
-		if unmet[m] <= 0 {
-			break
-		}
-		if !add(m) {
-			unmet[m] = 0
-		}
+	score := func(m *modelState) float64 { return unmet[m] }
+	if g.once {
+		score = func(m *modelState) float64 { return m.slots / copies[m] }
 	}
-	for g.once && len(models) > 0 { // a static placement uses all memory, by demand per copy
-		perCopy := func(a, b *modelState) int { return cmp.Compare(a.slots/copies[a], b.slots/copies[b]) }
-		m := slices.MaxFunc(models, perCopy)
-		if !add(m) {
+	for len(models) > 0 {
+		m := slices.MaxFunc(models, func(a, b *modelState) int { return cmp.Compare(score(a), score(b)) })
+		if score(m) <= 0 || !add(m) {
 			models = slices.DeleteFunc(models, func(o *modelState) bool { return o == m })
 		}
 	}
@@ -241,7 +232,7 @@
 // BenchmarkShifts compares the planner with a static placement and with greedy
 // replanning: moves in an hour and the share of the demand that finds no slot.
 func BenchmarkShifts(b *testing.B) {
-	for _, s := range sizes[:2] {
+	for _, s := range sizes[:4] {
 		for _, kind := range []string{"planner", "static", "greedy"} {
 			for seed := uint64(1); seed <= 3; seed++ {
 				b.Run(fmt.Sprintf("%s/%s/seed%d", s.name, kind, seed), func(b *testing.B) {
--- a/internal/coordination/placement/fill.go
+++ b/internal/coordination/placement/fill.go
@@ -16,8 +16,8 @@
 
 // fill uses free memory for copies that a burst would need, one load at a time
 // and only while nothing else waits for the weight store. It evicts nothing, so
-// it comes to rest when the memory is full, and it leaves room for the largest
-// model on one engine, for swaps and for models that lose their copies.
+// it comes to rest when the memory is full. While some model has no copy to
+// spare, it leaves room for the largest model on one engine, for swaps.
 func (r *run) fill() {
 	if r.loads > 0 || len(r.wanted) > 0 || len(r.reserved) > 0 || !r.mayLoad() {
 		return
@@ -34,15 +34,25 @@
 	models := slices.DeleteFunc(slices.Clone(r.models), func(m *modelState) bool { return missing(m) == 0 })
 	slices.SortStableFunc(models, func(a, b *modelState) int { return cmp.Compare(missing(b), missing(a)) })
 	hole := r.onlyHole()
+	tight := 0
+	for _, m := range r.models {
+		if m.tight() {
+			tight++
+		}
+	}
 	for _, m := range models {
 		e := r.fitting(need{model: m, class: classFill})
-		if e != nil && (e != hole || e.freeMB-e.extra(m) >= r.largestMB()) {
+		last := tight == 0 || tight == 1 && m.tight()
+		if e != nil && (last || e != hole || e.freeMB-e.extra(m) >= r.largestMB()) {
 			r.load(e, m)
 			return
 		}
 	}
 }
 
+// tight reports whether the model has no copy to spare.
+func (m *modelState) tight() bool { return m.count((*copyState).counts) <= m.min() }
+
 // meanRoom is the mean number of slots that an engine has left.
 func (r *run) meanRoom() float64 {
 	var sum, slots float64
--- a/internal/coordination/placement/fuzz_test.go
+++ b/internal/coordination/placement/fuzz_test.go
@@ -140,10 +140,6 @@
 		{"restless", 1, "steady state", faults{restless: true}},
 	} {
 		t.Run(v.name, func(t *testing.T) {
-			if v.seed == 0 {
-				seed, failure := fuzztest.FirstFailure(t, 40, placementProperty(v.f))
-				t.Fatalf("first failure: seed %d: %s", seed, failure)
-			}
 			fuzztest.MustFail(t, v.seed, v.want, placementProperty(v.f))
 		})
 	}
--- a/internal/coordination/placement/owner_test.go
+++ b/internal/coordination/placement/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -28,7 +29,7 @@
 	world     *world
 	leader    uint64
 	term      uint64
-	observed  int
+	observed  int // commands
 	published int
 	residency []*peerv1.EndpointResidency
 	slowMs    uint64 // time that passes in each commit of an order
@@ -218,11 +219,7 @@
 
 // Guards against sending an order whose commit took longer than its lifetime.
 func TestLateCommitIsNotSent(t *testing.T) {
-	rnd := uint64(1)
-	f, owners := newFake(t.Fatalf, func(n int) int {
-		rnd = rnd*6364136223846793005 + 1442695040888963407
-		return int(rnd>>33) % max(1, n)
-	})
+	f, owners := newFake(t.Fatalf, rand.New(rand.NewPCG(1, 1)).IntN)
 	if !f.world.configure() {
 		t.Fatal("the configuration does not fit")
 	}
--- a/internal/coordination/placement/world_test.go
+++ b/internal/coordination/placement/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -150,14 +151,9 @@
 }
 
 func sortedKeys(m map[copyKey]*simCopy) []copyKey {
-	var keys []copyKey
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, func(a, b copyKey) int {
+	return slices.SortedFunc(maps.Keys(m), func(a, b copyKey) int {
 		return strings.Compare(a.model+"\x00"+a.version, b.model+"\x00"+b.version)
 	})
-	return keys
 }
 
 func (w *world) poll() {
@@ -375,14 +371,12 @@
 		StoreParallelLoads:       uint32(2 + w.pick(4)),
 	}
 	for i := range engines {
-		w.engines = append(w.engines, &simEngine{
-			cfg: &statev1.Endpoint{
-				Name: fmt.Sprintf("e%02d", i), Kind: statev1.EndpointKind_ENDPOINT_KIND_ENGINE,
-				Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), DataCentre: fmt.Sprintf("dc%d", i%3), Accelerators: 1,
-				AcceleratorType: []string{"a", "b"}[i%2], MemoryMb: 100, Slots: 8, ChecksFencing: w.pick(2) == 0,
-			},
-			copies: map[copyKey]*simCopy{}, seen: map[uint64]bool{}, dedupes: w.pick(2) == 0, lagMs: uint64(w.pick(4)) * 1000,
-		})
+		e := newEngine(i, 100, 8)
+		e.cfg.AcceleratorType = []string{"a", "b"}[i%2]
+		e.cfg.ChecksFencing = w.pick(2) == 0
+		e.dedupes = w.pick(2) == 0
+		e.lagMs = uint64(w.pick(4)) * 1000
+		w.engines = append(w.engines, e)
 	}
 	for i := range models {
 		w.models = append(w.models, w.newModel(i))
@@ -392,6 +386,17 @@
 	}
 }
 
+func newEngine(i int, memoryMB uint64, slots uint32) *simEngine {
+	return &simEngine{
+		cfg: &statev1.Endpoint{
+			Name: fmt.Sprintf("e%03d", i), Kind: statev1.EndpointKind_ENDPOINT_KIND_ENGINE,
+			Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), DataCentre: fmt.Sprintf("dc%d", i%3), Accelerators: 8,
+			MemoryMb: memoryMB, Slots: slots, ChecksFencing: true,
+		},
+		copies: map[copyKey]*simCopy{}, seen: map[uint64]bool{}, dedupes: true, lagMs: 2_000,
+	}
+}
+
 func (w *world) newModel(i int) *statev1.Model {
 	m := &statev1.Model{Name: fmt.Sprintf("m%02d", i), Version: "1", MemoryMb: uint64(10 + w.pick(25))}
 	if w.pick(5) == 0 {
