placement: drain retired copies for 30 s, evict idle copies first

Cause: an old version was unloaded 5 s after its last new request although nothing waited for its memory, which would cut off longer streams; evictions preferred no copy that needs no drain time.

Change: copies that no model waits for drain for 30 s. Among copies that cost about the same, an idle one goes first.

Proof: `go test -race ./internal/coordination/placement` passes in 19 s.

--- a/internal/coordination/placement/bench_test.go
+++ b/internal/coordination/placement/bench_test.go
@@ -151,6 +151,7 @@
 			for _, c := range e.copies {
 				if !g.target[c.key] && c.stays() && r.removable(c) {
 					r.drain(c, "")
+					r.draining[c.key] = drain{sinceMs: v.NowMs + drainMs - retireMs} // ends after drainMs
 				}
 			}
 		}
--- a/internal/coordination/placement/evict.go
+++ b/internal/coordination/placement/evict.go
@@ -112,7 +112,11 @@
 		case m == n.model:
 		case r.removable(c) && !(young && n.class == classReplica):
 			loss := m.loss(c)
-			out = append(out, option{c: c, loss: loss, cost: loss.mean()})
+			cost := loss.mean()
+			if !m.idle() {
+				cost += drainCost
+			}
+			out = append(out, option{c: c, loss: loss, cost: cost})
 		case n.class != classReplica && r.movable(m, e):
 			out = append(out, option{c: c, cost: moveCost + m.slots, move: true})
 		}
@@ -156,6 +160,10 @@
 	return x
 }
 
+// drainCost prefers copies that need no drain time, among those whose removal
+// costs about the same.
+const drainCost = 0.1
+
 // moveCost makes the move of a sole copy the last resort.
 const moveCost = 1000
 
--- a/internal/coordination/placement/planner.go
+++ b/internal/coordination/placement/planner.go
@@ -17,6 +17,9 @@
 	// drainMs is how long a copy gets no new work before it is unloaded. Entries
 	// learn of it within 2 s.
 	drainMs = 5_000
+	// retireMs is the drain time of copies that no other model waits for, such as
+	// old versions. Most streams end within it.
+	retireMs = 30_000
 	// reportLagMs is how old the content of a report may be when it is asked for.
 	reportLagMs = 5_000
 	// overdueMs is when an order counts as lost if no report shows its effect.
@@ -106,6 +109,14 @@
 	purpose string
 }
 
+// endMs is when the drain time is over.
+func (d drain) endMs() uint64 {
+	if d.purpose == "" {
+		return d.sinceMs + retireMs
+	}
+	return d.sinceMs + drainMs
+}
+
 // NewPlanner returns a planner without history.
 func NewPlanner() *Planner {
 	p := &Planner{}
@@ -354,7 +365,7 @@
 			r.keep(k)
 			continue
 		}
-		over := r.view.NowMs >= r.draining[k].sinceMs+drainMs || m == nil || m.idle()
+		over := r.view.NowMs >= r.draining[k].endMs() || m == nil || m.idle()
 		if !over || !c.engine.mayOrder(r.view.NowMs) || len(r.plan.Orders) >= maxOrders {
 			continue
 		}
