e2e: test TLS everywhere and a leader killed during model moves

Cause: both were only tested in parts; a pinned model counted as ready on an engine that had just restarted without it. Change: two tests with real daemons; an entry takes pinned models from the control role's residency once it has one.

--- a/internal/coordination/entry/loops.go
+++ b/internal/coordination/entry/loops.go
@@ -136,14 +136,14 @@
 // readyGroups are the models that an engine can serve: as the control role
 // says, or, until it has said anything, as the engine itself reports.
 func (s *Server) readyGroups(e *statev1.Endpoint, residency map[string]*peerv1.EndpointResidency) []string {
-	models := slices.Clone(e.PinnedModels)
-	if len(residency) > 0 {
-		models = append(models, residency[e.Name].GetReadyModels()...)
-	} else {
-		models = append(models, s.demand.reportedModels(e.Name)...)
+	// The control role lists pinned models only while the engine holds them: one
+	// that has just restarted does not.
+	models := residency[e.Name].GetReadyModels()
+	if len(residency) == 0 {
+		models = slices.Concat(e.PinnedModels, s.demand.reportedModels(e.Name))
+		slices.Sort(models)
+		models = slices.Compact(models)
 	}
-	slices.Sort(models)
-	models = slices.Compact(models)
 	groups := make([]string, len(models))
 	for i, m := range models {
 		groups[i] = modelGroup(m)
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -50,7 +50,7 @@
 	var history *adminv1.ConfigHistoryResponse
 	f.waitFor("the history of "+v.name, func() bool {
 		var err error
-		history, err = admin(v).ConfigHistory(context.Background(), &adminv1.ConfigHistoryRequest{Limit: 1000})
+		history, err = f.admin(v).ConfigHistory(context.Background(), &adminv1.ConfigHistoryRequest{Limit: 1000})
 		return err == nil
 	})
 	var found []string
@@ -154,7 +154,7 @@
 // memberID returns the identifier of a VM's control role, zero if unknown.
 func (f *fleet) memberID(name string) uint64 {
 	for _, v := range f.vms {
-		list, err := admin(v).ListVMs(context.Background(), &adminv1.ListVMsRequest{})
+		list, err := f.admin(v).ListVMs(context.Background(), &adminv1.ListVMsRequest{})
 		if err != nil {
 			continue
 		}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -71,6 +71,8 @@
 	service *service.Service
 	key     string
 	keyID   string
+	// authority, if set, signs a certificate for every listener.
+	authority *authority
 }
 
 func freeAddress(t *testing.T) string {
@@ -87,6 +89,15 @@
 func startFleet(t *testing.T, n int, rate, burst uint64) *fleet {
 	t.Helper()
 	f := &fleet{t: t}
+	f.run(n)
+	f.configure(rate, burst)
+	return f
+}
+
+// run starts the stand-ins and n daemons without a configuration.
+func (f *fleet) run(n int) {
+	t := f.t
+	t.Helper()
 	var err error
 	f.engine, err = standinengine.Start("127.0.0.1:0", standinengine.Config{
 		Models: []standinengine.Model{{Name: "m", Version: "1", MemoryMB: 1000}}, Resident: []string{"m"},
@@ -112,8 +123,6 @@
 		f.start(v)
 	}
 	f.waitFor("a full control group", func() bool { return f.voters() == n })
-	f.configure(rate, burst)
-	return f
 }
 
 func (f *fleet) writeSettings(v *vm) {
@@ -143,6 +152,9 @@
 `, v.name, strings.Join(peers, ", "), v.caller, v.admin, hex.EncodeToString(digest[:]), v.peer, v.peer, strings.Join(members, ", "))
 	v.config = filepath.Join(v.dir, "vm.toml")
 	f.must(os.MkdirAll(v.dir, 0o700))
+	if f.authority != nil {
+		text = f.authority.secure(f, v, text)
+	}
 	f.must(os.WriteFile(v.config, []byte(text), 0o600))
 }
 
@@ -207,16 +219,32 @@
 	f.t.Fatalf("timed out: %s", what)
 }
 
-type bearer struct{}
+// bearer shows the operator's token.
+type bearer struct{ http.RoundTripper }
 
-func (bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+func (b bearer) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+operatorToken)
-	return http.DefaultTransport.RoundTrip(r)
+	return b.RoundTripper.RoundTrip(r)
+}
+
+func (f *fleet) scheme() string {
+	if f.authority != nil {
+		return "https://"
+	}
+	return "http://"
+}
+
+func (f *fleet) transport() http.RoundTripper {
+	if f.authority != nil {
+		return f.authority.transport
+	}
+	return http.DefaultTransport
 }
 
-func admin(v *vm) adminv1.Admin {
-	return adminv1.NewAdminProtobufClient("http://"+v.admin, &http.Client{Transport: bearer{}, Timeout: 5 * time.Second})
+func (f *fleet) admin(v *vm) adminv1.Admin {
+	client := &http.Client{Transport: bearer{f.transport()}, Timeout: 5 * time.Second}
+	return adminv1.NewAdminProtobufClient(f.scheme()+v.admin, client)
 }
 
 // change repeats a call under one request identifier, through one VM after the
@@ -226,7 +254,7 @@
 	i := 0
 	f.waitFor("a change to be decided", func() bool {
 		i++
-		return call(context.Background(), admin(f.vms[i%len(f.vms)])) == nil
+		return call(context.Background(), f.admin(f.vms[i%len(f.vms)])) == nil
 	})
 }
 
@@ -234,7 +262,7 @@
 // members vote; zero otherwise.
 func (f *fleet) voters() int {
 	for _, v := range f.vms {
-		list, err := admin(v).ListVMs(context.Background(), &adminv1.ListVMsRequest{})
+		list, err := f.admin(v).ListVMs(context.Background(), &adminv1.ListVMsRequest{})
 		if err != nil {
 			continue
 		}
@@ -258,7 +286,7 @@
 	var found *vm
 	f.waitFor("a leader", func() bool {
 		for _, v := range f.vms {
-			s, err := admin(v).Status(context.Background(), &adminv1.StatusRequest{})
+			s, err := f.admin(v).Status(context.Background(), &adminv1.StatusRequest{})
 			if err != nil {
 				continue
 			}
@@ -310,7 +338,7 @@
 func (f *fleet) waitReady(v *vm) {
 	f.t.Helper()
 	f.waitFor(v.name+" is ready", func() bool {
-		resp, err := http.Get("http://" + v.caller + "/readyz")
+		resp, err := (&http.Client{Transport: f.transport()}).Get(f.scheme() + v.caller + "/readyz")
 		if err != nil {
 			return false
 		}
@@ -346,7 +374,7 @@
 
 // post sends one request of a caller on a connection of its own.
 func (f *fleet) post(v *vm, path, key, idempotencyKey, body string) reply {
-	r, err := http.NewRequest(http.MethodPost, "http://"+v.caller+path, strings.NewReader(body))
+	r, err := http.NewRequest(http.MethodPost, f.scheme()+v.caller+path, strings.NewReader(body))
 	if err != nil {
 		return reply{err: err}
 	}
@@ -357,7 +385,7 @@
 	if idempotencyKey != "" {
 		r.Header.Set("Idempotency-Key", idempotencyKey)
 	}
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := (&http.Client{Transport: f.transport()}).Do(r)
 	if err != nil {
 		return reply{err: err}
 	}
