--- a/internal/controlbench/measure.go
+++ b/internal/controlbench/measure.go
@@ -19,7 +19,12 @@
 	claimsPerWorker   = 200
 	failovers         = 5
 	propagations      = 10
-	benchCustomers    = 5
+	// benchCustomers is the number of customers that each entry serves.
+	benchCustomers = 20
+	// useInterval and useTokens make each entry spend 100 tokens/s of each
+	// customer.
+	useInterval = 100 * time.Millisecond
+	useTokens   = 10
 )
 
 // sample is a sorted set of durations.
@@ -56,7 +61,7 @@
 }
 
 func customer(i int, rate uint64) *statev1.Customer {
-	return &statev1.Customer{Name: fmt.Sprintf("customer-%d", i), RateTokensPerSecond: rate, BurstTokens: 100_000}
+	return &statev1.Customer{Name: fmt.Sprintf("customer-%d", i), RateTokensPerSecond: rate, BurstTokens: 1_000_000}
 }
 
 // change returns a command that changes one customer.
@@ -208,8 +213,8 @@
 
 // measureEntries measures propagation and cost with many entries.
 func measureEntries(o options) error {
-	fmt.Println("\n| entries | in force everywhere: median, most | idle: bytes/s for an entry | with 1 change/s: bytes/s | leader: core idle, under change | followers: core idle | leader's memory |")
-	fmt.Println("|---|---|---|---|---|---|---|")
+	fmt.Println("\n| entries | in force everywhere: median, most | bytes/s for an entry: idle, 1 change/s, tokens of 20 customers | leader, share of a core: idle, 1 change/s, tokens | followers: idle, tokens | leader's memory |")
+	fmt.Println("|---|---|---|---|---|---|")
 	for _, n := range o.Entries {
 		if err := entriesOf(o, n); err != nil {
 			return err
@@ -238,6 +243,7 @@
 	defer wg.Wait()
 	defer cancel()
 	traffic := &counter{}
+	var replicas []*replica.Replica
 	reached := newWatch(n)
 	for i := range n {
 		peers := slices.Concat(f.peers()[i%3:], f.peers()[:i%3])
@@ -246,6 +252,7 @@
 			VM: fmt.Sprintf("entry-%d", i), DataCentre: "dc", Fleet: peerrpc.NewFleet(e.transport, nil, peers),
 			OnConfig: func(index *config.Index) { reached.set(i, index.Version()) },
 		})
+		replicas = append(replicas, e.replica)
 		wg.Go(func() {
 			_ = e.replica.Run(ctx)
 			e.transport.Close()
@@ -272,9 +279,43 @@
 	if err != nil {
 		return err
 	}
+	using, stop := context.WithCancel(ctx)
+	defer stop()
+	for _, r := range replicas {
+		wg.Go(func() { useTokensOf(using, r) })
+	}
+	time.Sleep(3 * time.Second)
+	use, err := f.cost(traffic, o.Idle, nil)
+	if err != nil {
+		return err
+	}
 	s := sorted(took)
 	perEntry := func(c cost) float64 { return c.bytes / float64(n) }
-	fmt.Printf("| %d | %v, %v | %.0f | %.0f | %.2f%%, %.2f%% | %.2f%% | %.0f MB |\n", n, round(s.at(0.5)), round(s[len(s)-1]),
-		perEntry(idle), perEntry(busy), idle.leader, busy.leader, idle.follower, float64(busy.memory)/1e6)
+	fmt.Printf("| %d | %v, %v | %.0f, %.0f, %.0f | %.1f%%, %.1f%%, %.1f%% | %.1f%%, %.1f%% | %.0f MB |\n",
+		n, round(s.at(0.5)), round(s[len(s)-1]), perEntry(idle), perEntry(busy), perEntry(use),
+		idle.leader, busy.leader, use.leader, idle.follower, use.follower, float64(use.memory)/1e6)
 	return nil
 }
+
+// useTokensOf spends tokens of every customer at one entry.
+func useTokensOf(ctx context.Context, r *replica.Replica) {
+	ticker := time.NewTicker(useInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for i := range benchCustomers {
+			name := fmt.Sprintf("customer-%d", i)
+			if !r.Hold(name, useTokens) {
+				r.Want(name, useTokens)
+				continue
+			}
+			r.Want(name, 0)
+			r.Charge(name, useTokens)
+			r.Release(name, useTokens, useTokens)
+		}
+	}
+}
