quarantine, entry: isolate requests that were beside two crashes

Cause: a poison request was never refused. Every engine is busy with requests of nine entries, so running alone of one entry is still company, and company is weak evidence however often it repeats. An endpoint that restarts within the 30 s bucket of crash identifiers also counted as one crash, and requests that waited for an endpoint were not judged again before they were sent.

Change: a request that was beside two crashes without a success waits for an endpoint that is idle by its last report; its crashes have identifiers of their own; the verdict is checked again before each send. Weak suspicions still never refuse a request by themselves.

--- a/internal/coordination/entry/admit.go
+++ b/internal/coordination/entry/admit.go
@@ -146,13 +146,29 @@
 	c.fingerprint = quarantine.FingerprintOf(c.customerName(), name, c.Body)
 	s.suspects.mu.Lock()
 	c.verdict = s.suspects.tracker.Judge(c.fingerprint)
+	c.isolated = s.suspects.tracker.Isolated(c.fingerprint)
 	s.suspects.mu.Unlock()
 	if c.verdict == quarantine.Refused {
-		return resultcode.New(resultcode.RequestCrashes, "endpoints died while they ran this request")
+		return errCrashes()
 	}
 	return nil
 }
 
+// convicted refuses a request whose fingerprint crossed the limit of crashes
+// while it waited for its endpoint.
+func (s *Server) convicted(c *call) error {
+	s.suspects.mu.Lock()
+	defer s.suspects.mu.Unlock()
+	if s.suspects.tracker.Judge(c.fingerprint) == quarantine.Refused {
+		return errCrashes()
+	}
+	return nil
+}
+
+func errCrashes() error {
+	return resultcode.New(resultcode.RequestCrashes, "endpoints died while they ran this request")
+}
+
 func containsFold(list []string, name string) bool {
 	return slices.ContainsFunc(list, func(s string) bool { return strings.EqualFold(s, name) })
 }
--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -27,6 +27,8 @@
 	began  time.Duration
 	// answering says that a part of the answer arrived.
 	answering bool
+	// isolated says that the endpoint ran nothing else by its last report.
+	isolated bool
 	// unwell says that the answer itself speaks of a failing endpoint.
 	unwell bool
 }
@@ -35,7 +37,7 @@
 // answer on. Whatever happens, it gives the ticket back.
 func (s *Server) attempt(ctx context.Context, c *call, w ResponseWriter, wait *waiter, ticket *routing.Ticket) error {
 	a := &attempt{
-		number: s.counter.Add(1), ticket: ticket,
+		number: s.counter.Add(1), ticket: ticket, isolated: wait.query.Alone && wait.query.Idle,
 		to: engine.Target{Name: ticket.Endpoint, Address: ticket.Address},
 	}
 	a.id = fmt.Sprintf("%s.%.8s.%d", c.ID, s.incarnation, a.number)
@@ -43,6 +45,9 @@
 	if err == nil && stored == nil {
 		err = s.recheck(c)
 	}
+	if err == nil && stored == nil {
+		err = s.convicted(c)
+	}
 	if err != nil || stored != nil {
 		s.schedule.release(ticket, wait, routing.Neutral, c.route.Name, 0, 0)
 		if err != nil {
--- a/internal/coordination/entry/fake_replica_test.go
+++ b/internal/coordination/entry/fake_replica_test.go
@@ -68,6 +68,7 @@
 	claims    *claim.Table
 	session   *statev1.Session
 	suspects  []*statev1.Suspect
+	crashes   []string // identifiers in the reports
 	demanded  uint32
 	// loss decides what happens to a proposal.
 	loss func() string
@@ -147,6 +148,7 @@
 	case *statev1.Command_ClaimFinish:
 		r.claims.Finish(uint64(now), op.ClaimFinish)
 	case *statev1.Command_SuspectReport:
+		r.crashes = append(r.crashes, op.SuspectReport.Crash)
 		for _, f := range op.SuspectReport.Fingerprints {
 			r.suspects = append(r.suspects, &statev1.Suspect{Fingerprint: f, InCompany: 1})
 		}
--- a/internal/coordination/entry/scenario_test.go
+++ b/internal/coordination/entry/scenario_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -224,6 +225,62 @@
 	})
 }
 
+// Guards against a poison request that is never refused because an endpoint that
+// restarts soon counts as crashed once.
+func TestIsolatedCrashes(t *testing.T) {
+	bubble(t, testConfig(), func(t *testing.T, w *world) {
+		w.fakePorts.faults = []string{"crash"}
+		r := w.request("1", "read", "a", "x")
+		w.serve(context.Background(), r)
+		time.Sleep(5 * time.Second)
+		weak := &statev1.Suspect{Fingerprint: w.replica.Suspects()[0].Fingerprint, InCompany: 2}
+		with(w.replica, func() bool { w.replica.crashes = nil; return true })
+		for i := range 2 {
+			with(w.replica, func() bool { w.replica.suspects = []*statev1.Suspect{weak}; return true })
+			time.Sleep(time.Second)
+			r.ID = fmt.Sprint("again", i)
+			w.serve(context.Background(), r)
+			time.Sleep(5 * time.Second)
+		}
+		crashes := with(w.replica, func() []string { return slices.Clone(w.replica.crashes) })
+		want(t, "runs", len(crashes), w.runs[string(r.Body)]-2)
+		slices.Sort(crashes)
+		want(t, "different crashes", len(slices.Compact(crashes)), w.runs[string(r.Body)]-2)
+	})
+}
+
+// Guards against a poison request that waits while others like it crash
+// endpoints, and runs although it would be refused by now.
+func TestWaitingPoison(t *testing.T) {
+	bubble(t, testConfig(), func(t *testing.T, w *world) {
+		w.took = time.Second
+		r := w.request("p", "read", "a", "x")
+		c, err := w.server.resolve(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want(t, "verdict", w.server.judge(c), nil)
+		suspect := func(alone, company uint32) {
+			s := &statev1.Suspect{Fingerprint: c.fingerprint[:], Alone: alone, InCompany: company}
+			with(w.replica, func() bool { w.replica.suspects = []*statev1.Suspect{s}; return true })
+			time.Sleep(200 * time.Millisecond)
+		}
+		suspect(0, 2)
+		var all sync.WaitGroup
+		for i := range 4 {
+			all.Go(func() { w.serve(context.Background(), w.request(fmt.Sprint(i), "read", "b", fmt.Sprint(i))) })
+		}
+		time.Sleep(time.Millisecond)
+		all.Go(func() {
+			_, code := w.serve(context.Background(), r)
+			want(t, "code", code, resultcode.RequestCrashes)
+		})
+		suspect(2, 0)
+		all.Wait()
+		want(t, "runs", w.runs[string(r.Body)], 0)
+	})
+}
+
 // Guards urgent requests against a backlog of others: their reserved share of
 // the slots is free, so that they start at once.
 func TestReservedShare(t *testing.T) {
--- a/internal/coordination/entry/serve.go
+++ b/internal/coordination/entry/serve.go
@@ -46,6 +46,7 @@
 
 	fingerprint quarantine.Fingerprint
 	verdict     quarantine.Verdict
+	isolated    bool // needs an idle endpoint if it has to run alone
 	hold        quota.Hold
 	claim       *heldClaim
 	record      *recording
@@ -346,7 +347,7 @@
 	w := &waiter{pool: c.pool}
 	w.query = routing.Query{
 		Group: c.group, Adapter: c.adapter, Prefixes: c.prefixes, Exclude: c.exclude,
-		Alone: c.verdict == quarantine.Alone, MayProbe: c.route.Idempotent,
+		Alone: c.verdict == quarantine.Alone, Idle: c.isolated, MayProbe: c.route.Idempotent,
 	}
 	w.item.Class = c.group + "\x00" + c.adapter
 	switch {
--- a/internal/coordination/entry/suspects.go
+++ b/internal/coordination/entry/suspects.go
@@ -6,7 +6,6 @@
 	"time"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
-	"github.com/radishloom/radishloom/internal/coordination/engine"
 	"github.com/radishloom/radishloom/internal/coordination/quarantine"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
@@ -48,7 +47,7 @@
 	}
 	s.suspects.mu.Unlock()
 	if crashed {
-		go s.reportCrash(c, a.to, crash)
+		go s.reportCrash(c, a, crash)
 	}
 }
 
@@ -65,23 +64,33 @@
 	}
 }
 
+// crashID is the same at all entries that lost requests in one crash. A crash
+// by an isolated request is seen by this entry only, and has an identifier of its
+// own: an endpoint that restarts within the bucket would else count one of
+// several crashes.
+func crashID(a *attempt) string {
+	if a.isolated {
+		return a.to.Name + "/" + a.id
+	}
+	return fmt.Sprintf("%s/%d", a.to.Name, time.Now().UnixNano()/int64(crashBucket))
+}
+
 // reportCrash tells the fleet of suspects. If the endpoint answers, it may only
 // have closed a connection: a request without an earlier suspicion is then
 // weakly suspected, whatever ran beside it.
-func (s *Server) reportCrash(c *call, to engine.Target, crash quarantine.Crash) {
+func (s *Server) reportCrash(c *call, a *attempt, crash quarantine.Crash) {
 	ctx, cancel := context.WithTimeout(context.Background(), deathCheck)
 	load := s.config.Engine.Load
 	if !c.model() {
 		load = s.config.Service.Load
 	}
-	_, err := load(ctx, to)
+	_, err := load(ctx, a.to)
 	cancel()
 	s.suspects.mu.Lock()
 	known := s.suspects.tracker.Suspected(crash.Fingerprints[0])
 	s.suspects.mu.Unlock()
 	weak := s.schedule.othersRunning(crash.Endpoint) || err == nil && !known
-	bucket := time.Now().UnixNano() / int64(crashBucket)
-	report := crash.Report(fmt.Sprintf("%s/%d", crash.Endpoint, bucket), weak)
+	report := crash.Report(crashID(a), weak)
 	s.observer.Crashed(crash.Endpoint, len(crash.Fingerprints))
 	s.log.Warn("endpoint crashed", "endpoint", crash.Endpoint, "suspects", len(crash.Fingerprints), "answers", err == nil)
 	command := &statev1.Command{Op: &statev1.Command_SuspectReport{SuspectReport: report}}
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -27,6 +27,10 @@
 	// crashesToRefuse is the number of crashes alone on an endpoint after which
 	// a request is refused.
 	crashesToRefuse = 2
+	// crashesToIsolate is the number of crashes of any kind after which a request
+	// has to wait for an idle endpoint. Being alone of one entry is not enough
+	// where others keep every endpoint busy: all crashes then are in company.
+	crashesToIsolate = 2
 	// maxCleared bounds the memory of cleared requests.
 	maxCleared = 4096
 )
@@ -146,6 +150,13 @@
 	return Alone
 }
 
+// Isolated says whether a request that has to run alone needs an endpoint that
+// runs nothing of any entry. Requests that were beside one crash do not.
+func (t *Tracker) Isolated(f Fingerprint) bool {
+	c := t.suspects[f]
+	return c.alone+c.company >= crashesToIsolate && t.cleared[f] != c
+}
+
 // Suspected says whether any crash is counted against a request.
 func (t *Tracker) Suspected(f Fingerprint) bool {
 	_, suspected := t.suspects[f]
--- a/internal/coordination/routing/pick.go
+++ b/internal/coordination/routing/pick.go
@@ -18,6 +18,8 @@
 	Exclude []string
 	// Alone asks for an endpoint without other requests of this entry.
 	Alone bool
+	// Idle, with Alone, asks for an endpoint without requests of any entry.
+	Idle bool
 	// MayProbe allows an ejected endpoint to be tried with this request.
 	MayProbe bool
 	// Limit turns a window into the number of requests in flight up to which
@@ -78,6 +80,9 @@
 			}
 		}
 	}
+	if q.Alone && q.Idle {
+		return t.pickIdle(now, group, &q, usable)
+	}
 	if q.Alone {
 		return t.pickAlone(now, group, &q, usable)
 	}
@@ -187,6 +192,19 @@
 	return nil
 }
 
+// pickIdle takes an endpoint that runs nothing, as far as its last report says;
+// without any report only the own requests are known. It reserves none: that
+// would not keep other entries away, and it would keep own requests out.
+func (t *Table) pickIdle(now time.Duration, group []*endpoint, q *Query, usable func(e *endpoint) bool) *Ticket {
+	for _, e := range group {
+		busy := e.reported && (now-e.reportedAt > freshReport || e.others > 0 || e.waiting > 0)
+		if e.inFlight == 0 && !busy && usable(e) {
+			return t.begin(now, e, q)
+		}
+	}
+	return nil
+}
+
 // Forget drops the reservations of a request that no longer waits.
 func (t *Table) Forget(group string, id uint64) {
 	for _, e := range t.groups[group] {
--- a/internal/coordination/routing/table_test.go
+++ b/internal/coordination/routing/table_test.go
@@ -236,4 +236,15 @@
 	if table.Pick(0, Query{ID: 9, Group: "g", Alone: true, Exclude: []string{"b"}, ReserveUntil: time.Hour}) != nil || pick(table, 0, Query{}) != "b" {
 		t.Error("an endpoint that is reserved for a request alone gets others")
 	}
+	table = fresh(8)
+	idle := Query{ID: 9, Alone: true, Idle: true, ReserveUntil: time.Hour}
+	table.Report(0, "a", &engine.Load{Slots: 8, Running: 1})
+	table.Report(0, "b", &engine.Load{Slots: 8, Running: 1})
+	if pick(table, 0, idle) != "" || pick(table, 0, Query{}) == "" {
+		t.Error("a request that needs an idle endpoint runs beside those of other entries, or keeps own ones out")
+	}
+	table.Report(time.Second, "b", &engine.Load{Slots: 8})
+	if pick(table, time.Second, idle) != "b" || pick(table, time.Minute, idle) != "" {
+		t.Error("an endpoint is idle if its report says so and is recent")
+	}
 }
