quota: serve requests that can still meet their target first

Cause: a customer beyond its rate has a queue for tokens as long as its deadlines. First come, first served started every one of its requests too late for its target, and many so late that the deadline cut them.

Change: within one customer and priority, waiters that can still meet the target for the first token come before those that cannot.

--- a/internal/coordination/entry/serve.go
+++ b/internal/coordination/entry/serve.go
@@ -237,8 +237,14 @@
 		return nil
 	}
 	began := s.now()
-	until := c.deadline - s.usualTime(c)
-	if err := s.tokens.hold(ctx, c.customer, c.profile.Priority, need, until); err != nil {
+	w := &quota.Waiter{
+		Customer: c.customer.Name, Priority: c.profile.Priority, Tokens: need,
+		Fresh: c.deadline, Until: c.deadline - s.usualTime(c),
+	}
+	if target := c.profile.FirstTokenMs; target > 0 {
+		w.Fresh = c.arrived + time.Duration(target)*time.Millisecond
+	}
+	if err := s.tokens.hold(ctx, c.customer, w); err != nil {
 		return err
 	}
 	c.hold.Tokens = need
--- a/internal/coordination/entry/tokens.go
+++ b/internal/coordination/entry/tokens.go
@@ -24,18 +24,18 @@
 	return &tokens{now: now, replica: r, book: quota.NewBook()}
 }
 
-// hold reserves tokens, waiting until the given time if need be.
-func (t *tokens) hold(ctx context.Context, customer *statev1.Customer, priority int32, need uint64, until time.Duration) error {
+// hold reserves tokens, waiting if need be: until the time in w, and behind
+// others once it is no longer fresh.
+func (t *tokens) hold(ctx context.Context, customer *statev1.Customer, w *quota.Waiter) error {
 	limits := quota.Limits{RatePerSecond: customer.RateTokensPerSecond, Burst: customer.BurstTokens}
-	if !quota.Fits(need, limits) {
-		return resultcode.New(resultcode.LargerThanBurst, "%d tokens exceed the customer's burst of %d", need, limits.Burst)
+	if !quota.Fits(w.Tokens, limits) {
+		return resultcode.New(resultcode.LargerThanBurst, "%d tokens exceed the customer's burst of %d", w.Tokens, limits.Burst)
 	}
-	w := &quota.Waiter{Customer: customer.Name, Priority: priority, Tokens: need, Until: until}
 	granted, err := t.begin(w, limits)
 	if err != nil || granted == nil {
 		return err
 	}
-	timer := time.NewTimer(until - t.now())
+	timer := time.NewTimer(w.Until - t.now())
 	defer timer.Stop()
 	select {
 	case <-granted:
@@ -50,7 +50,7 @@
 func (t *tokens) begin(w *quota.Waiter, limits quota.Limits) (<-chan struct{}, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.book.Clear(w.Customer, w.Priority) && t.replica.Hold(w.Customer, w.Tokens) {
+	if t.book.Clear(w, t.now()) && t.replica.Hold(w.Customer, w.Tokens) {
 		return nil, nil
 	}
 	if t.book.Hopeless(w, limits, t.now()) {
@@ -93,7 +93,7 @@
 	defer t.mu.Unlock()
 	for _, customer := range t.book.Customers() {
 		hold := func(n uint64) bool { return t.replica.Hold(customer, n) }
-		served := t.book.Serve(customer, hold)
+		served := t.book.Serve(customer, t.now(), hold)
 		if len(served) == 0 {
 			continue
 		}
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -17,8 +17,9 @@
 	Customer string
 	Priority int32
 	Tokens   uint64
-	// Until is when waiting no longer helps.
-	Until time.Duration
+	// Fresh is until when a start can still meet the target for the first token,
+	// Until is when waiting no longer helps at all.
+	Fresh, Until time.Duration
 	// Value belongs to the caller.
 	Value any
 
@@ -31,8 +32,10 @@
 	Burst         uint64
 }
 
-// Book orders the waiters: higher priority first, then first come, first
-// served within each customer.
+// Book orders the waiters of each customer: higher priority first, then those
+// that can still meet their target, then first come, first served. Without the
+// second rule a customer beyond its rate has a queue as long as its deadlines,
+// and every one of its requests starts too late for its target.
 type Book struct {
 	seq     uint64
 	waiting map[string][]*Waiter // in order
@@ -58,21 +61,46 @@
 	left := max(0, w.Until-now).Seconds()
 	ahead := uint64(0)
 	for _, o := range b.waiting[w.Customer] {
-		if o.Priority >= w.Priority {
+		if o.before(w, now) {
 			ahead += o.Tokens
 		}
 	}
 	return float64(ahead+w.Tokens) > float64(l.Burst)+float64(l.RatePerSecond)*left
 }
 
-// Clear says whether a request of this priority would be first, so that it may
-// try to hold tokens without waiting.
-func (b *Book) Clear(customer string, priority int32) bool {
+// before says whether a waiter is served before one that comes now.
+func (w *Waiter) before(next *Waiter, now time.Duration) bool {
+	if w.Priority != next.Priority {
+		return w.Priority > next.Priority
+	}
+	return w.Fresh >= now || next.Fresh < now
+}
+
+// Clear says whether a new request would be first, so that it may try to hold
+// tokens without waiting.
+func (b *Book) Clear(w *Waiter, now time.Duration) bool {
 	if b.overtaking {
 		return true
 	}
+	first := b.first(w.Customer, now)
+	return first == nil || !first.before(w, now)
+}
+
+// first returns the waiter that is served next, or nil.
+func (b *Book) first(customer string, now time.Duration) *Waiter {
 	q := b.waiting[customer]
-	return len(q) == 0 || q[0].Priority < priority
+	for _, w := range q {
+		if w.Priority < q[0].Priority {
+			break
+		}
+		if w.Fresh >= now {
+			return w
+		}
+	}
+	if len(q) == 0 {
+		return nil
+	}
+	return q[0]
 }
 
 // Add lets a request wait.
@@ -121,10 +149,10 @@
 
 // Serve removes and returns the waiters of a customer, in order, for as long
 // as hold reserves their tokens.
-func (b *Book) Serve(customer string, hold func(tokens uint64) bool) []*Waiter {
+func (b *Book) Serve(customer string, now time.Duration, hold func(tokens uint64) bool) []*Waiter {
 	var served []*Waiter
 	for len(b.waiting[customer]) > 0 {
-		w := b.waiting[customer][0]
+		w := b.first(customer, now)
 		if !hold(w.Tokens) {
 			break
 		}
