--- a/internal/bench/cmd/bench/main.go
+++ b/internal/bench/cmd/bench/main.go
@@ -23,6 +23,7 @@
 	Parallel   int           `long:"parallel" default:"3" description:"runs at the same time"`
 	Scenario   string        `long:"scenario" description:"only scenarios with this text in their name"`
 	Deployment string        `long:"deployment" description:"only this deployment"`
+	Load       float64       `long:"utilisation" default:"0.6" description:"mean demand for slots over all slots"`
 	Baselines  bool          `long:"baselines" description:"also run the baselines, on the scenarios without faults"`
 	Cost       bool          `long:"cost" description:"measure one entry in its own process in place of the scenarios"`
 	Open       []int         `long:"open" default:"1000" default:"4000" description:"open streams whose memory --cost measures"`
@@ -65,7 +66,7 @@
 				continue
 			}
 			for seed := range o.Seeds {
-				cells = append(cells, bench.Cell{Deployment: d, Scenario: s, Policy: p, Seed: uint64(seed + 1), Length: o.Length})
+				cells = append(cells, bench.Cell{Deployment: d, Scenario: s, Policy: p, Seed: uint64(seed + 1), Length: o.Length, Utilisation: o.Load})
 			}
 		}
 	}
@@ -93,7 +94,7 @@
 			last := &rows[len(rows)-1]
 			last.Figures = append(last.Figures, f)
 		}
-		title := fmt.Sprintf("Deployment %s, %d seeds, %v of traffic, %d runs at the same time", d.Name, o.Seeds, o.Length, o.Parallel)
+		title := fmt.Sprintf("Deployment %s, %d seeds, utilisation %.2f, %v of traffic, %d runs at the same time", d.Name, o.Seeds, o.Load, o.Length, o.Parallel)
 		bench.WriteTable(os.Stdout, title, rows)
 		took, spent := time.Since(began), bench.ProcessorTime()-used
 		fmt.Printf("\nProcessor time of entries, stand-ins and load generator together: %.2f ms for a request, %.1f cores on average.\n",
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -31,11 +31,13 @@
 	Policy     Policy
 	Seed       uint64
 	Length     time.Duration
+	// Utilisation is the mean demand for slots over all slots.
+	Utilisation float64
 }
 
 // Run carries out one cell.
 func Run(c Cell) (Figures, error) {
-	t := newTraffic(c.Deployment, c.Scenario, c.Length, c.Seed)
+	t := newTraffic(c)
 	p := newProbe(t)
 	f, err := startFleet(c.Deployment, t, p, c.Seed, c.Policy.Baseline)
 	defer f.close()
--- a/internal/bench/traffic.go
+++ b/internal/bench/traffic.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// utilisation is the mean demand for slots over all slots.
-	utilisation = 0.6
 	// rateMargin is a customer's rate over its mean demand, burstSeconds its
 	// burst over its rate.
 	rateMargin   = 1.4
@@ -84,10 +82,10 @@
 }
 
 // newTraffic makes the arrivals of a run. The same seed gives the same ones.
-func newTraffic(d Deployment, s Scenario, length time.Duration, seed uint64) traffic {
+func newTraffic(c Cell) traffic {
 	g := &generator{
-		d: d, scenario: s, length: length, rng: rand.New(rand.NewPCG(seed, 1)),
-		rps: float64(d.Engines*slots) * utilisation / meanSlotSeconds,
+		d: c.Deployment, scenario: c.Scenario, length: c.Length, rng: rand.New(rand.NewPCG(c.Seed, 1)),
+		rps: float64(c.Deployment.Engines*slots) * c.Utilisation / meanSlotSeconds,
 	}
 	t := traffic{rate: g.rps * meanTokensOfModels * rateMargin}
 	for c, share := range customers() {
--- a/internal/bench/traffic_test.go
+++ b/internal/bench/traffic_test.go
@@ -18,11 +18,14 @@
 func TestTraffic(t *testing.T) {
 	const length = 9 * time.Second
 	for _, s := range Scenarios() {
-		a, b := newTraffic(Lima(), s, length, 7), newTraffic(Lima(), s, length, 7)
+		cell := Cell{Deployment: Lima(), Scenario: s, Length: length, Seed: 7, Utilisation: 0.6}
+		other := cell
+		other.Seed = 8
+		a, b := newTraffic(cell), newTraffic(cell)
 		if !reflect.DeepEqual(a, b) {
 			t.Errorf("%s: the same seed gave different traffic", s)
 		}
-		if reflect.DeepEqual(a, newTraffic(Lima(), s, length, 8)) {
+		if reflect.DeepEqual(a, newTraffic(other)) {
 			t.Errorf("%s: another seed gave the same traffic", s)
 		}
 		tokens := make([]float64, len(customers()))
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,10 +1,12 @@
 #!/usr/bin/env bash
 # Runs the Go benchmarks and writes their output to bin/bench.txt, then measures
-# the decisions under load and faults and writes bin/bench-decisions.md. The
-# tables of docs/measurements.md are made from both.
+# the decisions under load and faults (bin/bench-decisions.md), and one entry
+# on one core (bin/bench-cost.md). docs/measurements.md is made from them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p bin
 "${GO:-go}" test -run '^$' -bench . -benchmem -benchtime "${BENCHTIME:-200ms}" -timeout 30m ./internal/... |
   grep -E '^(Benchmark|pkg:|cpu:|ok)' | tee bin/bench.txt
-"${GO:-go}" run ./internal/bench/cmd/bench --baselines | tee bin/bench-decisions.md
+"${GO:-go}" run ./internal/bench/cmd/bench --parallel 4 --baselines | tee bin/bench-decisions.md
+"${GO:-go}" build -o bin/bench ./internal/bench/cmd/bench
+bin/bench --cost | tee bin/bench-cost.md
