--- a/internal/coordination/admission/queue_test.go
+++ b/internal/coordination/admission/queue_test.go
@@ -233,3 +233,19 @@
 		t.Fatalf("the median of 1 to 100 ms is estimated as %v", e)
 	}
 }
+
+// Guards the first-in first-out baseline against the order of deadlines.
+func TestOrderByArrival(t *testing.T) {
+	q := NewQueue(10)
+	q.OrderByArrival()
+	for i, latest := range []time.Duration{3, 1, 2} {
+		q.Push(&Item{ID: uint64(i), Class: "c", LatestStart: latest * time.Second})
+	}
+	for i := range uint64(3) {
+		it := q.Heads([]string{"c"})[0]
+		if it.ID != i {
+			t.Fatalf("item %d is first, want %d", it.ID, i)
+		}
+		q.Take(it)
+	}
+}
--- /dev/null
+++ b/internal/coordination/routing/choice_test.go
@@ -0,0 +1,32 @@
+package routing
+
+import "testing"
+
+// Guards against baselines that do not follow their rule, and that send to an
+// endpoint without a free slot.
+func TestChoice(t *testing.T) {
+	for choice, want := range map[Choice]string{ByTurn: "bab", ByLoad: "bba"} {
+		table := New(func(int) int { return 0 })
+		table.Configure([]Spec{{Name: "a", Groups: []string{"g"}, Slots: 3}, {Name: "b", Groups: []string{"g"}, Slots: 2}}, 1, 0)
+		table.SetChoice(choice)
+		if choice == ByLoad {
+			table.Pick(0, Query{Group: "g", Exclude: []string{"b"}})
+			table.Pick(0, Query{Group: "g", Exclude: []string{"b"}})
+		}
+		got := ""
+		for range want {
+			got += table.Pick(0, Query{Group: "g"}).Endpoint
+		}
+		if got != want {
+			t.Errorf("choice %d took %s, want %s", choice, got, want)
+		}
+		for table.Pick(0, Query{Group: "g"}) != nil {
+			got += "."
+		}
+		for _, s := range table.Status() {
+			if s.InFlight != s.Window {
+				t.Errorf("choice %d: %+v", choice, s)
+			}
+		}
+	}
+}
