--- a/internal/coordination/entry/serve.go
+++ b/internal/coordination/entry/serve.go
@@ -46,6 +46,7 @@
 
 	fingerprint quarantine.Fingerprint
 	verdict     quarantine.Verdict
+	isolated    bool // needs an idle endpoint if it has to run alone
 	hold        quota.Hold
 	claim       *heldClaim
 	record      *recording
@@ -236,8 +237,14 @@
 		return nil
 	}
 	began := s.now()
-	until := c.deadline - s.usualTime(c)
-	if err := s.tokens.hold(ctx, c.customer, c.profile.Priority, need, until); err != nil {
+	w := &quota.Waiter{
+		Customer: c.customer.Name, Priority: c.profile.Priority, Tokens: need,
+		Fresh: c.deadline, Until: c.deadline - s.usualTime(c),
+	}
+	if target := c.profile.FirstTokenMs; target > 0 {
+		w.Fresh = c.arrived + time.Duration(target)*time.Millisecond
+	}
+	if err := s.tokens.hold(ctx, c.customer, w); err != nil {
 		return err
 	}
 	c.hold.Tokens = need
@@ -354,7 +361,7 @@
 	w := &waiter{pool: c.pool}
 	w.query = routing.Query{
 		Group: c.group, Adapter: c.adapter, Prefixes: c.prefixes, Exclude: c.exclude,
-		Alone: c.verdict == quarantine.Alone, MayProbe: c.route.Idempotent,
+		Alone: c.verdict == quarantine.Alone, Idle: c.isolated, MayProbe: c.route.Idempotent,
 	}
 	w.item.Class = c.group + "\x00" + c.adapter
 	switch {
