entry, daemon: measure attainment for each customer and profile, count moves

Cause: the metrics named the route or the customer, never both, and took each answered request for attained; orders to engines were not counted. Change: measurements carry route, profile and customer; a stream has attained its profile if the first token and the mean gap are within the targets.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -194,7 +194,7 @@
 	s.schedule.firstByte(a.ticket)
 	s.alive(a.to.Name)
 	if c.Stream {
-		s.observer.FirstToken(c.route.Name, s.now()-c.arrived)
+		s.observer.FirstToken(c.class(), s.now()-c.arrived)
 	}
 }
 
--- a/internal/coordination/entry/claim.go
+++ b/internal/coordination/entry/claim.go
@@ -58,7 +58,7 @@
 	}
 	if c.claim.unknown {
 		s.finisher.add(c.claim.finish(statev1.ClaimOutcome_CLAIM_OUTCOME_NOT_RUN, nil))
-		s.observer.ClaimUnfinished(c.route.Name)
+		s.observer.ClaimUnfinished(c.class())
 	}
 	c.claim = nil
 	return stored, err
@@ -168,7 +168,7 @@
 	if s.finisher.try(context.Background(), f, finishWait) {
 		return
 	}
-	s.observer.ClaimUnfinished(c.route.Name)
+	s.observer.ClaimUnfinished(c.class())
 	s.finisher.add(f)
 }
 
--- a/internal/coordination/entry/serve.go
+++ b/internal/coordination/entry/serve.go
@@ -58,6 +58,9 @@
 	uncertain *resultcode.Error
 	used      uint64 // tokens of all attempts
 	started   bool   // a part of the answer was passed to the ResponseWriter
+	// firstEvent and lastEvent are when the stream's events were passed on.
+	firstEvent, lastEvent time.Duration
+	events                int
 	// withdrawn is closed when the key of an open stream was withdrawn.
 	withdrawn chan struct{}
 }
@@ -69,6 +72,27 @@
 	return c.customer.Name
 }
 
+func (c *call) class() Class {
+	return Class{Route: c.route.Name, Profile: c.profile.GetName(), Customer: c.customerName()}
+}
+
+// attained says that a whole answer met the profile's targets: the first token
+// in time, and the others at the mean gap of the profile. An answer that was
+// not streamed has no targets but its deadline.
+func (c *call) attained() bool {
+	if c.events == 0 {
+		return true
+	}
+	first := c.firstEvent - c.arrived
+	if target := milliseconds(c.profile.FirstTokenMs); target > 0 && first > target {
+		return false
+	}
+	gap := milliseconds(c.profile.TokenGapMs)
+	return gap == 0 || c.lastEvent-c.firstEvent <= gap*time.Duration(c.events)
+}
+
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
 func (c *call) model() bool { return c.route.Kind == statev1.RouteKind_ROUTE_KIND_MODEL }
 
 func (c *call) silence() time.Duration {
@@ -85,7 +109,7 @@
 	c, err := s.admit(r)
 	if err != nil {
 		s.open.Add(-1)
-		s.refused(r, "", err)
+		s.observer.Refused(Class{Route: r.Route.GetName()}, resultcode.Of(err))
 		return advise(refusal(err))
 	}
 	if c.route.Idempotent || s.faults.cancelClaimed {
@@ -95,21 +119,14 @@
 		err = s.detachable(ctx, c, w)
 	}
 	if err != nil {
-		s.refused(r, c.customerName(), err)
+		s.observer.Refused(c.class(), resultcode.Of(err))
 		return advise(refusal(err))
 	}
-	s.observer.Served(c.route.Name, c.customerName(), s.now()-c.arrived, c.hold.Charged)
+	took := s.now() - c.arrived
+	s.observer.Served(c.class(), c.attained(), took, c.hold.Charged)
 	return nil
 }
 
-func (s *Server) refused(r *Request, customer string, err error) {
-	route := ""
-	if r.Route != nil {
-		route = r.Route.Name
-	}
-	s.observer.Refused(route, customer, resultcode.Of(err))
-}
-
 // leave undoes admit.
 func (s *Server) leave(c *call) {
 	if c.hold.Tokens > 0 {
@@ -207,7 +224,7 @@
 }
 
 func (s *Server) replay(c *call, a *statev1.StoredAnswer, w ResponseWriter) error {
-	s.observer.Replayed(c.route.Name)
+	s.observer.Replayed(c.class())
 	return replay(a, w)
 }
 
@@ -248,7 +265,7 @@
 		return err
 	}
 	c.hold.Tokens = need
-	s.observer.TokensWaited(c.customer.Name, s.now()-began)
+	s.observer.TokensWaited(c.class(), s.now()-began)
 	return nil
 }
 
@@ -278,7 +295,7 @@
 		wait := s.waiterFor(c)
 		began := s.now()
 		ticket, err := s.schedule.acquire(ctx, wait)
-		s.observer.Queued(c.route.Name, s.now()-began)
+		s.observer.Queued(c.class(), s.now()-began)
 		if err != nil {
 			return c.final(s, err)
 		}
@@ -337,7 +354,7 @@
 	d := s.retries.decider.Decide(s.now(), key, a)
 	s.retries.mu.Unlock()
 	if d.SpentBudget {
-		s.observer.RetryDenied(c.route.Name, code)
+		s.observer.RetryDenied(c.class(), code)
 	}
 	if !d.Again {
 		if d.Code != code {
@@ -350,7 +367,7 @@
 	case <-ctx.Done():
 		return false
 	}
-	s.observer.Retried(c.route.Name, code)
+	s.observer.Retried(c.class(), code)
 	c.exclude = exclude
 	c.retries++
 	return true
--- a/internal/coordination/entry/stream.go
+++ b/internal/coordination/entry/stream.go
@@ -147,9 +147,10 @@
 			return callerGone(err)
 		}
 	} else {
-		s.observer.TokenGap(c.route.Name, now-r.last)
+		s.observer.TokenGap(c.class(), now-r.last)
 	}
 	r.last = now
+	c.sawEvent(now)
 	r.resumes = 0
 	s.charge(c, uint64(max(0, event.Tokens)))
 	s.demand.add(c, 0, uint64(max(0, event.Tokens)))
@@ -166,6 +167,15 @@
 	return nil
 }
 
+// sawEvent notes when an event was passed on.
+func (c *call) sawEvent(now time.Duration) {
+	if c.events == 0 {
+		c.firstEvent = now
+	}
+	c.lastEvent = now
+	c.events++
+}
+
 // resume opens a new connection to the same endpoint at the next event. If
 // nothing was received yet, there is nothing to resume and the error stands:
 // the retry rules decide. Otherwise a failure is StreamBroken.
@@ -187,7 +197,7 @@
 		stream, err := r.s.config.Engine.Open(ctx, r.a.to, request)
 		if err == nil {
 			r.stream = stream
-			r.s.observer.Resumed(r.c.route.Name, true)
+			r.s.observer.Resumed(r.c.class(), true)
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -199,7 +209,7 @@
 			return cancelled(ctx, cause)
 		}
 	}
-	r.s.observer.Resumed(r.c.route.Name, false)
+	r.s.observer.Resumed(r.c.class(), false)
 	return resultcode.Wrap(resultcode.StreamBroken, cause, "the stream broke after %d events and could not be resumed", r.next)
 }
 
--- a/internal/coordination/placement/owner.go
+++ b/internal/coordination/placement/owner.go
@@ -54,6 +54,9 @@
 	// Now returns a monotonic time; the process's clock if nil.
 	Now    func() time.Duration
 	Logger *slog.Logger
+	// Moved, if set, is called for each order that an engine carried out. It must
+	// not block.
+	Moved func(kind engine.OrderKind)
 }
 
 // Owner places models while its control VM leads.
--- a/internal/coordination/placement/send.go
+++ b/internal/coordination/placement/send.go
@@ -72,6 +72,9 @@
 		switch {
 		case err == nil:
 			outcome = statev1.OrderOutcome_ORDER_OUTCOME_DONE
+			if o.cfg.Moved != nil {
+				o.cfg.Moved(kindOf(order.Kind))
+			}
 		case resultcode.Of(err).Info().Run != resultcode.NotRun:
 			o.cfg.Logger.Warn("placement: no answer to an order", "order", id, "endpoint", order.Endpoint, "error", err)
 			return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -162,7 +162,7 @@
 		Service:    servicehttp.New(d.client),
 		Platform:   platform,
 		Replica:    d.replica,
-		Observer:   observer{metrics: d.metrics, replica: d.replica, log: d.log},
+		Observer:   observer{metrics: d.metrics, log: d.log},
 		Logger:     d.log,
 		Seed:       rand.Uint64(),
 		MaxOpen:    d.settings.Limits.OpenRequests,
--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/radishloom/radishloom/internal/coordination/entry"
-	"github.com/radishloom/radishloom/internal/coordination/replica"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/telemetry"
 )
@@ -13,71 +12,60 @@
 // observer passes the entry's measurements on to the metrics.
 type observer struct {
 	metrics *telemetry.Metrics
-	replica *replica.Replica
 	log     *slog.Logger
 }
 
 var _ entry.Observer = observer{}
 
-// profile returns the name of a route's profile.
-func (o observer) profile(route string) string {
-	index := o.replica.Index()
-	if index == nil {
-		return telemetry.Other
-	}
-	return index.Route(route).GetProfile()
-}
-
 // Refused implements entry.Observer.
-func (o observer) Refused(route, customer string, code resultcode.Code) {
+func (o observer) Refused(c entry.Class, code resultcode.Code) {
 	o.metrics.Refusal(code)
-	o.metrics.Request(customer, o.profile(route), false)
+	o.metrics.Request(c.Customer, c.Profile, false)
 }
 
 // Served implements entry.Observer.
-func (o observer) Served(route, customer string, _ time.Duration, tokens uint64) {
-	profile := o.profile(route)
-	o.metrics.Request(customer, profile, true)
-	o.metrics.Tokens(customer, profile, tokens)
+func (o observer) Served(c entry.Class, attained bool, _ time.Duration, tokens uint64) {
+	o.metrics.Request(c.Customer, c.Profile, attained)
+	o.metrics.Tokens(c.Customer, c.Profile, tokens)
 }
 
 // Retried implements entry.Observer.
-func (o observer) Retried(_ string, reason resultcode.Code) { o.metrics.Retry(reason.String()) }
+func (o observer) Retried(_ entry.Class, reason resultcode.Code) { o.metrics.Retry(reason.String()) }
 
 // RetryDenied implements entry.Observer.
-func (o observer) RetryDenied(string, resultcode.Code) {
+func (o observer) RetryDenied(entry.Class, resultcode.Code) {
 	o.metrics.Refusal(resultcode.RetryBudgetSpent)
 }
 
 // Resumed implements entry.Observer.
-func (o observer) Resumed(string, bool) { o.metrics.Retry(telemetry.RetryResume) }
+func (o observer) Resumed(entry.Class, bool) { o.metrics.Retry(telemetry.RetryResume) }
 
 // TokensWaited implements entry.Observer.
-func (o observer) TokensWaited(customer string, wait time.Duration) {
-	o.metrics.QueueTime(customer, telemetry.Other, wait)
+func (o observer) TokensWaited(c entry.Class, wait time.Duration) {
+	o.metrics.QueueTime(c.Customer, c.Profile, wait)
 }
 
 // Queued implements entry.Observer.
-func (o observer) Queued(route string, wait time.Duration) {
-	o.metrics.QueueTime(telemetry.Other, o.profile(route), wait)
+func (o observer) Queued(c entry.Class, wait time.Duration) {
+	o.metrics.QueueTime(c.Customer, c.Profile, wait)
 }
 
 // FirstToken implements entry.Observer.
-func (o observer) FirstToken(route string, took time.Duration) {
-	o.metrics.FirstToken(telemetry.Other, o.profile(route), took)
+func (o observer) FirstToken(c entry.Class, took time.Duration) {
+	o.metrics.FirstToken(c.Customer, c.Profile, took)
 }
 
 // TokenGap implements entry.Observer.
-func (o observer) TokenGap(route string, gap time.Duration) {
-	o.metrics.TokenGap(telemetry.Other, o.profile(route), gap)
+func (o observer) TokenGap(c entry.Class, gap time.Duration) {
+	o.metrics.TokenGap(c.Customer, c.Profile, gap)
 }
 
 // Replayed implements entry.Observer.
-func (o observer) Replayed(string) {}
+func (o observer) Replayed(entry.Class) {}
 
 // ClaimUnfinished implements entry.Observer.
-func (o observer) ClaimUnfinished(route string) {
-	o.log.Warn("the end of a claim is left to the background", "route", route)
+func (o observer) ClaimUnfinished(c entry.Class) {
+	o.log.Warn("the end of a claim is left to the background", "route", c.Route)
 }
 
 // Crashed implements entry.Observer.
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -6,9 +6,11 @@
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/coordination/control"
+	"github.com/radishloom/radishloom/internal/coordination/engine"
 	"github.com/radishloom/radishloom/internal/coordination/placement"
 	"github.com/radishloom/radishloom/internal/protocol/enginehttp"
 	"github.com/radishloom/radishloom/internal/state/fleet"
+	"github.com/radishloom/radishloom/internal/telemetry"
 	"github.com/radishloom/radishloom/internal/transport/httpclient"
 )
 
@@ -54,10 +56,19 @@
 		Engine:   enginehttp.New(d.orders),
 		Platform: platform,
 		Logger:   d.log,
+		Moved:    d.countMove,
 	})
 	return nil
 }
 
+func (d *Daemon) countMove(kind engine.OrderKind) {
+	name := telemetry.MoveLoadModel
+	if kind == engine.UnloadModel {
+		name = telemetry.MoveUnloadModel
+	}
+	d.metrics.ModelMove(name)
+}
+
 // takeDemand passes what entries report to placement, once it is built.
 func (d *Daemon) takeDemand(session *statev1.Session, demand []*peerv1.ModelDemand) {
 	if d.placement != nil {
