--- a/internal/coordination/placement/fuzz_test.go
+++ b/internal/coordination/placement/fuzz_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
-	"github.com/radishloom/radishloom/internal/fuzztest"
+	"github.com/radishloom/radishloom/internal/proptest"
 )
 
 // placementProperty runs a fleet through faults and changes, then lets it
@@ -123,7 +123,9 @@
 // Guards against overcommitted memory, orders that leave a model without a
 // copy, models that do not return, overuse of the weight store, unloads without
 // a drain, and moves without a cause.
-func TestPlacementUnderFaults(t *testing.T) { fuzztest.Check(t, 40, placementProperty(faults{})) }
+func TestPlacementUnderFaults(t *testing.T) {
+	proptest.CheckSeeds(t, 40, placementProperty(faults{}), proptest.Steps(200))
+}
 
 // Shows that the property notices each broken rule.
 func TestBrokenPlannersFail(t *testing.T) {
@@ -140,7 +142,7 @@
 		{"restless", 3, "steady state", faults{restless: true}},
 	} {
 		t.Run(v.name, func(t *testing.T) {
-			fuzztest.MustFail(t, v.seed, v.want, placementProperty(v.f))
+			proptest.ExpectFailure(t, v.seed, v.want, placementProperty(v.f), proptest.Steps(200))
 		})
 	}
 }
--- a/internal/coordination/placement/owner_test.go
+++ b/internal/coordination/placement/owner_test.go
@@ -15,7 +15,7 @@
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/coordination/engine"
-	"github.com/radishloom/radishloom/internal/fuzztest"
+	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/fleet"
 	"github.com/radishloom/radishloom/internal/state/order"
@@ -174,7 +174,7 @@
 // Guards against orders that are sent uncommitted, too late, too early after a
 // change of owner, or to the harm of a model, with two owners that take turns.
 func TestOwnersUnderFaults(t *testing.T) {
-	fuzztest.Check(t, 20, func(t *rapid.T) {
+	proptest.CheckSeeds(t, 20, func(t *rapid.T) {
 		f, owners := newFake(t.Fatalf, choose(t))
 		if !f.world.configure() {
 			t.Skip("the configuration does not fit")
@@ -214,7 +214,7 @@
 			t.Fatalf("in a steady state: %d commands, %d of them reports, %d publications",
 				f.world.index-index, f.observed-observed, f.published-published)
 		}
-	})
+	}, proptest.Steps(200))
 }
 
 // Guards against sending an order whose commit took longer than its lifetime.
--- a/internal/coordination/replica/fuzz_test.go
+++ b/internal/coordination/replica/fuzz_test.go
@@ -11,7 +11,7 @@
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
-	"github.com/radishloom/radishloom/internal/fuzztest"
+	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/state/fleet"
 )
 
@@ -290,14 +290,14 @@
 // a withdrawn key, and going back to an older version, under lost, late and
 // reordered answers and clock steps.
 func TestReplicaFuzz(t *testing.T) {
-	fuzztest.Check(t, 60, property(coreFaults{}))
+	proptest.CheckSeeds(t, 60, property(coreFaults{}), proptest.Steps(200))
 }
 
 // Each broken rule must be noticed by the same property.
 func TestReplicaFuzzNoticesBrokenRules(t *testing.T) {
-	fuzztest.MustFail(t, 93, "withdrawn key accepted", property(coreFaults{leaseFromAnswer: true}))
-	fuzztest.MustFail(t, 696, "tokens admitted in a window", property(coreFaults{keepOnLapse: true}))
-	fuzztest.MustFail(t, 2103, "version went back", property(coreFaults{acceptOlder: true}))
+	proptest.ExpectFailure(t, 93, "withdrawn key accepted", property(coreFaults{leaseFromAnswer: true}), proptest.Steps(200))
+	proptest.ExpectFailure(t, 696, "tokens admitted in a window", property(coreFaults{keepOnLapse: true}), proptest.Steps(200))
+	proptest.ExpectFailure(t, 2103, "version went back", property(coreFaults{acceptOlder: true}), proptest.Steps(200))
 }
 
 // Guards against two entries that each hold a part of the burst, wait for more
--- /dev/null
+++ b/internal/proptest/integral.go
@@ -0,0 +1,55 @@
+package proptest
+
+import "pgregory.net/rapid"
+
+// Integral is the oracle of a rate limit: what is spent in any window is at
+// most the rate summed over the window plus the largest burst. Times are in
+// milliseconds.
+type Integral struct {
+	burst   uint64
+	changes []moment // rate from a time on
+	spent   []moment // tokens at a time
+}
+
+type moment struct{ at, value uint64 }
+
+// Limit sets the rate in tokens per second and the burst from a time on.
+func (i *Integral) Limit(at, rate, burst uint64) {
+	i.burst = max(i.burst, burst)
+	i.changes = append(i.changes, moment{at, rate})
+}
+
+// Spend records tokens that were used.
+func (i *Integral) Spend(at, tokens uint64) {
+	i.spent = append(i.spent, moment{at, tokens})
+}
+
+// allowance returns the rate summed over a window, in thousandths of a token.
+func (i *Integral) allowance(from, to uint64) uint64 {
+	var sum uint64
+	for n, c := range i.changes {
+		end := to
+		if n+1 < len(i.changes) {
+			end = min(to, i.changes[n+1].at)
+		}
+		if start := max(from, c.at); start < end {
+			sum += (end - start) * c.value
+		}
+	}
+	return sum
+}
+
+// Verify fails if any window exceeds its bound.
+func (i *Integral) Verify(t *rapid.T) {
+	const milli = 1000
+	for n := range i.spent {
+		var sum uint64
+		from := i.spent[n].at
+		for _, s := range i.spent[n:] {
+			sum += s.value * milli
+			if bound := i.allowance(from, s.at) + i.burst*milli; sum > bound {
+				t.Fatalf("%d thousandths of a token from %d ms to %d ms, allowed are %d", sum, from, s.at, bound)
+			}
+		}
+	}
+}
--- a/internal/proptest/proptest.go
+++ b/internal/proptest/proptest.go
@@ -1,74 +1,159 @@
-// Package proptest runs properties of tests with fixed seeds, and shows that
-// they fail for broken variants. Only tests import it.
+// Package proptest runs rapid properties with fixed seeds, so that a test gives
+// the same verdict each time, and shows that they fail for broken variants.
+// Only tests import it.
+//
+// RADISHLOOM_FUZZ_SECONDS=n adds n seconds of fresh seeds to each property,
+// starting with RADISHLOOM_FUZZ_SEED if that is set. RADISHLOOM_SEED replaces the
+// fixed seeds, to repeat a run that failed. Every failure names its seed.
 package proptest
 
 import (
 	"flag"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 )
 
-// Check checks a property with a number of runs from a fixed seed, and from
-// more seeds for as many seconds as RADISHLOOM_FUZZ_SECONDS says.
-// RADISHLOOM_SEED replaces the fixed seed, to repeat a run that failed.
-func Check(t *testing.T, runs int, seed uint64, prop func(*rapid.T)) {
+const (
+	envSeconds = "RADISHLOOM_FUZZ_SECONDS"
+	envFirst   = "RADISHLOOM_FUZZ_SEED"
+	envOnly    = "RADISHLOOM_SEED"
+	// defaultSteps is rapid's own mean number of actions in one case.
+	defaultSteps = 30
+)
+
+// Option changes how cases are made. A change of options changes the cases of
+// every seed.
+type Option func(flags map[string]string)
+
+// Steps sets the mean number of actions in one case.
+func Steps(n int) Option {
+	return func(flags map[string]string) { flags["steps"] = strconv.Itoa(n) }
+}
+
+// Check checks a property with a number of cases from a fixed seed, and from
+// fresh seeds if the environment asks for them.
+func Check(t *testing.T, runs int, seed uint64, prop func(*rapid.T), options ...Option) {
 	t.Helper()
-	if given, err := strconv.ParseUint(os.Getenv("RADISHLOOM_SEED"), 10, 64); err == nil {
-		seed = given
+	if only, ok := number(envOnly); ok {
+		seed = only
 	}
-	configure(t, runs, seed)
+	configure(t, runs, seed, options)
 	rapid.Check(t, prop)
-	seconds, _ := strconv.Atoi(os.Getenv("RADISHLOOM_FUZZ_SECONDS"))
-	for end := time.Now().Add(time.Duration(seconds) * time.Second); time.Now().Before(end); {
-		seed = rand.Uint64N(1 << 62)
-		t.Logf("seed %d", seed)
-		configure(t, runs, seed)
+	Fresh(t, func(seed uint64) string {
+		configure(t, runs, seed, options)
 		rapid.Check(t, prop)
+		return ""
+	})
+}
+
+// MustFail fails if the property of a broken variant holds for all cases.
+func MustFail(t *testing.T, runs int, seed uint64, prop func(*rapid.T), options ...Option) {
+	t.Helper()
+	failure := try(t, runs, seed, prop, options)
+	if failure == "" {
+		t.Fatal("the broken variant passes")
 	}
+	t.Logf("seed %d: %.300s", seed, failure)
 }
 
-// configure sets rapid's flags. Failing runs are not shrunk: the time that is
-// allowed for it would make the output differ from run to run.
-func configure(t *testing.T, runs int, seed uint64) {
+// CheckSeeds checks a property with one case for each of the seeds 1 to n, and
+// with fresh seeds if the environment asks for them.
+func CheckSeeds(t *testing.T, n uint64, prop func(*rapid.T), options ...Option) {
 	t.Helper()
-	for name, value := range map[string]string{
-		"rapid.seed":       strconv.FormatUint(seed, 10),
-		"rapid.checks":     strconv.Itoa(runs),
-		"rapid.nofailfile": "true",
-		"rapid.shrinktime": "0s",
-	} {
-		if err := flag.Set(name, value); err != nil {
-			t.Fatal(err)
+	first, last := uint64(1), n
+	if only, ok := number(envOnly); ok {
+		first, last = only, only
+	}
+	for seed := first; seed <= last; seed++ {
+		if failure := try(t, 1, seed, prop, options); failure != "" {
+			t.Fatalf("seed %d: %s", seed, failure)
 		}
 	}
+	Fresh(t, func(seed uint64) string { return try(t, 1, seed, prop, options) })
 }
 
-// recorder stands in for the test of a broken variant, which has to fail.
-type recorder struct {
-	*testing.T
-	failed bool
-	text   string
+// ExpectFailure requires that a property with a broken rule fails for a seed
+// with a message that contains want.
+func ExpectFailure(t *testing.T, seed uint64, want string, prop func(*rapid.T), options ...Option) {
+	t.Helper()
+	failure := try(t, 1, seed, prop, options)
+	if failure == "" || !strings.Contains(failure, want) {
+		t.Fatalf("seed %d does not notice the broken rule; want %q, got %q", seed, want, failure)
+	}
+	t.Logf("seed %d: %.200s", seed, failure)
 }
 
-func (r *recorder) Errorf(format string, args ...any) {
-	r.failed = true
-	r.text += fmt.Sprintf(format, args...)
+// FirstFailure returns the lowest of the seeds 1 to n with which a property
+// fails, and what it said. It is for finding the seed of an ExpectFailure.
+func FirstFailure(t *testing.T, n uint64, prop func(*rapid.T), options ...Option) (uint64, string) {
+	t.Helper()
+	for seed := uint64(1); seed <= n; seed++ {
+		if failure := try(t, 1, seed, prop, options); failure != "" {
+			return seed, failure
+		}
+	}
+	return 0, ""
+}
+
+// Fresh calls run with one fresh seed after the other for as long as the
+// environment asks, and fails at the first failure that it returns.
+func Fresh(t *testing.T, run func(seed uint64) (failure string)) {
+	t.Helper()
+	seconds, _ := number(envSeconds)
+	if seconds == 0 {
+		return
+	}
+	first, ok := number(envFirst)
+	if !ok {
+		first = uint64(time.Now().UnixMicro())
+	}
+	seed := first
+	t.Logf("fresh seeds from %d on", first)
+	for end := time.Now().Add(time.Duration(seconds) * time.Second); time.Now().Before(end); seed++ {
+		if failure := run(seed); failure != "" {
+			t.Fatalf("seed %d: %s", seed, failure)
+		}
+	}
+	t.Logf("seeds %d to %d passed", first, seed-1)
 }
-func (r *recorder) Logf(string, ...any) {}
-func (r *recorder) Log(...any)          {}
-func (r *recorder) Failed() bool        { return r.failed }
-func (r *recorder) FailNow()            { panic(r) }
 
-// MustFail fails if the property of a broken variant holds for all runs.
-func MustFail(t *testing.T, runs int, seed uint64, prop func(*rapid.T)) {
+func number(name string) (uint64, bool) {
+	n, err := strconv.ParseUint(os.Getenv(name), 10, 64)
+	return n, err == nil
+}
+
+// configure sets rapid's flags, which are those of the process. Failing cases
+// are not shrunk: the time that is allowed for it would make the output differ
+// from run to run.
+func configure(t *testing.T, runs int, seed uint64, options []Option) {
 	t.Helper()
-	configure(t, runs, seed)
+	flags := map[string]string{
+		"seed":       strconv.FormatUint(seed, 10),
+		"checks":     strconv.Itoa(runs),
+		"steps":      strconv.Itoa(defaultSteps),
+		"nofailfile": "true",
+		"shrinktime": "0s",
+	}
+	for _, o := range options {
+		o(flags)
+	}
+	for name, value := range flags {
+		if err := flag.Set("rapid."+name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// try runs a property and returns its first failure, or nothing.
+func try(t *testing.T, runs int, seed uint64, prop func(*rapid.T), options []Option) string {
+	t.Helper()
+	configure(t, runs, seed, options)
 	r := &recorder{T: t}
 	func() {
 		defer func() {
@@ -78,66 +163,29 @@
 		}()
 		rapid.Check(r, prop)
 	}()
+	return r.failure
+}
+
+// recorder takes the failure of a rapid check instead of the test.
+type recorder struct {
+	*testing.T
+	failure string
+	failed  bool
+}
+
+func (r *recorder) Errorf(format string, args ...any) {
 	if !r.failed {
-		t.Fatal("the broken variant passes")
+		r.failure = fmt.Sprintf(format, args...)
 	}
-	t.Logf("seed %d: %s", seed, r.text)
+	r.failed = true
 }
+func (r *recorder) Logf(string, ...any) {}
+func (r *recorder) Log(...any)          {}
+func (r *recorder) Failed() bool        { return r.failed }
+func (r *recorder) FailNow()            { panic(r) }
 
 // Choose draws a number below n. Unlike rapid.IntRange, which prefers small
 // numbers, it is close to uniform.
 func Choose(t *rapid.T, n int) int {
 	return int(rapid.Uint64().Draw(t, "choice") % uint64(n))
 }
-
-// Integral is the oracle of a rate limit: what is spent in any window is at
-// most the rate summed over the window plus the largest burst. Times are in
-// milliseconds.
-type Integral struct {
-	burst   uint64
-	changes []moment // rate from a time on
-	spent   []moment // tokens at a time
-}
-
-type moment struct{ at, value uint64 }
-
-// Limit sets the rate in tokens per second and the burst from a time on.
-func (i *Integral) Limit(at, rate, burst uint64) {
-	i.burst = max(i.burst, burst)
-	i.changes = append(i.changes, moment{at, rate})
-}
-
-// Spend records tokens that were used.
-func (i *Integral) Spend(at, tokens uint64) {
-	i.spent = append(i.spent, moment{at, tokens})
-}
-
-// allowance returns the rate summed over a window, in thousandths of a token.
-func (i *Integral) allowance(from, to uint64) uint64 {
-	var sum uint64
-	for n, c := range i.changes {
-		end := to
-		if n+1 < len(i.changes) {
-			end = min(to, i.changes[n+1].at)
-		}
-		if start := max(from, c.at); start < end {
-			sum += (end - start) * c.value
-		}
-	}
-	return sum
-}
-
-// Verify fails if any window exceeds its bound.
-func (i *Integral) Verify(t *rapid.T) {
-	const milli = 1000
-	for n := range i.spent {
-		var sum uint64
-		from := i.spent[n].at
-		for _, s := range i.spent[n:] {
-			sum += s.value * milli
-			if bound := i.allowance(from, s.at) + i.burst*milli; sum > bound {
-				t.Fatalf("%d thousandths of a token from %d ms to %d ms, allowed are %d", sum, from, s.at, bound)
-			}
-		}
-	}
-}
--- a/internal/protocol/adminrpc/fuzz_test.go
+++ b/internal/protocol/adminrpc/fuzz_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/base64"
-	"flag"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -25,19 +24,10 @@
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/cli"
+	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/protocol/adminrpc"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		if err := flag.Set("rapid.seed", "20261204"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
-
 // world is three servers over one machine, a lossy network and one operator
 // with the real command-line tool.
 type world struct {
@@ -260,7 +250,7 @@
 		t.Fatal(err)
 	}
 	names := rapid.SampledFrom([]string{"acme", "umbra", "casa"})
-	rapid.Check(t, func(t *rapid.T) {
+	proptest.Check(t, 100, 20261204, func(t *rapid.T) {
 		w := newWorld(t, token)
 		t.Repeat(map[string]func(*rapid.T){
 			"set": func(t *rapid.T) {
--- a/internal/protocol/enginehttp/fuzz_test.go
+++ b/internal/protocol/enginehttp/fuzz_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -13,56 +10,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
+	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	standin "github.com/radishloom/radishloom/internal/standin/engine"
 )
 
-// recorder takes the failures of a property in place of the test.
-type recorder struct {
-	*testing.T
-	failed bool
-}
-
-func (r *recorder) Errorf(string, ...any) { r.failed = true }
-func (r *recorder) Error(...any)          { r.failed = true }
-func (r *recorder) Fatalf(string, ...any) { r.failed = true }
-func (r *recorder) Fatal(...any)          { r.failed = true }
-func (r *recorder) Fail()                 { r.failed = true }
-func (r *recorder) FailNow()              { r.failed = true }
-func (r *recorder) Failed() bool          { return r.failed }
-func (r *recorder) Logf(string, ...any)   {}
-
-// check runs a property under a fixed seed, and for RADISHLOOM_FUZZ_SECONDS
-// under further ones from RADISHLOOM_FUZZ_SEED on.
-func check(t *testing.T, tb rapid.TB, seed uint64, checks int, prop func(*rapid.T)) {
-	t.Helper()
-	set := func(name string, value any) {
-		if err := flag.Set("rapid."+name, fmt.Sprint(value)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	set("nofailfile", true)
-	set("shrinktime", "1s")
-	set("steps", 8)
-	set("checks", checks)
-	seconds, _ := strconv.Atoi(os.Getenv("RADISHLOOM_FUZZ_SECONDS"))
-	next, err := strconv.ParseUint(os.Getenv("RADISHLOOM_FUZZ_SEED"), 10, 64)
-	if err != nil {
-		next = uint64(time.Now().UnixNano())
-	}
-	end := time.Now().Add(time.Duration(seconds) * time.Second)
-	for {
-		set("seed", seed)
-		rapid.Check(tb, prop)
-		if tb.Failed() || time.Now().After(end) || tb != rapid.TB(t) {
-			return
-		}
-		seed = next
-		next++
-		t.Logf("seed %d", seed)
-	}
-}
-
 // outcome is what one request came to.
 type outcome struct {
 	req engine.Request
@@ -222,7 +174,7 @@
 // and one's own, or a typed error whose run state agrees with what the engine
 // really ran; and nothing is sent twice.
 func TestFuzzAnswers(t *testing.T) {
-	check(t, t, 11, 300, property(t, faults{}))
+	proptest.Check(t, 300, 11, property(t, faults{}), proptest.Steps(8))
 }
 
 // Shows that the fuzz finds each defect.
@@ -234,10 +186,8 @@
 		"trustAnyRefusal": {trustAnyRefusal: true},
 		"resumeNotRun":    {resumeNotRun: true},
 	} {
-		broken := &recorder{T: t}
-		check(t, broken, 11, 300, property(t, defects))
-		if !broken.failed {
-			t.Errorf("the defect %s was not found under seed 11", name)
-		}
+		t.Run(name, func(t *testing.T) {
+			proptest.MustFail(t, 300, 11, property(t, defects), proptest.Steps(8))
+		})
 	}
 }
--- a/internal/protocol/inference/keys_test.go
+++ b/internal/protocol/inference/keys_test.go
@@ -1,18 +1,15 @@
 package inference
 
 import (
-	"flag"
 	"fmt"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"testing"
-	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
+	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/protocol/enginehttp"
 	"github.com/radishloom/radishloom/internal/protocol/servicehttp"
 	standinengine "github.com/radishloom/radishloom/internal/standin/engine"
@@ -20,51 +17,6 @@
 	"github.com/radishloom/radishloom/internal/transport/httpclient"
 )
 
-// recorder takes the failures of a property in place of the test.
-type recorder struct {
-	*testing.T
-	failed bool
-}
-
-func (r *recorder) Errorf(string, ...any) { r.failed = true }
-func (r *recorder) Error(...any)          { r.failed = true }
-func (r *recorder) Fatalf(string, ...any) { r.failed = true }
-func (r *recorder) Fatal(...any)          { r.failed = true }
-func (r *recorder) Fail()                 { r.failed = true }
-func (r *recorder) FailNow()              { r.failed = true }
-func (r *recorder) Failed() bool          { return r.failed }
-func (r *recorder) Logf(string, ...any)   {}
-
-// check runs a property under a fixed seed, and for RADISHLOOM_FUZZ_SECONDS
-// under further ones from RADISHLOOM_FUZZ_SEED on.
-func check(t *testing.T, tb rapid.TB, seed uint64, checks int, prop func(*rapid.T)) {
-	t.Helper()
-	set := func(name string, value any) {
-		if err := flag.Set("rapid."+name, fmt.Sprint(value)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	set("nofailfile", true)
-	set("shrinktime", "2s")
-	set("checks", checks)
-	seconds, _ := strconv.Atoi(os.Getenv("RADISHLOOM_FUZZ_SECONDS"))
-	next, err := strconv.ParseUint(os.Getenv("RADISHLOOM_FUZZ_SEED"), 10, 64)
-	if err != nil {
-		next = uint64(time.Now().UnixNano())
-	}
-	end := time.Now().Add(time.Duration(seconds) * time.Second)
-	for {
-		set("seed", seed)
-		rapid.Check(tb, prop)
-		if tb.Failed() || time.Now().After(end) || tb != rapid.TB(t) {
-			return
-		}
-		seed = next
-		next++
-		t.Logf("seed %d", seed)
-	}
-}
-
 // shown is a request that shows secrets in several places.
 type shown struct {
 	method, path string
@@ -177,12 +129,8 @@
 // keepKeys must be found under the same seed.
 func TestFuzzNoSecretReachesEndpoints(t *testing.T) {
 	const seed, checks = 7, 150
-	check(t, t, seed, checks, newLeakFinder(t, faults{}).property)
-	broken := &recorder{T: t}
-	check(t, broken, seed, checks, newLeakFinder(t, faults{keepKeys: true}).property)
-	if !broken.failed {
-		t.Fatal("the defect keepKeys was not found")
-	}
+	proptest.Check(t, checks, seed, newLeakFinder(t, faults{}).property)
+	proptest.MustFail(t, checks, seed, newLeakFinder(t, faults{keepKeys: true}).property)
 }
 
 // Guards against lost fields: what is no key and not meant for one connection
--- a/internal/state/raft/broken_test.go
+++ b/internal/state/raft/broken_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
-	"github.com/radishloom/radishloom/internal/state/wal/faultfs"
+	"github.com/radishloom/radishloom/internal/proptest"
 )
 
 // isolate cuts a member's links in one or both directions.
@@ -221,33 +221,33 @@
 
 // Guards against a returning member that deposes a working leader.
 func TestIsolatedFollower(t *testing.T) {
-	faultfs.CheckSeeds(t, 100, isolatedFollower(variant{}))
+	proptest.CheckSeeds(t, 100, isolatedFollower(variant{}))
 }
 
 // Guards against a leader that blocks the group while it hears nobody.
 func TestDeafLeader(t *testing.T) {
-	faultfs.CheckSeeds(t, 50, deafLeader(variant{}))
+	proptest.CheckSeeds(t, 50, deafLeader(variant{}))
 }
 
 // Guards against commits of entries that a later leader replaces.
 func TestReplacedEntry(t *testing.T) {
-	faultfs.CheckSeeds(t, 100, replacedEntry(variant{}))
+	proptest.CheckSeeds(t, 100, replacedEntry(variant{}))
 }
 
 // Guards against two leaders that change the same membership.
 func TestEarlyMembership(t *testing.T) {
-	faultfs.CheckSeeds(t, 100, earlyMembership(variant{}))
+	proptest.CheckSeeds(t, 100, earlyMembership(variant{}))
 }
 
 // Guards against two memberships whose majorities do not overlap.
 func TestDividedMembership(t *testing.T) {
-	faultfs.CheckSeeds(t, 100, dividedMembership(variant{}))
+	proptest.CheckSeeds(t, 100, dividedMembership(variant{}))
 }
 
 // Guards against a wiped member that helps to elect a leader without the
 // entries it had acknowledged.
 func TestLostDisk(t *testing.T) {
-	faultfs.CheckSeeds(t, 100, lostDisk(variant{}))
+	proptest.CheckSeeds(t, 100, lostDisk(variant{}))
 }
 
 // Guards against tests that cannot fail: each broken rule must be noticed.
@@ -275,7 +275,7 @@
 		{"KeepIdentity", variant{keepIdentity: true}, lostDisk, 2, "changed from"},
 	} {
 		t.Run(b.name, func(t *testing.T) {
-			faultfs.ExpectFailure(t, b.seed, b.want, b.property(b.variant))
+			proptest.ExpectFailure(t, b.seed, b.want, b.property(b.variant))
 		})
 	}
 }
--- a/internal/state/raft/fuzz_test.go
+++ b/internal/state/raft/fuzz_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
-	"github.com/radishloom/radishloom/internal/state/wal/faultfs"
+	"github.com/radishloom/radishloom/internal/proptest"
 )
 
 // recoveryTicks is the time in which a healed cluster must have a leader,
@@ -139,5 +139,5 @@
 // Guards against lost or changed entries, two leaders, stale reads, and a
 // cluster that does not recover.
 func TestAnyFaults(t *testing.T) {
-	faultfs.CheckSeeds(t, 600, anyFaults(variant{}))
+	proptest.CheckSeeds(t, 600, anyFaults(variant{}))
 }
--- a/internal/state/wal/fuzz_test.go
+++ b/internal/state/wal/fuzz_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/state/wal"
 	"github.com/radishloom/radishloom/internal/state/wal/faultfs"
 )
@@ -127,13 +128,13 @@
 // Guards against lost acknowledged writes, half-done operations, and writes
 // after a failed sync.
 func TestCrashes(t *testing.T) {
-	faultfs.CheckSeeds(t, 400, property(small))
+	proptest.CheckSeeds(t, 400, property(small))
 }
 
 func TestCrashesNoticeMissingSync(t *testing.T) {
-	faultfs.ExpectFailure(t, 1, "came back as", property(wal.BreakSync(small)))
+	proptest.ExpectFailure(t, 1, "came back as", property(wal.BreakSync(small)))
 }
 
 func TestCrashesNoticePartialFrame(t *testing.T) {
-	faultfs.ExpectFailure(t, 1, "is corrupt at offset", property(wal.BreakUndo(small)))
+	proptest.ExpectFailure(t, 1, "is corrupt at offset", property(wal.BreakUndo(small)))
 }
--- a/internal/transport/httpclient/cut_test.go
+++ b/internal/transport/httpclient/cut_test.go
@@ -9,12 +9,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/protocol/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
@@ -136,15 +135,5 @@
 	if fault := runCuts(t, 5, cases, faults{claimNotRun: true}); !strings.Contains(fault, "says not run") {
 		t.Fatalf("the defect claimNotRun was not found: %q", fault)
 	}
-	seconds, _ := strconv.Atoi(os.Getenv("RADISHLOOM_FUZZ_SECONDS"))
-	seed, err := strconv.ParseUint(os.Getenv("RADISHLOOM_FUZZ_SEED"), 10, 64)
-	if err != nil {
-		seed = uint64(time.Now().UnixNano())
-	}
-	for end := time.Now().Add(time.Duration(seconds) * time.Second); time.Now().Before(end); seed++ {
-		t.Logf("seed %d", seed)
-		if fault := runCuts(t, seed, cases, faults{}); fault != "" {
-			t.Fatal(fault)
-		}
-	}
+	proptest.Fresh(t, func(seed uint64) string { return runCuts(t, seed, cases, faults{}) })
 }
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -7,7 +7,7 @@
 export RADISHLOOM_FUZZ_SECONDS=${1:-30}
 export RADISHLOOM_FUZZ_SEED=${RADISHLOOM_FUZZ_SEED:-$(($(date +%s) * 1000))}
 echo "first seed $RADISHLOOM_FUZZ_SEED, $RADISHLOOM_FUZZ_SECONDS s for each property"
-packages=$(grep -rl --include='*_test.go' -e 'fuzztest' -e 'RADISHLOOM_FUZZ' internal | xargs -n1 dirname | sort -u | sed 's|^|./|')
+packages=$(grep -rlE --include="*_test.go" "proptest" internal | xargs -n1 dirname | sort -u | sed "s|^|./|")
 # shellcheck disable=SC2086 # one argument for each package
-"${GO:-go}" test -p 4 -timeout 60m -count 1 -v -run 'Fuzz|Random|Stateful|Under' $packages |
+"${GO:-go}" test -p 4 -timeout 60m -count 1 -v $packages |
   grep -E '^(---|ok|FAIL|PASS|panic)|seed' || exit 1
