daemon: use every limit of the settings

Cause: limits.customer_open_requests was read and never used, and the bounds on connections and header time did not follow limits.open_requests and time_to_send.

--- a/internal/coordination/entry/admit.go
+++ b/internal/coordination/entry/admit.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"net/url"
 	"slices"
 	"strings"
@@ -26,7 +27,8 @@
 	if err := s.judge(c); err != nil {
 		return nil, err
 	}
-	code := s.schedule.enter(c.customerName(), int(c.customer.GetMaxOpenRequests()), c.profile.Priority)
+	limit := cmp.Or(int(c.customer.GetMaxOpenRequests()), s.config.MaxOpenCustomer)
+	code := s.schedule.enter(c.customerName(), limit, c.profile.Priority)
 	if code != resultcode.OK {
 		return nil, resultcode.New(code, "too many open requests at this VM")
 	}
--- a/internal/coordination/entry/server.go
+++ b/internal/coordination/entry/server.go
@@ -41,6 +41,9 @@
 	// MaxOpen bounds the open requests of the VM, MaxQueue those that wait for
 	// an endpoint in one pool. Zero means the default.
 	MaxOpen, MaxQueue int
+	// MaxOpenCustomer bounds the open requests of a customer that the
+	// configuration gives no bound. Zero means half of MaxOpen.
+	MaxOpenCustomer int
 	// Baseline replaces a decision by a simple rule, for comparison only.
 	Baseline Baseline
 }
@@ -170,3 +173,6 @@
 
 // Endpoints returns what this entry knows of each endpoint, in order of name.
 func (s *Server) Endpoints() []routing.Status { return s.schedule.status() }
+
+// Open returns the number of open requests.
+func (s *Server) Open() int { return int(s.open.Load()) }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,7 +37,12 @@
 	turnAwayTime = 2 * time.Second
 	// stopMargin is added to the grace period for everything after it.
 	stopMargin = 10 * time.Second
-	// openInterval is how often gauges are refreshed.
+	// headerTimeout bounds the time to send the headers of a request.
+	headerTimeout = 5 * time.Second
+	// connectionsPerRequest leaves room for idle connections of callers beside
+	// those with an open request.
+	connectionsPerRequest = 2
+	// gaugeInterval is how often gauges are refreshed.
 	gaugeInterval = time.Second
 )
 
@@ -166,6 +171,8 @@
 		Logger:     d.log,
 		Seed:       rand.Uint64(),
 		MaxOpen:    d.settings.Limits.OpenRequests,
+
+		MaxOpenCustomer: d.settings.Limits.CustomerOpenRequests,
 	})
 	if err != nil {
 		return err
@@ -180,10 +187,12 @@
 		TLS:     serverTLS,
 		Handler: d.callerHandler(),
 		Limits: httpserver.Limits{
-			HeaderBytes:  limits.HeaderBytes,
-			BodyTimeout:  limits.TimeToSend,
-			WriteTimeout: limits.TimeToRead,
-			Grace:        d.settings.GracePeriod,
+			HeaderBytes:     limits.HeaderBytes,
+			HeaderTimeout:   min(headerTimeout, limits.TimeToSend),
+			BodyTimeout:     limits.TimeToSend,
+			WriteTimeout:    limits.TimeToRead,
+			OpenConnections: connectionsPerRequest * limits.OpenRequests,
+			Grace:           d.settings.GracePeriod,
 		},
 		Ready:  d.entry.Ready,
 		Logger: d.log,
