demo: wait until every control VM votes before the leader is killed

Cause: the status of one run showed two learners; a kill then would have left no quorum. Change: the demo waits for three voters. Conclusion: the demo does not depend on how fast members are promoted.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -88,6 +88,8 @@
 for i in 1 2 3; do
   until_true 10 "entry $i is ready" ready "$i"
 done
+voters() { [ "$(tool vm list | grep -cE ' (leader|voter) ')" -eq 3 ]; }
+until_true 15 "all control VMs vote" voters
 tool status
 tool vm list
 
