all: drop directives of a linter that is not used here

Cause: golangci-lint does not resolve here, so its directives had no effect and read as silenced findings. Conclusion: nothing is silenced.

--- a/internal/protocol/enginehttp/control_test.go
+++ b/internal/protocol/enginehttp/control_test.go
@@ -190,7 +190,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer kv.Close() //nolint:errcheck // never fails
+		defer kv.Close() // never fails
 		out, err := io.ReadAll(kv)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/protocol/enginehttp/engine.go
+++ b/internal/protocol/enginehttp/engine.go
@@ -269,7 +269,7 @@
 
 // readAll reads a whole body and releases the exchange.
 func readAll(resp *exchange.Response, limit int) ([]byte, error) {
-	defer resp.Body.Close() //nolint:errcheck // never fails
+	defer resp.Body.Close() // never fails
 	if resp.Length > int64(limit) {
 		return nil, resultcode.New(resultcode.AnswerIncomplete, "the answer is larger than %d bytes", limit)
 	}
--- a/internal/protocol/enginehttp/engine_test.go
+++ b/internal/protocol/enginehttp/engine_test.go
@@ -169,7 +169,7 @@
 	if err != nil {
 		return err
 	}
-	defer s.Close() //nolint:errcheck // never fails
+	defer s.Close() // never fails
 	text, _, err := drain(s)
 	if err != nil {
 		return err
--- a/internal/protocol/inference/bench_test.go
+++ b/internal/protocol/inference/bench_test.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	go s.Start(context.Background()) //nolint:errcheck // ends with Stop
+	go s.Start(context.Background()) // ends with Stop
 	b.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
--- a/internal/protocol/inference/fakes_test.go
+++ b/internal/protocol/inference/fakes_test.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return err
 	}
-	defer s.Close() //nolint:errcheck // never fails
+	defer s.Close() // never fails
 	if err := w.Start(http.StatusOK, nil); err != nil {
 		return err
 	}
@@ -150,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	defer a.Body.Close() //nolint:errcheck // never fails
+	defer a.Body.Close() // never fails
 	if err := w.Start(a.Status, a.Header); err != nil {
 		return err
 	}
@@ -191,7 +191,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close() //nolint:errcheck // the test is over
+	defer c.Close() // the test is over
 	raw = strings.ReplaceAll(raw, "\n", "\r\n")
 	if _, err := io.WriteString(c, raw); err != nil {
 		t.Fatal(err)
--- a/internal/protocol/inference/handler_test.go
+++ b/internal/protocol/inference/handler_test.go
@@ -216,7 +216,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer slow.Close() //nolint:errcheck // the test is over
+	defer slow.Close() // the test is over
 	_, _ = io.WriteString(slow, "POST /status/x HTTP/1.1\r\nHost: x\r\nContent-Length: 90000\r\n\r\nabc")
 	eventually(t, func() bool { return h.budget.Used() > 0 })
 	if used := h.budget.Used(); used > 2*firstBufferBytes {
--- a/internal/protocol/platformhttp/platform.go
+++ b/internal/protocol/platformhttp/platform.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer resp.Body.Close() //nolint:errcheck // never fails
+	defer resp.Body.Close() // never fails
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes+1))
 	if err != nil {
 		return nil, err
--- a/internal/protocol/servicehttp/service.go
+++ b/internal/protocol/servicehttp/service.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer resp.Body.Close() //nolint:errcheck // never fails
+	defer resp.Body.Close() // never fails
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
 	if err != nil {
 		return nil, err
--- a/internal/protocol/servicehttp/service_test.go
+++ b/internal/protocol/servicehttp/service_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	defer a.Body.Close() //nolint:errcheck // never fails
+	defer a.Body.Close() // never fails
 	body, err := io.ReadAll(a.Body)
 	return a, body, err
 }
--- a/internal/standin/engine/infer.go
+++ b/internal/standin/engine/infer.go
@@ -239,7 +239,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	defer c.Close() //nolint:errcheck // the answer is over
+	defer c.Close() // the answer is over
 	head := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Request-Id: " + q.id + "\r\n"
 	if q.faults.NoLength {
 		_, _ = fmt.Fprintf(c, "%s\r\n%s", head, body)
--- a/internal/standin/listen/listen.go
+++ b/internal/standin/listen/listen.go
@@ -68,7 +68,7 @@
 	s.address = l.Addr().String()
 	s.socket = l
 	s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: time.Minute, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
-	go s.server.Serve(&listener{Listener: l, server: s}) //nolint:errcheck // ends with Close
+	go s.server.Serve(&listener{Listener: l, server: s}) // ends with Close
 	return nil
 }
 
--- a/internal/transport/httpclient/client_test.go
+++ b/internal/transport/httpclient/client_test.go
@@ -60,7 +60,7 @@
 
 func (s *rawServer) serve(c net.Conn, number int) {
 	defer s.wait.Done()
-	defer c.Close() //nolint:errcheck // the test is over
+	defer c.Close() // the test is over
 	br := bufio.NewReader(c)
 	for nth := 1; ; nth++ {
 		r, err := http.ReadRequest(br)
@@ -366,7 +366,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close() //nolint:errcheck // the test is over
+	defer l.Close() // the test is over
 	go func() {
 		c, err := l.Accept()
 		if err != nil {
--- a/internal/transport/httpclient/cut_test.go
+++ b/internal/transport/httpclient/cut_test.go
@@ -51,7 +51,7 @@
 
 // serve plays the endpoint's part on one connection.
 func (c *cutCase) serve(raw net.Conn) {
-	defer raw.Close() //nolint:errcheck // the case is over
+	defer raw.Close() // the case is over
 	br := bufio.NewReader(raw)
 	if c.reuse {
 		if _, err := http.ReadRequest(br); err != nil {
--- a/internal/transport/httpserver/listener.go
+++ b/internal/transport/httpserver/listener.go
@@ -99,7 +99,7 @@
 	}
 	go func() {
 		defer l.refusing.Add(-1)
-		defer c.Close() //nolint:errcheck // nothing is left to do
+		defer c.Close() // nothing is left to do
 		_ = c.SetDeadline(time.Now().Add(refusalTime))
 		if _, err := c.Write(l.refusal); err != nil {
 			return
--- a/internal/transport/httpserver/server_test.go
+++ b/internal/transport/httpserver/server_test.go
@@ -321,7 +321,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go s.Start(context.Background()) //nolint:errcheck // ends with Stop
+	go s.Start(context.Background()) // ends with Stop
 	defer s.Stop(context.Background())
 	client := sample.Client()
 	client.Transport.(*http.Transport).ForceAttemptHTTP2 = true
@@ -329,7 +329,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer resp.Body.Close() //nolint:errcheck // the test is over
+	defer resp.Body.Close() // the test is over
 	if body, err := io.ReadAll(resp.Body); string(body) != "HTTP/1.1true" || err != nil {
 		t.Fatalf("%q, %v", body, err)
 	}
--- a/internal/transport/tlsconfig/tlsconfig_test.go
+++ b/internal/transport/tlsconfig/tlsconfig_test.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	defer c.Close() //nolint:errcheck // the test is over
+	defer c.Close() // the test is over
 	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
 	if _, err := c.Write([]byte{1}); err != nil {
 		return err
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
 # Runs the Go benchmarks and writes their output to bin/bench.txt, then measures
 # the decisions under load and faults (bin/bench-decisions.md), and one entry
-# on one core (bin/bench-cost.md). docs/measurements.md is made from them.
+# on one core (bin/bench-cost.md), and the control role with real daemons
+# (bin/bench-control.md). docs/measurements.md and docs/CAPACITY.md are made from
+# them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p bin
@@ -10,3 +12,5 @@
 "${GO:-go}" run ./internal/bench/cmd/bench --parallel 4 --baselines | tee bin/bench-decisions.md
 "${GO:-go}" build -o bin/bench ./internal/bench/cmd/bench
 bin/bench --cost | tee bin/bench-cost.md
+"${GO:-go}" build -o bin/controlbench ./internal/controlbench
+bin/controlbench --daemon bin/radishloomd | tee bin/bench-control.md
