--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -123,7 +123,7 @@
 			hold, timeout = 0, probeTimeout
 		}
 		err := r.call(ctx, timeout, func(c *core, _ Instant) *peerv1.SyncRequest { return c.poll(hold) })
-		if healthy && err != nil {
+		if healthy && err != nil && ctx.Err() == nil {
 			r.log.Warn("sync with the control role failed", "error", err)
 		}
 		healthy = err == nil
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -149,8 +149,9 @@
 	return f.control.Leave(ctx, memberID)
 }
 
-// Endpoints implements adminrpc.Fleet.
-func (f *adminFleet) Endpoints(context.Context) ([]adminrpc.EndpointState, error) {
+// Endpoints implements adminrpc.Fleet. Memory and loads in progress are known
+// to control VMs only.
+func (f *adminFleet) Endpoints(ctx context.Context) ([]adminrpc.EndpointState, error) {
 	residency := f.replica.Residency()
 	var out []adminrpc.EndpointState
 	for _, s := range f.entry.Endpoints() {
@@ -161,7 +162,34 @@
 			Ready:    residency[s.Name].GetReadyModels(),
 		})
 	}
-	return out, nil
+	if f.control == nil {
+		return out, nil
+	}
+	states := make(map[string]*adminrpc.EndpointState, len(out))
+	for i := range out {
+		states[out[i].Name] = &out[i]
+	}
+	err := f.control.Read(ctx, false, func(m *fleet.Machine) {
+		for _, e := range m.Config().GetEndpoints() {
+			if s := states[e.GetName()]; s != nil && e.GetKind() == statev1.EndpointKind_ENDPOINT_KIND_ENGINE {
+				s.MemoryUsedMB, _ = m.Orders().Worst(s.Name, m.Pinned(e))
+				s.Loading = loading(m, s)
+			}
+		}
+	})
+	return out, err
+}
+
+// loading returns the models whose load an engine has not answered.
+func loading(m *fleet.Machine, s *adminrpc.EndpointState) []string {
+	var models []string
+	for _, o := range m.Orders().Open(s.Name) {
+		open := o.Outcome == statev1.OrderOutcome_ORDER_OUTCOME_UNSPECIFIED
+		if open && o.Issue.GetKind() == statev1.OrderKind_ORDER_KIND_LOAD_MODEL {
+			models = append(models, o.Issue.GetModel())
+		}
+	}
+	return models
 }
 
 // Drain implements adminrpc.Fleet.
--- a/internal/state/fleet/history.go
+++ b/internal/state/fleet/history.go
@@ -99,7 +99,7 @@
 // accept validates the next document and makes it the present one.
 func (m *Machine) accept(c *statev1.Command, next *statev1.Config, comment string) *statev1.Result {
 	if faults := config.Validate(next); len(faults) != 0 {
-		r := refuse(resultcode.ConfigInvalid, "the configuration has %d faults", len(faults))
+		r := refuse(resultcode.ConfigInvalid, "the configuration has faults: %d", len(faults))
 		r.Faults = config.Strings(faults)
 		return r
 	}
