control: publish residency by parts

Cause: each model move sent the residency of all engines to every entry: 12.7 KB at 890 engines without models, 3.5 KB/s for an entry at 1,000 moves an hour, above the 2 KB/s of the target. A new leader with an older publication of its own would also have answered every poll at once. Change: an entry gets only the engines that changed since its version, the whole list after a change of the leader or a removal; only a newer version wakes a poll.

--- a/internal/coordination/control/sync.go
+++ b/internal/coordination/control/sync.go
@@ -85,7 +85,7 @@
 		waiting, cancel := context.WithTimeout(ctx, limit)
 		s.changes.wait(waiting, s.stopped, func(v view) bool {
 			return v.config != r.GetConfigVersion() || v.suspects != r.GetSuspectsVersion() ||
-				(v.residency != 0 && v.residency != r.GetResidencyVersion())
+				v.residency > r.GetResidencyVersion()
 		})
 		cancel()
 	}
@@ -118,9 +118,11 @@
 	if out.GetSuspectsVersion() != r.GetSuspectsVersion() {
 		_, out.Suspects = l.machine.Suspects()
 	}
-	if l.residency.version != 0 && l.residency.version != r.GetResidencyVersion() {
+	// A new leader has published nothing yet, or what it published in an earlier
+	// term; entries keep what they have until it does.
+	if l.residency.version > r.GetResidencyVersion() {
 		out.ResidencyVersion = l.residency.version
-		out.Residency = l.residency.list
+		out.Residency, out.ResidencyPartial = l.residency.since(r.GetResidencyVersion())
 	}
 	return out, nil
 }
--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
@@ -189,14 +190,23 @@
 		c.suspects = resp.GetSuspects()
 	}
 	if v := resp.GetResidencyVersion(); v > c.residencyVersion {
+		c.applyResidency(resp)
 		c.residencyVersion = v
-		c.residency = make(map[string]*peerv1.EndpointResidency, len(resp.GetResidency()))
-		for _, r := range resp.GetResidency() {
-			c.residency[r.GetEndpoint()] = r
-		}
 	}
 }
 
+// applyResidency replaces the map, since readers may hold the old one.
+func (c *core) applyResidency(resp *peerv1.SyncResponse) {
+	next := make(map[string]*peerv1.EndpointResidency, len(c.residency))
+	if resp.GetResidencyPartial() {
+		maps.Copy(next, c.residency)
+	}
+	for _, r := range resp.GetResidency() {
+		next[r.GetEndpoint()] = r
+	}
+	c.residency = next
+}
+
 // begin starts a new session.
 func (c *core) begin(session *statev1.Session) {
 	c.session = session
