daemon: record leases and the leader in the metrics

Cause: radishloom_lease_level, radishloom_lease_tokens_total and radishloom_leader stand in the operations page; the first two were never recorded, and the last was always 0, since it compared with a member identifier that is only set on a copy. Change: the replica reports what its leases moved; the identifier comes from the control role. e2e TestMetrics scrapes three daemons. Conclusion: found by reading the operations page against the code.

--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -108,8 +108,9 @@
 type outcome struct {
 	// configChanged: a newer configuration is in force.
 	configChanged bool
-	// tokensArrived: a lease grew.
-	tokensArrived bool
+	// reported: a report was acknowledged and moved tokens.
+	reported bool
+	moved    Moved
 	// sessionEnded: the session is over; begin must be called with a new one.
 	sessionEnded bool
 }
@@ -145,7 +146,8 @@
 	}
 	c.tokens.renew(sentAt, tokenLease)
 	if len(req.GetEntry().GetUsage()) > 0 {
-		out.tokensArrived = c.ledger.acknowledge(entry.GetSeq(), entry.GetGrants())
+		out.reported = true
+		out.moved = c.ledger.acknowledge(entry.GetSeq(), entry.GetGrants())
 	}
 	return out, nil
 }
--- a/internal/coordination/replica/ledger.go
+++ b/internal/coordination/replica/ledger.go
@@ -201,16 +201,27 @@
 	return u
 }
 
-// acknowledge takes over the answer to a report. It returns true if a lease
-// grew. An answer to an older report changes nothing.
-func (g *ledger) acknowledge(seq uint64, grants []*statev1.TokenGrant) (grew bool) {
+// Moved is what one acknowledged report moved between the accounts and this
+// entry. All amounts are tokens.
+type Moved struct {
+	Granted, Returned uint64
+	// Free is what the entry may still spend, over all customers.
+	Free uint64
+	// grew says that waiting requests should try again.
+	grew bool
+}
+
+// acknowledge takes over the answer to a report. An answer to an older report
+// changes nothing.
+func (g *ledger) acknowledge(seq uint64, grants []*statev1.TokenGrant) (m Moved) {
 	if g.report == nil || seq != g.seq {
-		return false
+		return m
 	}
 	for _, u := range g.report {
 		l := g.line(u.GetCustomer())
 		l.reported = 0
 		l.outstanding = 0
+		m.Returned += u.GetReturned()
 	}
 	for _, grant := range grants {
 		l := g.line(grant.GetCustomer())
@@ -218,10 +229,14 @@
 		if grant.GetGranted() > 0 {
 			l.stuckSince = 0
 		}
-		grew = grew || grant.GetGranted() > 0 || l.free() > 0
+		m.Granted += grant.GetGranted()
+		m.grew = m.grew || grant.GetGranted() > 0 || l.free() > 0
 	}
 	g.report = nil
-	return grew
+	for _, l := range g.customers {
+		m.Free += l.free()
+	}
+	return m
 }
 
 // lapse is called when the leases may have been written off. Nothing is free
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -64,6 +64,8 @@
 	Logger *slog.Logger
 	// OnConfig, if set, is called after a new configuration came into force.
 	OnConfig func(index *config.Index)
+	// OnLease, if set, is called after tokens were granted or returned.
+	OnLease func(m Moved)
 }
 
 // Replica keeps the entry's copy of the fleet state up to date. It implements
@@ -203,7 +205,7 @@
 	if out.sessionEnded {
 		r.mu.core.begin(r.newSession())
 	}
-	if out.tokensArrived {
+	if out.moved.grew {
 		close(r.mu.arrived)
 		r.mu.arrived = make(chan struct{})
 	}
@@ -220,6 +222,9 @@
 	if out.configChanged {
 		r.announce(index)
 	}
+	if out.reported && r.config.OnLease != nil {
+		r.config.OnLease(out.moved)
+	}
 	return nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -122,7 +122,7 @@
 		Transport: d.transport,
 		Demand:    d.takeDemand,
 		Metrics: controlMetrics{
-			metrics: d.metrics, log: d.log, self: func() uint64 { return member.GetId() },
+			metrics: d.metrics, log: d.log, self: func() uint64 { return d.control.MemberID() },
 		},
 	}
 	for _, m := range c.BootstrapMembers {
@@ -155,6 +155,7 @@
 		Fleet:      d.calls,
 		Logger:     d.log,
 		OnConfig:   d.setKnownNames,
+		OnLease:    func(m replica.Moved) { d.metrics.Leases(m.Granted, m.Returned, m.Free) },
 	})
 	platform, err := platformList(d.client, d.settings.PlatformListURL)
 	if err != nil {
--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -82,7 +82,9 @@
 
 // LeaderChanged implements control.Metrics.
 func (c controlMetrics) LeaderChanged(term, leader uint64) {
-	c.metrics.Election()
+	if leader != 0 {
+		c.metrics.Election()
+	}
 	c.metrics.Leader(leader != 0 && leader == c.self())
 	c.log.Info("leader changed", "term", term, "leader", leader)
 }
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -282,3 +283,33 @@
 		}
 	}
 }
+
+// Guards against metrics that are named in the operations page and never move:
+// the leader, leases, and attainment by customer and profile.
+func TestMetrics(t *testing.T) {
+	f := startFleet(t, 3, 100_000, 100_000)
+	for _, v := range f.vms {
+		if r := f.chat(v, 4); !r.whole(4) {
+			t.Fatalf("%s: answer %+v", v.name, r)
+		}
+	}
+	scrapes := func() (all string) {
+		for _, v := range f.vms {
+			resp, err := http.Get("http://" + v.metrics + "/metrics")
+			f.must(err)
+			data, err := io.ReadAll(resp.Body)
+			f.must(err)
+			f.must(resp.Body.Close())
+			all += string(data)
+		}
+		return all
+	}
+	f.waitFor("one leader in the scrapes", func() bool { return strings.Count(scrapes(), "radishloom_leader 1\n") == 1 })
+	f.waitFor("granted leases in the scrapes", func() bool {
+		all := scrapes()
+		return strings.Contains(all, `radishloom_lease_tokens_total{direction="granted"}`) && strings.Contains(all, "radishloom_lease_level ")
+	})
+	if all := scrapes(); strings.Count(all, `radishloom_requests_total{attained="true",customer="c",profile="p"} 1`) != 3 {
+		t.Errorf("attainment is not counted:\n%s", all)
+	}
+}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -57,10 +57,10 @@
 
 // vm is one daemon process.
 type vm struct {
-	name, dir, config   string
-	caller, admin, peer string
-	process             *exec.Cmd
-	log                 *os.File
+	name, dir, config            string
+	caller, admin, peer, metrics string
+	process                      *exec.Cmd
+	log                          *os.File
 }
 
 // fleet is several daemons, one engine and one service.
@@ -115,7 +115,7 @@
 	for i := range n {
 		f.vms = append(f.vms, &vm{
 			name: fmt.Sprintf("vm-%d", i+1), dir: filepath.Join(root, fmt.Sprint(i+1)),
-			caller: freeAddress(t), admin: freeAddress(t), peer: freeAddress(t),
+			caller: freeAddress(t), admin: freeAddress(t), peer: freeAddress(t), metrics: freeAddress(t),
 		})
 	}
 	for _, v := range f.vms {
@@ -144,12 +144,14 @@
 operators = [{ name = "tests", token_sha256 = %q }]
 [peer]
 address = %q
+[metrics]
+address = %q
 [control]
 data_folder = "data"
 address = %q
 bootstrap = true
 bootstrap_members = [%s]
-`, v.name, strings.Join(peers, ", "), v.caller, v.admin, hex.EncodeToString(digest[:]), v.peer, v.peer, strings.Join(members, ", "))
+`, v.name, strings.Join(peers, ", "), v.caller, v.admin, hex.EncodeToString(digest[:]), v.peer, v.metrics, v.peer, strings.Join(members, ", "))
 	v.config = filepath.Join(v.dir, "vm.toml")
 	f.must(os.MkdirAll(v.dir, 0o700))
 	if f.authority != nil {
