entry, inference: log how each request ended

Change: one line for each request, without key, path or body; the daemon also bounds requests from their head on by limits.open_requests. Conclusion: a refusal can be found by its request id.

--- a/internal/coordination/entry/serve.go
+++ b/internal/coordination/entry/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"strings"
 	"sync"
@@ -109,7 +110,7 @@
 	c, err := s.admit(r)
 	if err != nil {
 		s.open.Add(-1)
-		s.observer.Refused(Class{Route: r.Route.GetName()}, resultcode.Of(err))
+		s.report(ctx, r, Class{Route: r.Route.GetName()}, 0, err)
 		return advise(refusal(err))
 	}
 	if c.route.Idempotent || s.faults.cancelClaimed {
@@ -118,15 +119,28 @@
 	} else {
 		err = s.detachable(ctx, c, w)
 	}
+	took := s.now() - c.arrived
+	s.report(ctx, r, c.class(), took, err)
 	if err != nil {
-		s.observer.Refused(c.class(), resultcode.Of(err))
 		return advise(refusal(err))
 	}
-	took := s.now() - c.arrived
 	s.observer.Served(c.class(), c.attained(), took, c.hold.Charged)
 	return nil
 }
 
+// report logs how a request ended and counts refusals. It names neither key nor
+// path nor body.
+func (s *Server) report(ctx context.Context, r *Request, c Class, took time.Duration, err error) {
+	code := resultcode.Of(err)
+	if err != nil {
+		s.observer.Refused(c, code)
+	}
+	s.log.LogAttrs(context.WithoutCancel(ctx), slog.LevelInfo, "request",
+		slog.String("request_id", r.ID), slog.String("route", c.Route), slog.String("profile", c.Profile),
+		slog.String("customer", c.Customer), slog.Int("code", int(code)), slog.String("result", code.String()),
+		slog.Duration("took", took))
+}
+
 // leave undoes admit.
 func (s *Server) leave(c *call) {
 	if c.hold.Tokens > 0 {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -208,6 +208,7 @@
 		Fresh:        d.replica.Fresh,
 		MaxBodyBytes: d.settings.Limits.BodyBytes,
 		BudgetBytes:  d.settings.Limits.BodyMemoryBytes,
+		MaxOpen:      int64(d.settings.Limits.OpenRequests),
 		Logger:       d.log,
 	})
 }
--- a/internal/protocol/inference/handler.go
+++ b/internal/protocol/inference/handler.go
@@ -129,6 +129,8 @@
 	req, release, err := h.parse(w, r, id)
 	defer release()
 	if err != nil {
+		code := refusal.Of(err).Code
+		h.opts.Logger.Info("request", "request_id", id, "code", int(code), "result", code.String())
 		h.refuse(w, id, err)
 		return
 	}
