--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -320,6 +320,15 @@
 			{Name: "open", Kind: statev1.RouteKind_ROUTE_KIND_SERVICE, PathPrefix: "/open", Pool: "s", Profile: "p", Idempotent: true, Open: true},
 		},
 	}
+	f.apply(document)
+	for _, v := range f.vms {
+		f.waitReady(v)
+	}
+}
+
+// apply sets the first configuration and makes a key of customer c.
+func (f *fleet) apply(document *statev1.Config) {
+	f.t.Helper()
 	f.change(func(ctx context.Context, a adminv1.Admin) error {
 		r, err := a.ApplyConfig(ctx, &adminv1.ApplyConfigRequest{RequestId: "setup", Change: &statev1.ConfigChange{Replace: document}})
 		if err == nil && r.GetCode() != 0 {
@@ -332,9 +341,6 @@
 		f.key, f.keyID = r.GetSecret(), r.GetKeyId()
 		return err
 	})
-	for _, v := range f.vms {
-		f.waitReady(v)
-	}
 }
 
 func (f *fleet) waitReady(v *vm) {
--- a/internal/e2e/placement_test.go
+++ b/internal/e2e/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -44,18 +45,7 @@
 			DataCentre: "dc", MemoryMb: 3000, Slots: 8, Accelerators: 1, ChecksFencing: true,
 		})
 	}
-	f.change(func(ctx context.Context, a adminv1.Admin) error {
-		r, err := a.ApplyConfig(ctx, &adminv1.ApplyConfigRequest{RequestId: "setup", Change: &statev1.ConfigChange{Replace: document}})
-		if err == nil && r.GetCode() != 0 {
-			t.Fatalf("configuration refused: %v", r)
-		}
-		return err
-	})
-	f.change(func(ctx context.Context, a adminv1.Admin) error {
-		r, err := a.CreateKey(ctx, &adminv1.CreateKeyRequest{RequestId: "key", Customer: "c"})
-		f.key = r.GetSecret()
-		return err
-	})
+	f.apply(document)
 	loaded := func() (n int) {
 		for _, e := range engines {
 			n += len(e.Resident())
@@ -84,3 +74,65 @@
 		}
 	}
 }
+
+// Guards against new work for an endpoint that is leaving, and against cutting
+// the work that it still has.
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	f := &fleet{t: t}
+	f.run(3)
+	other, err := standinengine.Start("127.0.0.1:0", standinengine.Config{
+		Models: []standinengine.Model{{Name: "m", Version: "1", MemoryMB: 1000}}, Resident: []string{"m"},
+		MemoryMB: 10_000, Slots: 16, MaxWaiting: 100, TokenTime: 2 * time.Millisecond, ChecksFencing: true,
+	})
+	f.must(err)
+	t.Cleanup(other.Close)
+	document := &statev1.Config{
+		Profiles:  []*statev1.Profile{{Name: "p", Priority: 1, FirstTokenMs: 1000, TokenGapMs: 100, DeadlineMs: 30_000, SilenceMs: 2000}},
+		Customers: []*statev1.Customer{{Name: "c", RateTokensPerSecond: 100_000, BurstTokens: 100_000}},
+		Models:    []*statev1.Model{{Name: "m", Version: "1", MemoryMb: 1000}},
+		Routes:    []*statev1.Route{{Name: "chat", Kind: statev1.RouteKind_ROUTE_KIND_MODEL, Model: "m", Profile: "p", Idempotent: true}},
+	}
+	for name, address := range map[string]string{"leaving": f.engine.Addr(), "staying": other.Addr()} {
+		document.Endpoints = append(document.Endpoints, &statev1.Endpoint{
+			Name: name, Kind: statev1.EndpointKind_ENDPOINT_KIND_ENGINE, Address: address, DataCentre: "dc",
+			MemoryMb: 10_000, Slots: 16, Accelerators: 1, ChecksFencing: true, PinnedModels: []string{"m"},
+		})
+	}
+	f.apply(document)
+	for _, v := range f.vms {
+		f.waitReady(v)
+	}
+	f.waitFor("both engines are used", func() bool {
+		f.chat(f.vms[0], 1)
+		return f.engineState().Runs > 0 && state[standinengine.State](f, other.Addr()).Runs > 0
+	})
+	resp, err := http.Post("http://"+f.engine.Addr()+"/admin/leave", "", nil)
+	f.must(err)
+	f.must(resp.Body.Close())
+	for _, v := range f.vms {
+		f.waitFor(v.name+" knows that the engine leaves", func() bool { return f.stateOf(v, "leaving") == "leaving" })
+	}
+	before := f.engineState().Runs
+	for i := range 30 {
+		if r := f.chat(f.vms[i%3], 2); !r.whole(2) {
+			t.Errorf("answer %+v", r)
+		}
+	}
+	if after := f.engineState().Runs; after != before {
+		t.Errorf("the leaving engine got %d new requests", after-before)
+	}
+}
+
+// stateOf returns what a VM says of an endpoint.
+func (f *fleet) stateOf(v *vm, endpoint string) string {
+	list, err := f.admin(v).ListEndpoints(context.Background(), &adminv1.ListEndpointsRequest{})
+	if err != nil {
+		return ""
+	}
+	for _, e := range list.GetEndpoints() {
+		if e.GetEndpoint().GetName() == endpoint {
+			return e.GetState()
+		}
+	}
+	return ""
+}
