e2e: search answers and metrics for secrets, too

Cause: logs and endpoints were searched, refusals and scrapes were not. Change: each answer of a daemon and the scrapes are searched for the key.

--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -285,7 +285,8 @@
 }
 
 // Guards against metrics that are named in the operations page and never move:
-// the leader, leases, and attainment by customer and profile.
+// the leader, leases, and attainment by customer and profile; and against secrets
+// in metrics, refusals and logs.
 func TestMetrics(t *testing.T) {
 	f := startFleet(t, 3, 100_000, 100_000)
 	for _, v := range f.vms {
@@ -309,6 +310,11 @@
 		all := scrapes()
 		return strings.Contains(all, `radishloom_lease_tokens_total{direction="granted"}`) && strings.Contains(all, "radishloom_lease_level ")
 	})
+	f.post(f.vms[0], "/v1/chat/completions", f.key+"x", "", `{"model":"m"}`)
+	f.post(f.vms[0], "/ledger/pay?key="+f.key, f.key, "", `{}`)
+	if all := scrapes(); strings.Contains(all, f.key) || strings.Contains(all, operatorToken) {
+		t.Error("a secret is in the metrics")
+	}
 	if all := scrapes(); strings.Count(all, `radishloom_requests_total{attained="true",customer="c",profile="p"} 1`) != 3 {
 		t.Errorf("attainment is not counted:\n%s", all)
 	}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -399,6 +399,9 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
+	if key != "" && (bytes.Contains(data, []byte(key)) || strings.Contains(fmt.Sprint(resp.Header), key)) {
+		f.t.Errorf("%s: the key is in the answer to %s", v.name, path)
+	}
 	return reply{status: resp.StatusCode, code: resp.Header.Get(resultcode.Header), body: string(data), err: err}
 }
 
