telemetry: say what the count of elections is

Cause: the text spoke of elections that this VM started; it counts those that this VM learned of. Change: the texts. Conclusion: text and count agree.

--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -172,7 +172,7 @@
 	m.tokens = i.counter("radishloom.tokens", "Charged tokens by customer and profile.")
 	m.modelMoves = i.counter("radishloom.model.moves", "Orders to engines that were carried out, by kind.")
 	m.leases = i.counter("radishloom.lease.tokens", "Tokens leased to this entry, by direction.")
-	m.elections = i.counter("radishloom.elections", "Elections that this VM started.")
+	m.elections = i.counter("radishloom.elections", "Elections of a leader that this VM learned of.")
 	m.queueTime = i.seconds("radishloom.queue.time", "Time between admission and the first send.",
 		0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
 	m.firstToken = i.seconds("radishloom.first.token.time", "Time from the request to its first token.",
@@ -309,7 +309,7 @@
 	m.leaseLevel.Record(ctx, int64(level))
 }
 
-// Election counts an election that this VM started.
+// Election counts an election of a leader that this VM learned of.
 func (m *Metrics) Election() { m.elections.Add(context.Background(), 1) }
 
 // Leader records whether this VM leads the replicated log.
