resultcode: build the table of codes once

Cause: each look-up of a code built the whole table and searched it; refusals, retries and their log lines look codes up. Change: the table and an index by code are built once and never modified. Conclusion: behaviour is unchanged, tests of the packages that use it pass.

--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -14,6 +14,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -152,7 +153,22 @@
 	Text string
 }
 
-func table() []Info {
+// table and byCode are never modified. They are built once, since every refusal
+// and retry decision looks up its code.
+var (
+	table  = describe()
+	byCode = index(table)
+)
+
+func index(infos []Info) map[Code]Info {
+	m := make(map[Code]Info, len(infos))
+	for _, info := range infos {
+		m[info.Code] = info
+	}
+	return m
+}
+
+func describe() []Info {
 	return []Info{
 		{BadRequest, "bad_request", http.StatusBadRequest, NotRun, RetryNever, "The request is malformed; the message names the field."},
 		{NoRoute, "no_route", http.StatusNotFound, NotRun, RetryNever, "No route matches the path, header or model of the request."},
@@ -214,17 +230,13 @@
 }
 
 // All returns every code in numerical order within its group.
-func All() []Info { return table() }
+func All() []Info { return slices.Clone(table) }
 
 // Lookup returns the description of a code. The second value is false for a
 // number that is not a code.
 func Lookup(c Code) (Info, bool) {
-	for _, info := range table() {
-		if info.Code == c {
-			return info, true
-		}
-	}
-	return Info{}, false
+	info, ok := byCode[c]
+	return info, ok
 }
 
 // Info returns the description of c, or that of Internal if c is not a code.
