--- a/cmd/radishloomd/main.go
+++ b/cmd/radishloomd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -13,8 +14,10 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/radishloom/radishloom/internal/daemon"
+	"github.com/radishloom/radishloom/internal/node"
 	"github.com/radishloom/radishloom/internal/settings"
 	"github.com/radishloom/radishloom/internal/telemetry"
+	"github.com/radishloom/radishloom/platform"
 )
 
 // Exit codes.
@@ -24,9 +27,10 @@
 )
 
 type options struct {
-	Config  string `long:"config" value-name:"FILE" description:"TOML settings file"`
-	Check   bool   `long:"check" description:"check the settings and exit"`
-	Version bool   `long:"version" description:"print the version and exit"`
+	Config   string `long:"config" value-name:"FILE" description:"TOML settings file"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+	Platform bool   `long:"platform" description:"run on the users' platform, with the settings file that its environment names"`
+	Version  bool   `long:"version" description:"print the version and exit"`
 }
 
 func main() {
@@ -46,6 +50,9 @@
 		fmt.Println("radishloomd", version())
 		return 0
 	}
+	if o.Platform {
+		return servePlatform(o.Check)
+	}
 	if o.Config == "" {
 		fmt.Fprintln(os.Stderr, "radishloomd: --config FILE is needed")
 		return exitSettings
@@ -62,6 +69,26 @@
 	return serve(s)
 }
 
+// servePlatform runs the role that the platform's settings describe. Logs go to
+// standard output, where the platform collects them.
+func servePlatform(checkOnly bool) int {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if checkOnly {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	log := telemetry.NewLogger(os.Stdout, slog.LevelInfo, s.VM, s.DataCentre)
+	if err := node.Run(context.Background(), s, log); err != nil {
+		log.Error("ended with an error", "error", err)
+		return exitFailed
+	}
+	return 0
+}
+
 func serve(s *settings.Settings) int {
 	log := telemetry.NewLogger(os.Stderr, s.LogLevel, s.VM, s.DataCentre)
 	d, err := daemon.New(s, version(), log)
--- a/internal/coordination/control/broadcast.go
+++ b/internal/coordination/control/broadcast.go
@@ -11,7 +11,7 @@
 
 // view is what waiting calls watch.
 type view struct {
-	config, suspects, residency, leader uint64
+	config, suspects, residency, leader, catalog uint64
 }
 
 // broadcast holds the newest view and wakes those who wait for another one.
--- /dev/null
+++ b/internal/coordination/control/catalog.go
@@ -0,0 +1,76 @@
+package control
+
+import (
+	"context"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/state/fleet"
+)
+
+// PutCatalog commits a catalog. It returns nil once the catalog, or one with a
+// higher version, is committed.
+func (s *Server) PutCatalog(ctx context.Context, version uint64, document []byte) error {
+	c := &statev1.Catalog{Version: version, Document: document}
+	command := &statev1.Command{Op: &statev1.Command_PutCatalog{PutCatalog: &statev1.PutCatalog{Catalog: c}}}
+	resp, err := s.Propose(ctx, &peerv1.ProposeRequest{Command: command})
+	if err != nil {
+		return err
+	}
+	if code := resultcode.Code(resp.GetResult().GetCode()); code != resultcode.OK {
+		return resultcode.New(code, "%s", resp.GetResult().GetMessage())
+	}
+	return nil
+}
+
+// ReadCatalog returns the newest committed catalog.
+func (s *Server) ReadCatalog(ctx context.Context) (*statev1.Catalog, error) {
+	var c *statev1.Catalog
+	err := s.Read(ctx, true, func(m *fleet.Machine) { c = m.Catalog() })
+	if err != nil {
+		return nil, err
+	}
+	if c == nil {
+		return nil, noLeader("no catalog was put yet")
+	}
+	return c, nil
+}
+
+// Catalog returns the newest applied catalog, or nil, and the control VMs.
+func (s *Server) Catalog(ctx context.Context) (c *statev1.Catalog, members []*statev1.Member, err error) {
+	_, err = ask(ctx, s, noLeader("not answered in time"), func(done func(struct{}, error)) {
+		c = s.loop.machine.Catalog()
+		members = s.loop.core.Status().Membership.GetMembers()
+		done(struct{}{}, nil)
+	})
+	return c, members, err
+}
+
+// CatalogChanged returns a channel that is closed when a catalog newer than the
+// version may be applied.
+func (s *Server) CatalogChanged(version uint64) <-chan struct{} {
+	v, changed := s.changes.watch()
+	if v.catalog > version {
+		closed := make(chan struct{})
+		close(closed)
+		return closed
+	}
+	return changed
+}
+
+// Confirm returns the fencing token of this VM's orders once a quorum has
+// confirmed that it leads. A VM that was frozen or cut off learns here that
+// another one owns the orders.
+func (s *Server) Confirm(ctx context.Context) (fence uint64, err error) {
+	owned := false
+	err = s.Read(ctx, true, func(m *fleet.Machine) {
+		owner, token, _ := m.Orders().Owner()
+		owned = s.loop.leading() && owner == s.loop.member.GetId()
+		fence = token
+	})
+	if err == nil && !owned {
+		err = noLeader("this control VM does not own the orders")
+	}
+	return fence, err
+}
--- a/internal/coordination/control/config.go
+++ b/internal/coordination/control/config.go
@@ -60,6 +60,13 @@
 	// joinInterval is the pause between requests to join.
 	joinInterval = 500 * time.Millisecond
 	joinTimeout  = 3 * time.Second
+	// rejoinRounds without a leader make a member ask its peers again.
+	rejoinRounds = 6
+
+	// removeAfter is how long a voter may be silent before it is removed, if more
+	// than keepVoters vote.
+	removeAfter = 8 * time.Second
+	keepVoters  = 5
 )
 
 // Clock is the source of time.
--- a/internal/coordination/control/join.go
+++ b/internal/coordination/control/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
@@ -103,18 +104,26 @@
 	}
 }
 
+// SetPeers replaces the control VMs that the settings name.
+func (s *Server) SetPeers(peers []*statev1.Member) { s.peers.Store(&peers) }
+
 // joinFleet makes this member part of a fleet: it bootstraps one if it may, and
 // otherwise asks its peers until its own log says that it votes and that the
-// member that it replaces is gone.
+// member that it replaces is gone. From then on it asks again whenever no leader
+// is known for long: it may have been removed while it was away, and its own
+// log does not say so.
 func (s *Server) joinFleet(ctx context.Context) {
+	leaderless := 0
 	for {
-		joined, err := ask(ctx, s, noLeader("stopped"), func(done func(bool, error)) {
-			done(s.loop.joined(), nil)
+		state, err := ask(ctx, s, noLeader("stopped"), func(done func(joinState, error)) {
+			done(s.loop.joinState(), nil)
 		})
-		if err == nil && joined {
-			return
+		if state.leader {
+			leaderless = 0
+		} else {
+			leaderless++
 		}
-		if err == nil {
+		if err == nil && (!state.joined || leaderless >= rejoinRounds) {
 			s.askPeers(ctx)
 		}
 		if !s.pause(ctx, joinInterval) {
@@ -123,12 +132,32 @@
 	}
 }
 
+// peersToAsk are the VMs of the settings and the members that the log names.
+func (s *Server) peersToAsk(ctx context.Context) []*statev1.Member {
+	peers := *s.peers.Load()
+	m, err := s.Members(ctx)
+	if err != nil {
+		return peers
+	}
+	known := make(map[string]bool, len(peers))
+	for _, p := range peers {
+		known[p.GetAddress()] = true
+	}
+	out := slices.Clone(peers)
+	for _, x := range m.GetMembership().GetMembers() {
+		if !known[x.GetAddress()] {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
 // askPeers asks each peer once. A peer without a fleet counts for bootstrapping;
 // one that does not answer may belong to a fleet, so it prevents it.
 func (s *Server) askPeers(ctx context.Context) {
 	fleetless := 0
 	request := &peerv1.JoinRequest{Member: s.loop.member, Replaces: s.cfg.Replaces}
-	for _, peer := range s.cfg.Peers {
+	for _, peer := range s.peersToAsk(ctx) {
 		if peer.GetAddress() == s.cfg.Member.GetAddress() {
 			fleetless++
 			continue
@@ -145,7 +174,7 @@
 			return
 		}
 	}
-	if s.mayBootstrap() && fleetless == len(s.cfg.Peers) {
+	if s.mayBootstrap() && fleetless == len(*s.peers.Load()) {
 		_ = s.post(ctx, func() {
 			if err := s.loop.bootstrap(); err != nil {
 				s.loop.fatal = err
@@ -157,6 +186,7 @@
 // mayBootstrap reports whether this is the one VM that starts the fleet. All
 // VMs can have the same settings: the first address decides.
 func (s *Server) mayBootstrap() bool {
-	first := len(s.cfg.Peers) == 0 || s.cfg.Peers[0].GetAddress() == s.cfg.Member.GetAddress()
+	peers := *s.peers.Load()
+	first := len(peers) == 0 || peers[0].GetAddress() == s.cfg.Member.GetAddress()
 	return s.cfg.Bootstrap && first
 }
--- a/internal/coordination/control/loop.go
+++ b/internal/coordination/control/loop.go
@@ -74,6 +74,8 @@
 	// contacts are members that a JoinResponse named, for a member whose own log
 	// does not name them yet.
 	contacts  map[uint64]*statev1.Member
+	// lostSince is when the leader last heard of voters that do not answer.
+	lostSince map[uint64]time.Duration
 	diskFull  bool
 	residency residency
 	faults    faults
@@ -194,6 +196,7 @@
 	}
 	l.retryReads(now)
 	l.retryUnsaved(now)
+	l.removeLost(now)
 }
 
 // process carries out all pending work of the core. An error ends the process.
--- a/internal/coordination/control/membership.go
+++ b/internal/coordination/control/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
@@ -123,6 +124,53 @@
 	return s.MembershipIndex <= s.Commit && nextChange(s.Membership, l.member, replacedBy(s.Membership, r)) == nil
 }
 
+// joinState is what decides whether a member asks its peers.
+type joinState struct{ joined, leader bool }
+
+func (l *loop) joinState() joinState {
+	return joinState{joined: l.joined(), leader: l.core.Status().Leader != 0}
+}
+
+// removeLost removes a voter that has not answered for long, if as many voters
+// as a fleet needs are left: another VM has taken its place, and a dead voter
+// would count against the majority. A VM that comes back joins again.
+func (l *loop) removeLost(now time.Duration) {
+	s := l.core.Status()
+	if !l.leading() || s.MembershipIndex > s.Commit {
+		l.lostSince = nil
+		return
+	}
+	if l.lostSince == nil {
+		l.lostSince = map[uint64]time.Duration{}
+	}
+	voters, active := 0, 0
+	var lost *statev1.Member
+	for _, m := range s.Membership.GetMembers() {
+		if m.GetLearner() {
+			continue
+		}
+		voters++
+		if m.GetId() == l.member.GetId() || s.Progress[m.GetId()].Active {
+			active++
+			delete(l.lostSince, m.GetId())
+			continue
+		}
+		since, known := l.lostSince[m.GetId()]
+		if !known {
+			l.lostSince[m.GetId()] = now
+		} else if now-since >= removeAfter {
+			lost = m
+		}
+	}
+	if lost == nil || voters <= keepVoters || active < voters-1 {
+		return
+	}
+	ch := &statev1.MembershipChange{Op: statev1.MembershipOp_MEMBERSHIP_OP_REMOVE, Member: lost}
+	if _, _, err := l.core.ProposeMembership(ch); err == nil {
+		delete(l.lostSince, lost.GetId())
+	}
+}
+
 // learnContacts remembers the members that a JoinResponse names.
 func (l *loop) learnContacts(m *statev1.Membership) {
 	for _, x := range m.GetMembers() {
--- a/internal/coordination/control/server.go
+++ b/internal/coordination/control/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
@@ -42,6 +43,7 @@
 	inbox   chan func()
 	stopped chan struct{}
 	changes *broadcast
+	peers   atomic.Pointer[[]*statev1.Member]
 }
 
 // New opens the data folder. Run starts the server.
@@ -70,6 +72,7 @@
 		changes: newBroadcast(),
 	}
 	l.background = s.background
+	s.SetPeers(c.Peers)
 	return s, nil
 }
 
@@ -157,6 +160,7 @@
 		suspects:  s.loop.machine.SuspectsVersion(),
 		residency: s.loop.residency.version,
 		leader:    s.loop.status.Leader,
+		catalog:   s.loop.machine.Catalog().GetVersion(),
 	})
 }
 
--- /dev/null
+++ b/internal/coordination/directory/types.go
@@ -0,0 +1,113 @@
+package directory
+
+import (
+	"context"
+	"time"
+)
+
+// Endpoint is one incarnation of an endpoint in the platform's list.
+type Endpoint struct {
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
+	// Leaving endpoints get no new requests.
+	Leaving bool
+	Models  []Resident
+}
+
+// Resident is a model in an endpoint's memory with its adapters.
+type Resident struct {
+	Model    string
+	Adapters []string
+}
+
+// Report is what an engine says of itself. It lags by some hundred
+// milliseconds.
+type Report struct {
+	Models []Resident
+	// Incoming are adapters on their way to the engine.
+	Incoming []Adapter
+	// Busy says that an order for a model is being carried out.
+	Busy bool
+	// Leaving says that the engine takes no new requests.
+	Leaving bool
+	// Sequence counts the orders that the engine accepted since its start.
+	Sequence uint64
+	// Started is the engine's start in Unix milliseconds; it names the
+	// incarnation together with the identifier.
+	Started           int64
+	Running, Waiting  int
+	KVUsed, KVTotal   int
+	InMemory, OnDisk  []string
+	HasAvailableLists bool
+}
+
+// Adapter names an adapter of a model.
+type Adapter struct{ Model, Name string }
+
+// Operation is what an order asks for.
+type Operation int
+
+// Operations.
+const (
+	Load Operation = iota + 1
+	Unload
+)
+
+// String returns the name used in logs.
+func (o Operation) String() string {
+	if o == Unload {
+		return "unload"
+	}
+	return "load"
+}
+
+// Order asks an engine to load or unload a model, or an adapter of it.
+type Order struct {
+	Operation Operation
+	Model     string
+	Adapter   string
+	// Expected is the engine's sequence for which the order was decided. The
+	// engine refuses the order at any other, also when it arrives late.
+	Expected uint64
+	Holder   string
+	Fence    uint64
+}
+
+// Outcome is an engine's answer to an order.
+type Outcome int
+
+// Outcomes. An order without an answer has an error in its place.
+const (
+	// Accepted: the order is being carried out.
+	Accepted Outcome = iota + 1
+	// Holds: the engine is already in the ordered state.
+	Holds
+	// Conflict: another order is under way or the sequence differs.
+	Conflict
+	// Fenced: a holder with a higher fencing token gave orders.
+	Fenced
+	// Rejected: the engine does not take the order.
+	Rejected
+)
+
+// String returns the name used in logs.
+func (o Outcome) String() string {
+	names := map[Outcome]string{Accepted: "accepted", Holds: "holds", Conflict: "conflict", Fenced: "fenced", Rejected: "rejected"}
+	return names[o]
+}
+
+// Platform is what the directory needs of the platform and its endpoints.
+type Platform interface {
+	// List returns every endpoint that the platform knows.
+	List(ctx context.Context) ([]Endpoint, error)
+	// Report asks one engine for its state.
+	Report(ctx context.Context, e Endpoint) (Report, error)
+	// Order sends an order. After an error it may still be carried out.
+	Order(ctx context.Context, e Endpoint, o Order) (Outcome, error)
+}
+
+// ReportAge is the age from which a report says nothing of the present load.
+const ReportAge = 3 * time.Second
--- /dev/null
+++ b/internal/coordination/forward/watch.go
@@ -0,0 +1,222 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/coordination/directory"
+	"github.com/radishloom/radishloom/internal/state/catalog"
+)
+
+// Constants of the watch.
+const (
+	// watchHold is how long a call may be held open.
+	watchHold = 400 * time.Millisecond
+	// watchPause follows a failed round over all control VMs.
+	watchPause = 150 * time.Millisecond
+	// watchGap is the least time between two calls, which bounds their cost when
+	// the list changes all the time.
+	watchGap = 60 * time.Millisecond
+	// lostAfter is the time without an answer after which control counts as lost.
+	lostAfter = 2 * time.Second
+)
+
+// Calls reaches the directory of a control VM.
+type Calls interface {
+	Watch(ctx context.Context, address string, r *peerv1.WatchRequest) (*peerv1.WatchResponse, error)
+	Load(ctx context.Context, address string, r *peerv1.LoadRequest) (*peerv1.LoadResponse, error)
+}
+
+// Watcher keeps a Server up to date from the leading control VM.
+type Watcher struct {
+	Calls   Calls
+	Session *statev1.Session
+	// Decode decodes a catalog's document.
+	Decode func(document []byte) (*catalog.Catalog, error)
+	Log    *slog.Logger
+
+	mu struct {
+		sync.Mutex
+		addresses []string
+		seeds     []string
+		current   int
+	}
+	epoch, version uint64
+	lastAnswer     time.Time
+	lost           bool
+}
+
+// SetSeeds replaces the control VMs that the settings name.
+func (w *Watcher) SetSeeds(addresses []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mu.seeds = addresses
+	for _, a := range addresses {
+		if !slices.Contains(w.mu.addresses, a) {
+			w.mu.addresses = append(w.mu.addresses, a)
+		}
+	}
+}
+
+// setMembers takes over the present control VMs; the seeds stay as a way back.
+func (w *Watcher) setMembers(members []*statev1.Member) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	current := w.mu.addresses[w.mu.current]
+	list := []string{current}
+	for _, m := range members {
+		if !slices.Contains(list, m.GetAddress()) {
+			list = append(list, m.GetAddress())
+		}
+	}
+	for _, a := range w.mu.seeds {
+		if !slices.Contains(list, a) {
+			list = append(list, a)
+		}
+	}
+	w.mu.addresses, w.mu.current = list, 0
+}
+
+func (w *Watcher) address() (address string, count int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.mu.addresses[w.mu.current], len(w.mu.addresses)
+}
+
+func (w *Watcher) moveOn() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mu.current = (w.mu.current + 1) % len(w.mu.addresses)
+}
+
+// Run watches until ctx ends.
+func (w *Watcher) Run(ctx context.Context, s *Server) {
+	failures := 0
+	w.lastAnswer = time.Now()
+	for ctx.Err() == nil {
+		started := time.Now()
+		address, count := w.address()
+		err := w.once(ctx, s, address)
+		if err == nil {
+			failures = 0
+			sleep(ctx, watchGap-time.Since(started))
+			continue
+		}
+		w.noteLoss(address, err)
+		w.moveOn()
+		if failures++; failures >= count {
+			failures = 0
+			sleep(ctx, watchPause)
+		}
+	}
+}
+
+func (w *Watcher) noteLoss(address string, err error) {
+	if w.lost || time.Since(w.lastAnswer) < lostAfter {
+		return
+	}
+	w.lost = true
+	w.Log.Warn("control lost", "address", address, "error", err, "silent_ms", time.Since(w.lastAnswer).Milliseconds())
+}
+
+func (w *Watcher) once(ctx context.Context, s *Server, address string) error {
+	r := &peerv1.WatchRequest{Entry: w.Session, Epoch: w.epoch, EndpointsVersion: w.version, HoldMs: uint32(watchHold.Milliseconds())}
+	if x := s.Index(); x != nil {
+		r.CatalogVersion = x.Version()
+	}
+	if w.epoch == 0 {
+		r.HoldMs = 0
+	}
+	usage, demand := s.TakeUsage()
+	for name, amount := range usage {
+		r.Usage = append(r.Usage, &peerv1.CustomerUsage{Customer: name, Tokens: uint64(amount)})
+	}
+	for name, d := range demand {
+		r.Demand = append(r.Demand, &peerv1.ModelDemand{Model: name, Requests: uint32(d.Requests), Waiting: uint32(d.Waiting), Tokens: d.Tokens})
+	}
+	resp, err := w.Calls.Watch(ctx, address, r)
+	if err != nil {
+		return err
+	}
+	w.lastAnswer = time.Now()
+	if w.lost {
+		w.lost = false
+		w.Log.Info("control regained", "address", address, "epoch", resp.GetEpoch())
+	}
+	return w.apply(s, resp)
+}
+
+func (w *Watcher) apply(s *Server, resp *peerv1.WatchResponse) error {
+	if c := resp.GetCatalog(); c != nil {
+		decoded, err := w.Decode(c.GetDocument())
+		if err != nil {
+			return fmt.Errorf("decode catalog %d: %w", c.GetVersion(), err)
+		}
+		s.SetCatalog(catalog.NewIndex(decoded))
+	}
+	w.setMembers(resp.GetMembers())
+	s.SetShares(decodeShares(resp.GetShares()), int(resp.GetLiveEntries()))
+	if resp.GetEpoch() == 0 {
+		return nil // a new leader that has no list yet
+	}
+	if resp.GetEpoch() != w.epoch || resp.GetEndpointsVersion() != w.version {
+		s.SetEndpoints(decodeEndpoints(resp.GetEndpoints()))
+		w.epoch, w.version = resp.GetEpoch(), resp.GetEndpointsVersion()
+	}
+	return nil
+}
+
+func decodeShares(in []*peerv1.CustomerShare) map[string]float64 {
+	out := make(map[string]float64, len(in))
+	for _, s := range in {
+		out[s.GetCustomer()] = float64(s.GetMillionths()) / 1e6
+	}
+	return out
+}
+
+func decodeEndpoints(in []*peerv1.DirectoryEndpoint) []Endpoint {
+	out := make([]Endpoint, 0, len(in))
+	for _, e := range in {
+		one := Endpoint{
+			Endpoint: directory.Endpoint{
+				ID: e.GetId(), Service: e.GetService(), Address: e.GetAddress(), DataCentre: e.GetDataCentre(),
+				Slots: int(e.GetSlots()), Leaving: e.GetLeaving(),
+			},
+			Closing: map[string]bool{},
+			Running: int(e.GetRunning()), Waiting: int(e.GetWaiting()),
+		}
+		for _, m := range e.GetModels() {
+			one.Models = append(one.Models, directory.Resident{Model: m.GetModel(), Adapters: m.GetAdapters()})
+			if m.GetClosing() {
+				one.Closing[m.GetModel()] = true
+			}
+		}
+		out = append(out, one)
+	}
+	return out
+}
+
+// Load implements Loader.
+func (w *Watcher) Load(ctx context.Context, model, adapter string) error {
+	address, _ := w.address()
+	_, err := w.Calls.Load(ctx, address, &peerv1.LoadRequest{Model: model, Adapter: adapter})
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -43,6 +43,14 @@
 	// Silence bounds the time without a byte in either direction. Zero means
 	// the client's default.
 	Silence time.Duration
+	// Host is the Host field of the request; empty means Address.
+	Host string
+	// Accept, if set, says whether a head belongs to this request. An answer to
+	// an earlier request is read to its end and passed over.
+	Accept func(http.Header) bool
+	// AllowUnframed accepts an answer whose end is the orderly end of the
+	// connection.
+	AllowUnframed bool
 	// FreshConnection forbids the reuse of an open connection.
 	FreshConnection bool
 }
@@ -53,7 +61,9 @@
 	Header http.Header
 	// Length is the announced length of the body, or -1.
 	Length int64
-	Body   Body
+	// Unframed says that only the end of the connection ends the body.
+	Unframed bool
+	Body     Body
 }
 
 // Body is the body of an answer. Read returns io.EOF only after the announced
--- /dev/null
+++ b/internal/state/catalog/index.go
@@ -0,0 +1,122 @@
+package catalog
+
+import (
+	"net"
+	"slices"
+	"strings"
+)
+
+// Index answers look-ups in one catalog. It is immutable and safe for
+// concurrent use.
+type Index struct {
+	catalog *Catalog
+	// routes of each host, longest prefix first.
+	routes    map[string][]*Route
+	services  map[string]*Service
+	models    map[string]*Model
+	customers map[string]*Customer
+	keys      map[string]*Customer
+}
+
+// NewIndex returns the look-up tables of a valid catalog, which must not be
+// modified from then on.
+func NewIndex(c *Catalog) *Index {
+	x := &Index{
+		catalog:   c,
+		routes:    make(map[string][]*Route),
+		services:  make(map[string]*Service, len(c.Services)),
+		models:    make(map[string]*Model),
+		customers: make(map[string]*Customer, len(c.Customers)),
+		keys:      make(map[string]*Customer),
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		x.routes[host] = append(x.routes[host], r)
+	}
+	for _, list := range x.routes {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range c.Services {
+		x.addService(&c.Services[i])
+	}
+	for i := range c.Customers {
+		customer := &c.Customers[i]
+		x.customers[customer.Name] = customer
+		for _, key := range customer.Keys {
+			x.keys[key] = customer
+		}
+	}
+	return x
+}
+
+func (x *Index) addService(s *Service) {
+	x.services[s.Name] = s
+	if s.Engine == nil {
+		return
+	}
+	for i := range s.Engine.Models {
+		x.models[s.Engine.Models[i].Name] = &s.Engine.Models[i]
+	}
+}
+
+// Catalog returns the indexed catalog, which must not be modified.
+func (x *Index) Catalog() *Catalog { return x.catalog }
+
+// Version returns the catalog's version.
+func (x *Index) Version() uint64 { return x.catalog.Version }
+
+// Route returns the route of the host with the longest prefix of the path, or
+// nil. The host may carry a port.
+func (x *Index) Route(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range x.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service by its name, or nil.
+func (x *Index) Service(name string) *Service { return x.services[name] }
+
+// Model returns a model by its name, or nil.
+func (x *Index) Model(name string) *Model { return x.models[name] }
+
+// Customer returns a customer by its name, or nil.
+func (x *Index) Customer(name string) *Customer { return x.customers[name] }
+
+// Authenticate returns the customer that a key belongs to, or nil.
+func (x *Index) Authenticate(key string) *Customer { return x.keys[key] }
+
+// Cost returns what a request counts against the customer's rate. hasTokens
+// says whether the request states its tokens.
+func (c *Customer) Cost(tokens int, hasTokens bool) float64 {
+	switch {
+	case !c.ByTokens:
+		return 1
+	case hasTokens:
+		return float64(tokens)
+	default:
+		return c.PlainTokens
+	}
+}
+
+// Choose returns the service of a split for a number in [0, 1).
+func (r *Route) Choose(at float64) string {
+	total := 0
+	for _, s := range r.Splits {
+		total += s.Weight
+	}
+	left := at * float64(total)
+	for _, s := range r.Splits {
+		if left < float64(s.Weight) {
+			return s.Service
+		}
+		left -= float64(s.Weight)
+	}
+	return r.Splits[len(r.Splits)-1].Service
+}
--- a/internal/state/fleet/machine.go
+++ b/internal/state/fleet/machine.go
@@ -45,6 +45,7 @@
 	claims   *claim.Table
 	orders   *order.Ledger
 	suspects suspects
+	catalog  *statev1.Catalog
 	faults   faults
 	wall     uint64 // wall clock of the last batch; used only under a fault
 }
@@ -99,6 +100,9 @@
 		return m.orderResolve(op.OrderResolve)
 	case *statev1.Command_EndpointObserved:
 		return m.endpointObserved(op.EndpointObserved)
+	case *statev1.Command_PutCatalog:
+		m.putCatalog(op.PutCatalog.GetCatalog())
+		return &statev1.Result{}
 	case *statev1.Command_SuspectReport:
 		m.suspects.report(m.now, op.SuspectReport)
 		return &statev1.Result{}
@@ -148,3 +152,15 @@
 func (m *Machine) Suspects() (version uint64, list []*statev1.Suspect) {
 	return m.suspects.version, m.suspects.list()
 }
+
+// putCatalog keeps the catalog with the highest version. The first one of a
+// version stays: a repeat or a competing one changes nothing.
+func (m *Machine) putCatalog(c *statev1.Catalog) {
+	if c.GetVersion() > m.catalog.GetVersion() {
+		m.catalog = c
+	}
+}
+
+// Catalog returns the present catalog, which is shared and never modified, or
+// nil before the first one.
+func (m *Machine) Catalog() *statev1.Catalog { return m.catalog }
--- a/internal/state/fleet/snapshot.go
+++ b/internal/state/fleet/snapshot.go
@@ -27,6 +27,7 @@
 		Claims:      m.claims.Save(),
 		Orders:      m.orders.Save(),
 		Suspects:    m.suspects.save(),
+		Catalog:     m.catalog,
 	}
 	s.Sessions, s.EndedSessions = m.sessions.save()
 	return func() ([]byte, error) {
@@ -64,6 +65,7 @@
 	m.claims.Load(s.GetClaims())
 	m.orders.Load(s.GetOrders())
 	m.suspects.load(s.GetSuspects())
+	m.catalog = s.GetCatalog()
 	return nil
 }
 
--- a/internal/transport/httpclient/body.go
+++ b/internal/transport/httpclient/body.go
@@ -16,8 +16,9 @@
 	ctx  context.Context
 	conn *conn
 	r    io.Reader
-	// endless says that only the end of the connection marks the end.
-	endless bool
+	// endless says that only the end of the connection marks the end;
+	// allowEndless accepts that.
+	endless, allowEndless bool
 	// once forbids the reuse of the connection.
 	once bool
 	// err is what Read returned last; the exchange is over when it is set.
@@ -26,10 +27,12 @@
 
 var _ exchange.Body = (*body)(nil)
 
-func newResponse(ctx context.Context, cn *conn, resp *http.Response) *exchange.Response {
+func newResponse(ctx context.Context, cn *conn, resp *http.Response, allowUnframed bool) *exchange.Response {
 	b := &body{ctx: ctx, conn: cn, r: resp.Body, once: resp.Close || cn.partial}
 	b.endless = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	out := &exchange.Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: b}
+	b.allowEndless = allowUnframed
+	b.once = b.once || b.endless
+	out := &exchange.Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Unframed: b.endless, Body: b}
 	if resp.ContentLength == 0 || resp.Body == http.NoBody {
 		b.release()
 	}
@@ -44,7 +47,7 @@
 	n, err := b.r.Read(p)
 	switch {
 	case err == nil:
-	case errors.Is(err, io.EOF) && b.endless:
+	case errors.Is(err, io.EOF) && b.endless && !b.allowEndless:
 		b.err = b.conn.fail(b.ctx, errNoEnd, stageBody)
 	case errors.Is(err, io.EOF):
 		b.release()
--- a/internal/transport/httpclient/client.go
+++ b/internal/transport/httpclient/client.go
@@ -214,11 +214,11 @@
 		}
 		cn.partial = true
 	}
-	resp, err := cn.readHead(req.Method)
+	resp, err := cn.readHead(req.Method, req.Accept)
 	if err != nil {
 		return nil, cn.fail(ctx, err, stageHead)
 	}
-	return newResponse(ctx, cn, resp), nil
+	return newResponse(ctx, cn, resp, req.AllowUnframed), nil
 }
 
 // Transport returns a net/http transport for calls between daemons, with the
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -51,6 +52,9 @@
 	headLeft int
 
 	idleSince time.Time
+	// idleLimit is how long the endpoint keeps the unused connection, or zero if
+	// it does not say.
+	idleLimit time.Duration
 	// unfinished is the body of the last exchange if only its end marker was
 	// read.
 	unfinished io.Reader
@@ -176,7 +180,7 @@
 	w.WriteByte(' ')
 	w.WriteString(req.Target)
 	w.WriteString(" HTTP/1.1\r\nHost: ")
-	w.WriteString(req.Address)
+	w.WriteString(cmp.Or(req.Host, req.Address))
 	w.WriteString("\r\n")
 	if err := req.Header.WriteSubset(w, framing); err != nil {
 		return err
@@ -210,7 +214,7 @@
 // readHead reads the head of the final answer. An engine that works on a whole
 // answer sends informational answers meanwhile, so that silence has the same
 // meaning as in a stream; only the context bounds their number.
-func (cn *conn) readHead(method string) (*http.Response, error) {
+func (cn *conn) readHead(method string, accept func(http.Header) bool) (*http.Response, error) {
 	for {
 		cn.headLeft = cn.maxHead
 		resp, err := http.ReadResponse(cn.br, &http.Request{Method: method})
@@ -218,6 +222,13 @@
 		if err != nil {
 			return nil, err
 		}
+		if accept != nil && resp.StatusCode >= http.StatusOK && !accept(resp.Header) {
+			if err := passOver(resp); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		cn.idleLimit = keepAliveLimit(resp.Header)
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("the endpoint switched protocols unasked")
 		}
@@ -227,6 +238,28 @@
 	}
 }
 
+// passOver reads an answer that belongs to an earlier request to its end.
+func passOver(resp *http.Response) error {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return errNoEnd
+	}
+	_, err := io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// keepAliveLimit returns how long a connection may be unused according to the
+// Keep-Alive field, or zero.
+func keepAliveLimit(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		seconds, err := strconv.Atoi(value)
+		if err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
+
 // answerWaiting says whether a part of an answer arrived although sending
 // failed.
 func (cn *conn) answerWaiting() bool {
--- a/internal/transport/httpclient/pool.go
+++ b/internal/transport/httpclient/pool.go
@@ -55,7 +55,10 @@
 }
 
 func (p *pool) expired(cn *conn) bool {
-	return time.Since(cn.idleSince) > p.opts.IdleTimeout
+	unused := time.Since(cn.idleSince)
+	// A request must not meet the endpoint's own close, so a quarter of its
+	// limit is left.
+	return unused > p.opts.IdleTimeout || (cn.idleLimit > 0 && unused > cn.idleLimit*3/4)
 }
 
 // put keeps a connection for reuse, or closes it.
--- a/internal/transport/httpclient/sockopt_linux.go
+++ b/internal/transport/httpclient/sockopt_linux.go
@@ -13,6 +13,14 @@
 // precedence where both apply.
 const probeCount = 3
 
+// NewDialer returns a dialer whose connections end when the peer is silent.
+func NewDialer(o Options) *net.Dialer {
+	o = o.withDefaults()
+	d := newDialer(o)
+	d.Timeout = o.ConnectTimeout
+	return &d
+}
+
 func newDialer(o Options) net.Dialer {
 	return net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: o.KeepAlive, Interval: o.KeepAlive, Count: probeCount},
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -81,6 +81,9 @@
 	TLS     *tls.Config
 	Handler http.Handler
 	Limits  Limits
+	// AllPaths passes requests for the paths of health checks to the handler,
+	// for a server whose callers may use any path.
+	AllPaths bool
 	// Ready decides the answer to PathReady; nil is always ready.
 	Ready  func() bool
 	Logger *slog.Logger
@@ -125,6 +128,9 @@
 	options := []kratos.ServerOption{
 		kratos.Timeout(0),
 		kratos.Listener(s.listener),
+		// With the address kratos need not ask for the interfaces of the VM, which
+		// some platforms refuse.
+		kratos.Address(s.listener.Addr().String()),
 		kratos.Filter(func(http.Handler) http.Handler { return http.HandlerFunc(s.serve) }),
 	}
 	if s.config.TLS != nil {
