directory: followers tell entries who leads; waiting requests are refused at a stop

Change: a follower answers Watch with the leader and the members; Leave refuses waiting requests as not run. Ruled out: the log after the power loss; the catalog was there and read back.

--- a/internal/coordination/control/catalog.go
+++ b/internal/coordination/control/catalog.go
@@ -47,6 +47,19 @@
 	return c, members, err
 }
 
+// Leader returns the address of the present leader, or "", and the control VMs.
+func (s *Server) Leader(ctx context.Context) (address string, members []*statev1.Member, err error) {
+	_, err = ask(ctx, s, noLeader("not answered in time"), func(done func(struct{}, error)) {
+		status := s.loop.core.Status()
+		members = status.Membership.GetMembers()
+		if m := s.loop.lookup(status.Leader); m != nil {
+			address = m.GetAddress()
+		}
+		done(struct{}{}, nil)
+	})
+	return address, members, err
+}
+
 // CatalogChanged returns a channel that is closed when a catalog newer than the
 // version may be applied.
 func (s *Server) CatalogChanged(version uint64) <-chan struct{} {
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -38,6 +38,9 @@
 	// Catalog returns the newest applied catalog, which is nil before the first,
 	// and the control VMs.
 	Catalog(ctx context.Context) (*statev1.Catalog, []*statev1.Member, error)
+	// Leader returns the address of the present leader, or "", and the control
+	// VMs.
+	Leader(ctx context.Context) (string, []*statev1.Member, error)
 	// CatalogChanged is closed when a catalog newer than the version is applied.
 	CatalogChanged(version uint64) <-chan struct{}
 }
@@ -392,10 +395,20 @@
 	return resultcode.New(resultcode.NoLeader, "this control VM does not lead")
 }
 
+// elsewhere tells an entry who leads. The entry may know no other way: its
+// settings name some of the control VMs only.
+func (s *Server) elsewhere(ctx context.Context) (*peerv1.WatchResponse, error) {
+	leader, members, err := s.cfg.Leadership.Leader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &peerv1.WatchResponse{NotLeading: true, Leader: leader, Members: members}, nil
+}
+
 // Watch answers an entry once there is something new for it.
 func (s *Server) Watch(ctx context.Context, r *peerv1.WatchRequest) (*peerv1.WatchResponse, error) {
 	if !s.report(r) {
-		return nil, notLeading()
+		return s.elsewhere(ctx)
 	}
 	hold := time.NewTimer(time.Duration(r.GetHoldMs()) * time.Millisecond)
 	defer hold.Stop()
@@ -404,7 +417,7 @@
 		term, version, changed, listed := s.mu.term, s.mu.version, s.mu.changed, s.mu.listed
 		s.mu.Unlock()
 		if term == 0 {
-			return nil, notLeading()
+			return s.elsewhere(ctx)
 		}
 		catalogChanged := s.cfg.Leadership.CatalogChanged(r.GetCatalogVersion())
 		news := listed && (r.GetEpoch() != term || r.GetEndpointsVersion() != version)
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -279,6 +279,7 @@
 			s.mu.Unlock()
 			continue
 		case <-end.C:
+		case <-s.leaving:
 		case <-c.ctx.Done():
 		}
 		s.mu.Lock()
@@ -295,6 +296,8 @@
 	switch {
 	case errors.Is(c.ctx.Err(), context.Canceled):
 		return resultcode.New(resultcode.CallerGone, "the caller left while the request waited")
+	case c.server.isLeaving():
+		return resultcode.New(resultcode.Draining, "this VM stops before the request has a place")
 	case absence == NoModel || absence == NoAdapter:
 		return resultcode.New(resultcode.ModelLoading, "model %q with adapter %q was not resident in time", c.query.Model, c.query.Adapter)
 	case absence == NoEndpoints:
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -45,8 +45,8 @@
 	log   *limitedLog
 	index atomic.Pointer[catalog.Index]
 	open  atomic.Int64
-	// leaving is set once the process was told to stop.
-	leaving atomic.Bool
+	// leaving is closed once the process was told to stop.
+	leaving chan struct{}
 
 	mu struct {
 		sync.Mutex
@@ -69,7 +69,7 @@
 
 // New returns a Server that refuses everything until it has a catalog.
 func New(c Config) *Server {
-	s := &Server{cfg: c, start: time.Now(), log: newLimitedLog(c.Log)}
+	s := &Server{cfg: c, start: time.Now(), log: newLimitedLog(c.Log), leaving: make(chan struct{})}
 	s.mu.table = NewTable()
 	s.mu.buckets = NewBuckets()
 	s.mu.budget = NewBudget(c.RetryWindow, c.RetryRatio, c.RetrySlack)
@@ -86,11 +86,22 @@
 	s.mu.Lock()
 	known := s.mu.known
 	s.mu.Unlock()
-	return known && s.index.Load() != nil && !s.leaving.Load()
+	return known && s.index.Load() != nil && !s.isLeaving()
 }
 
-// Leave makes the entry report not ready.
-func (s *Server) Leave() { s.leaving.Store(true) }
+// Leave makes the entry report not ready and refuses the requests that wait:
+// another entry can serve them, and this one may not live until they get a
+// place. It must be called once.
+func (s *Server) Leave() { close(s.leaving) }
+
+func (s *Server) isLeaving() bool {
+	select {
+	case <-s.leaving:
+		return true
+	default:
+		return false
+	}
+}
 
 // Index returns the present catalog, or nil.
 func (s *Server) Index() *catalog.Index { return s.index.Load() }
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -64,12 +65,12 @@
 	}
 }
 
-// setMembers takes over the present control VMs; the seeds stay as a way back.
-func (w *Watcher) setMembers(members []*statev1.Member) {
+// setMembers takes over the present control VMs, beginning with the one to call
+// next; the seeds stay as a way back.
+func (w *Watcher) setMembers(members []*statev1.Member, next string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	current := w.mu.addresses[w.mu.current]
-	list := []string{current}
+	list := []string{next}
 	for _, m := range members {
 		if !slices.Contains(list, m.GetAddress()) {
 			list = append(list, m.GetAddress())
@@ -109,7 +110,9 @@
 			continue
 		}
 		w.noteLoss(address, err)
-		w.moveOn()
+		if !errors.Is(err, errFollower) {
+			w.moveOn()
+		}
 		if failures++; failures >= count {
 			failures = 0
 			sleep(ctx, watchPause)
@@ -144,15 +147,33 @@
 	if err != nil {
 		return err
 	}
+	if resp.GetNotLeading() {
+		return w.follow(address, resp)
+	}
 	w.lastAnswer = time.Now()
 	if w.lost {
 		w.lost = false
 		w.Log.Info("control regained", "address", address, "epoch", resp.GetEpoch())
 	}
-	return w.apply(s, resp)
+	return w.apply(s, address, resp)
+}
+
+var (
+	errFollower = errors.New("the control VM does not lead")
+	errElection = errors.New("the control VM knows no leader")
+)
+
+// follow turns to the leader that a follower names.
+func (w *Watcher) follow(address string, resp *peerv1.WatchResponse) error {
+	if leader := resp.GetLeader(); leader != "" && leader != address {
+		w.setMembers(resp.GetMembers(), leader)
+		return errFollower
+	}
+	w.setMembers(resp.GetMembers(), address)
+	return errElection
 }
 
-func (w *Watcher) apply(s *Server, resp *peerv1.WatchResponse) error {
+func (w *Watcher) apply(s *Server, address string, resp *peerv1.WatchResponse) error {
 	if c := resp.GetCatalog(); c != nil {
 		decoded, err := w.Decode(c.GetDocument())
 		if err != nil {
@@ -160,7 +181,7 @@
 		}
 		s.SetCatalog(catalog.NewIndex(decoded))
 	}
-	w.setMembers(resp.GetMembers())
+	w.setMembers(resp.GetMembers(), address)
 	s.SetShares(decodeShares(resp.GetShares()), int(resp.GetLiveEntries()))
 	if resp.GetEpoch() == 0 {
 		return nil // a new leader that has no list yet
