directory, forward: entries draw on one level of each customer's burst

Change: the leader keeps a level for each customer from what entries report as spent, and hands each entry a part of the rate and what it may spend at once; an overspent level is made up for before anything else. Ruled out: a lower rate in the catalog; the refusals came before the change of the quota, too.

--- a/internal/coordination/control/loop.go
+++ b/internal/coordination/control/loop.go
@@ -73,7 +73,7 @@
 
 	// contacts are members that a JoinResponse named, for a member whose own log
 	// does not name them yet.
-	contacts  map[uint64]*statev1.Member
+	contacts map[uint64]*statev1.Member
 	// lostSince is when the leader last heard of voters that do not answer.
 	lostSince map[uint64]time.Duration
 	diskFull  bool
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -448,9 +448,9 @@
 		return false
 	}
 	entry, now := r.GetEntry().GetVm(), s.now()
-	usage := make(map[string]float64, len(r.GetUsage()))
+	usage := make(map[string]Usage, len(r.GetUsage()))
 	for _, u := range r.GetUsage() {
-		usage[u.GetCustomer()] += float64(u.GetTokens())
+		usage[u.GetCustomer()] = Usage{Asked: float64(u.GetTokens()), Spent: float64(u.GetSpent())}
 	}
 	s.mu.shares.Report(now, entry, usage)
 	named := make(map[string]bool, len(r.GetDemand()))
@@ -477,8 +477,11 @@
 		return nil, notLeading()
 	}
 	out.LiveEntries = uint32(s.mu.shares.Entries())
-	for name, part := range s.mu.shares.For(r.GetEntry().GetVm()) {
-		out.Shares = append(out.Shares, &peerv1.CustomerShare{Customer: name, Millionths: uint32(part * 1e6)})
+	if s.mu.index != nil {
+		customers := s.mu.index.Catalog().Customers
+		for name, share := range s.mu.shares.For(s.now(), r.GetEntry().GetVm(), customers) {
+			out.Shares = append(out.Shares, &peerv1.CustomerShare{Customer: name, Millionths: uint32(share.Part * 1e6), Level: int64(share.Level)})
+		}
 	}
 	if !s.mu.listed {
 		return out, nil
--- a/internal/coordination/directory/share.go
+++ b/internal/coordination/directory/share.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/radishloom/radishloom/internal/state/catalog"
 )
 
 // Constants of the division of rates.
@@ -15,12 +17,20 @@
 	// entryTimeout is how long an entry that no longer calls keeps its share. It
 	// is above the time for which the entry itself trusts the share.
 	entryTimeout = 6 * time.Second
+	// freePart is the least part of a customer's level that an entry may spend at
+	// once. The parts add up to more than the level: few entries meet a burst in
+	// the same instant, and what they overspend is made up for afterwards.
+	freePart = 0.35
+	// firstLevel is the part of the burst that a new leader starts with. It does
+	// not know what was spent before.
+	firstLevel = 0.3
 )
 
-// Shares divides the customers' rates between entries by recent demand. Their
-// sum is never above one.
+// Shares divides the customers' rates between entries: the rate by recent
+// demand, the burst by a level that all entries draw on and report to.
 type Shares struct {
 	entries map[string]*entryUsage
+	levels  map[string]*level
 }
 
 type entryUsage struct {
@@ -29,11 +39,30 @@
 	at     time.Duration
 }
 
+// level is what is left of a customer's burst; it is negative after overspending.
+type level struct {
+	tokens float64
+	at     time.Duration
+}
+
+// Usage is what a customer asked of an entry since its last report, in tokens.
+type Usage struct{ Asked, Spent float64 }
+
+// Share is what an entry may use of a customer's rate.
+type Share struct {
+	// Part is the part of the rate, from 0 to 1.
+	Part float64
+	// Level may be spent at once; a negative one has to be made up for first.
+	Level float64
+}
+
 // NewShares returns Shares without entries.
-func NewShares() *Shares { return &Shares{entries: map[string]*entryUsage{}} }
+func NewShares() *Shares {
+	return &Shares{entries: map[string]*entryUsage{}, levels: map[string]*level{}}
+}
 
-// Report adds what an entry was asked for since its last report.
-func (s *Shares) Report(now time.Duration, entry string, usage map[string]float64) {
+// Report adds what an entry was asked for and spent since its last report.
+func (s *Shares) Report(now time.Duration, entry string, usage map[string]Usage) {
 	e := s.entries[entry]
 	if e == nil {
 		e = &entryUsage{demand: map[string]float64{}, at: now}
@@ -48,8 +77,11 @@
 			delete(e.demand, name)
 		}
 	}
-	for name, amount := range usage {
-		e.demand[name] += amount
+	for name, u := range usage {
+		e.demand[name] += u.Asked
+		if l := s.levels[name]; l != nil {
+			l.tokens -= u.Spent
+		}
 	}
 	for name, other := range s.entries {
 		if now-other.seen > entryTimeout {
@@ -61,22 +93,51 @@
 // Entries returns the number of entries.
 func (s *Shares) Entries() int { return max(1, len(s.entries)) }
 
-// For returns the entry's parts by customer. Customers without demand are left
-// out: each entry has an even part of theirs.
-func (s *Shares) For(entry string) map[string]float64 {
-	totals := map[string]float64{}
-	for _, e := range s.entries {
-		for name, amount := range e.demand {
-			totals[name] += amount
-		}
-	}
+// For returns the entry's shares of the customers' rates.
+func (s *Shares) For(now time.Duration, entry string, customers []catalog.Customer) map[string]Share {
 	own := s.entries[entry]
 	if own == nil {
 		return nil
 	}
-	out := make(map[string]float64, len(totals))
-	for name, total := range totals {
-		out[name] = evenPart/float64(s.Entries()) + (1-evenPart)*own.demand[name]/total
+	out := make(map[string]Share, len(customers))
+	for i := range customers {
+		c := &customers[i]
+		if c.Rate <= 0 {
+			continue
+		}
+		part := s.part(own, c.Name)
+		left := s.refill(now, c)
+		if left > 0 {
+			left *= max(part, freePart)
+		} else {
+			left *= part
+		}
+		out[c.Name] = Share{Part: part, Level: left}
 	}
 	return out
 }
+
+func (s *Shares) part(own *entryUsage, name string) float64 {
+	even := 1 / float64(s.Entries())
+	total := 0.0
+	for _, e := range s.entries {
+		total += e.demand[name]
+	}
+	if total <= 0 {
+		return even
+	}
+	return evenPart*even + (1-evenPart)*own.demand[name]/total
+}
+
+// refill brings a customer's level up to date and returns it.
+func (s *Shares) refill(now time.Duration, c *catalog.Customer) float64 {
+	burst := max(c.Burst, 1)
+	l := s.levels[c.Name]
+	if l == nil {
+		l = &level{tokens: burst * firstLevel, at: now}
+		s.levels[c.Name] = l
+	}
+	l.tokens = min(burst, l.tokens+c.Rate*(now-l.at).Seconds())
+	l.at = now
+	return l.tokens
+}
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -159,7 +159,6 @@
 	now := s.now()
 	if c.customer != nil {
 		c.cost = c.customer.Cost(tokens, c.req.HasTokens)
-		s.mu.usage[c.customer.Name] += c.cost
 	}
 	ok, wait := s.mu.buckets.Take(now, c.customer, c.cost)
 	if !ok {
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/radishloom/radishloom/internal/coordination/directory"
 	"github.com/radishloom/radishloom/internal/protocol/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/catalog"
@@ -54,7 +55,6 @@
 		buckets *Buckets
 		budget  *Budget
 		queue   queue
-		usage   map[string]float64
 		demand  map[string]*Demand
 		loading map[string]bool
 		known   bool // a list of endpoints has arrived
@@ -73,7 +73,6 @@
 	s.mu.table = NewTable()
 	s.mu.buckets = NewBuckets()
 	s.mu.budget = NewBudget(c.RetryWindow, c.RetryRatio, c.RetrySlack)
-	s.mu.usage = map[string]float64{}
 	s.mu.demand = map[string]*Demand{}
 	s.mu.loading = map[string]bool{}
 	return s
@@ -127,7 +126,7 @@
 }
 
 // SetShares takes over this entry's parts of the customers' rates.
-func (s *Server) SetShares(shares map[string]float64, entries int) {
+func (s *Server) SetShares(shares map[string]directory.Share, entries int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mu.buckets.SetShares(s.now(), shares, entries)
@@ -135,11 +134,11 @@
 }
 
 // TakeUsage returns and forgets what customers and models were asked for.
-func (s *Server) TakeUsage() (usage map[string]float64, demand map[string]*Demand) {
+func (s *Server) TakeUsage() (usage map[string]directory.Usage, demand map[string]*Demand) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	usage, demand = s.mu.usage, s.mu.demand
-	s.mu.usage, s.mu.demand = map[string]float64{}, map[string]*Demand{}
+	usage, demand = s.mu.buckets.TakeUsage(), s.mu.demand
+	s.mu.demand = map[string]*Demand{}
 	for _, w := range s.mu.queue.list {
 		if w.query.Model == "" {
 			continue
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -137,8 +137,8 @@
 		r.HoldMs = 0
 	}
 	usage, demand := s.TakeUsage()
-	for name, amount := range usage {
-		r.Usage = append(r.Usage, &peerv1.CustomerUsage{Customer: name, Tokens: uint64(amount)})
+	for name, u := range usage {
+		r.Usage = append(r.Usage, &peerv1.CustomerUsage{Customer: name, Tokens: uint64(u.Asked), Spent: int64(u.Spent)})
 	}
 	for name, d := range demand {
 		r.Demand = append(r.Demand, &peerv1.ModelDemand{Model: name, Requests: uint32(d.Requests), Waiting: uint32(d.Waiting), Tokens: d.Tokens})
@@ -193,10 +193,10 @@
 	return nil
 }
 
-func decodeShares(in []*peerv1.CustomerShare) map[string]float64 {
-	out := make(map[string]float64, len(in))
+func decodeShares(in []*peerv1.CustomerShare) map[string]directory.Share {
+	out := make(map[string]directory.Share, len(in))
 	for _, s := range in {
-		out[s.GetCustomer()] = float64(s.GetMillionths()) / 1e6
+		out[s.GetCustomer()] = directory.Share{Part: float64(s.GetMillionths()) / 1e6, Level: float64(s.GetLevel())}
 	}
 	return out
 }
