--- a/internal/coordination/directory/plan.go
+++ b/internal/coordination/directory/plan.go
@@ -50,9 +50,10 @@
 	staleSince time.Duration
 	// ordering says that an order is on its way.
 	ordering bool
-	// loading is the model whose load was accepted, until when.
-	loading      string
-	loadingUntil time.Duration
+	// loading is the model whose load was accepted. It should be resident at
+	// loadingReady; at loadingUntil the load counts as failed.
+	loading                    string
+	loadingReady, loadingUntil time.Duration
 	// closing holds the models that are about to be unloaded, and since when.
 	closing map[string]time.Duration
 	// replacement is the model that is loaded once closing models are gone.
@@ -525,7 +526,8 @@
 		p.adapterDone(now, e, o)
 	case o.Operation == Load:
 		e.loading = o.Model
-		e.loadingUntil = now + loadTime(s, o.Model)
+		e.loadingReady = now + e.loadTime(findModel(s, o.Model))
+		e.loadingUntil = now + loadLimit(findModel(s, o.Model))
 		e.stale, e.staleSince = true, now
 	default:
 		e.stale, e.staleSince = true, now
@@ -557,14 +559,46 @@
 	e.stale, e.staleSince = false, now
 }
 
-// loadTime bounds how long a load counts as running without a report of it.
-func loadTime(s *catalog.Service, model string) time.Duration {
-	for _, m := range s.Engine.Models {
-		if m.Name == model {
-			return 3*m.LoadTime + time.Second
+func findModel(s *catalog.Service, name string) *catalog.Model {
+	for i := range s.Engine.Models {
+		if s.Engine.Models[i].Name == name {
+			return &s.Engine.Models[i]
+		}
+	}
+	return &catalog.Model{Name: name}
+}
+
+// loadLimit bounds how long a load counts as running without a report of it.
+func loadLimit(m *catalog.Model) time.Duration { return 3*m.LoadTime + time.Second }
+
+// loadTime is how long an engine takes to load a model.
+func (e *engine) loadTime(m *catalog.Model) time.Duration {
+	switch {
+	case slices.Contains(e.report.InMemory, m.Name):
+		return m.WarmLoadTime
+	case slices.Contains(e.report.OnDisk, m.Name):
+		return m.DiskLoadTime
+	default:
+		return m.LoadTime
+	}
+}
+
+// ReadyIn estimates how long it takes until a model is resident somewhere.
+func (p *Planner) ReadyIn(now time.Duration, s *catalog.Service, model string) time.Duration {
+	m := findModel(s, model)
+	best := closeTime + m.LoadTime
+	for _, e := range p.engines {
+		switch {
+		case e.Service != s.Name || e.Leaving:
+		case e.loading == model:
+			best = min(best, max(0, e.loadingReady-now))
+		case e.replacement == model:
+			best = min(best, closeTime+e.loadTime(m))
+		case e.reported != 0:
+			best = min(best, closeTime+e.loadTime(m))
 		}
 	}
-	return time.Minute
+	return best
 }
 
 // WantModel records that an entry needs a model that is resident nowhere.
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -522,14 +522,39 @@
 		return nil, notLeading()
 	}
 	if r.GetAdapter() == "" {
-		s.mu.planner.WantModel(s.now(), r.GetModel())
-		s.mu.Unlock()
-		return &peerv1.LoadResponse{}, nil
+		defer s.mu.Unlock()
+		return s.wantModelLocked(r.GetModel()), nil
 	}
 	s.mu.Unlock()
 	return s.loadAdapter(ctx, r.GetModel(), r.GetAdapter())
 }
 
+// wantModelLocked notes the need for a model and says when it should be met.
+func (s *Server) wantModelLocked(model string) *peerv1.LoadResponse {
+	s.mu.planner.WantModel(s.now(), model)
+	service := s.serviceOfLocked(model)
+	if service == nil {
+		return &peerv1.LoadResponse{}
+	}
+	ready := s.mu.planner.ReadyIn(s.now(), service, model)
+	ready += max(0, s.cfg.OrderLease+orderMargin-(s.now()-s.mu.since))
+	return &peerv1.LoadResponse{ReadyMs: uint32(ready.Milliseconds())}
+}
+
+// serviceOfLocked returns the service whose engines run a model, or nil.
+func (s *Server) serviceOfLocked(model string) *catalog.Service {
+	if s.mu.index == nil {
+		return nil
+	}
+	for i := range s.mu.index.Catalog().Services {
+		service := &s.mu.index.Catalog().Services[i]
+		if service.Engine != nil && slices.ContainsFunc(service.Engine.Models, func(m catalog.Model) bool { return m.Name == model }) {
+			return service
+		}
+	}
+	return nil
+}
+
 // adapterSteps bounds the orders for one adapter: an unload and a load, and one
 // more pair after a conflict.
 const adapterSteps = 4
@@ -560,16 +585,13 @@
 	if !s.mayOrderLocked() {
 		return nil, ""
 	}
-	for i := range s.mu.index.Catalog().Services {
-		service := &s.mu.index.Catalog().Services[i]
-		if service.Engine == nil || !slices.ContainsFunc(service.Engine.Models, func(m catalog.Model) bool { return m.Name == model }) {
-			continue
-		}
-		d, present := s.mu.planner.PlanAdapter(s.now(), service, model, adapter)
-		if d != nil {
-			s.mu.planner.Sent(*d)
-		}
-		return d, present
+	service := s.serviceOfLocked(model)
+	if service == nil {
+		return nil, ""
+	}
+	d, present := s.mu.planner.PlanAdapter(s.now(), service, model, adapter)
+	if d != nil {
+		s.mu.planner.Sent(*d)
 	}
-	return nil, ""
+	return d, present
 }
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -34,11 +34,19 @@
 	engineDepth = 0.4
 	// plainDepth is the same for a plain service, whose queue is short.
 	plainDepth = 1.5
-	// loadRetry is the pause before a load is asked for again.
-	loadRetry = 300 * time.Millisecond
+	// loadPoll is how often a waiting request looks at its case again and asks for
+	// a load that it needs.
+	loadPoll = 100 * time.Millisecond
 	// waitPart is the part of the time left for which a request may wait for a
 	// place before it is refused as not run.
 	waitPart = 0.5
+	// streamPatience, patienceTargets and patiencePauses bound how long callers of
+	// streams wait for the next event; the longest counts.
+	streamPatience  = 2 * time.Second
+	patienceTargets = 4
+	patiencePauses  = 8
+	// firstEventTime is kept from that for the endpoint's own work.
+	firstEventTime = 400 * time.Millisecond
 )
 
 // call is one request on its way.
@@ -241,19 +249,35 @@
 		s.mu.Unlock()
 		return nil, err
 	}
-	left := c.deadline - s.now()
-	wt := &waiter{query: &c.query, deadline: s.now() + time.Duration(float64(left)*waitPart), ready: make(chan *Ticket, 1)}
+	wt := &waiter{query: &c.query, deadline: c.waitUntil(s.now()), ready: make(chan *Ticket, 1)}
 	s.mu.queue.add(wt)
 	s.mu.Unlock()
 	return c.wait(wt, absence)
 }
 
+// waitUntil is how long the request may wait for a place: later, its caller
+// would leave before the first event, or get no whole answer.
+func (c *call) waitUntil(now time.Duration) time.Duration {
+	until := now + time.Duration(float64(c.deadline-now)*waitPart)
+	if c.route.Kind == catalog.Streaming {
+		patience := max(streamPatience, patienceTargets*c.route.Target, patiencePauses*c.route.MaxPause)
+		until = min(until, c.arrived+patience-firstEventTime)
+	}
+	return until
+}
+
 // hopeless returns the refusal of a request that waiting does not help. Callers
 // hold the server's lock.
 func (c *call) hopeless(absence Absence) *resultcode.Error {
+	s, now := c.server, c.server.now()
 	if c.query.Model != "" && c.index.Model(c.query.Model) == nil {
 		return resultcode.New(resultcode.ModelUnknown, "no model %q in version %d", c.query.Model, c.index.Version())
 	}
+	if ready := s.mu.ready[c.query.Model] - now; absence == NoModel && ready > 0 && now+ready > c.waitUntil(now) {
+		err := resultcode.New(resultcode.ModelLoading, "model %q is resident in %d ms", c.query.Model, ready.Milliseconds())
+		err.RetryAfter = ready
+		return err
+	}
 	if len(c.query.Exclude) > 0 && absence == NoEndpoints {
 		return resultcode.New(resultcode.NoEndpoint, "every endpoint of %q was tried", c.query.Service)
 	}
@@ -262,7 +286,7 @@
 
 func (c *call) wait(wt *waiter, absence Absence) (*Ticket, *resultcode.Error) {
 	s := c.server
-	poll := time.NewTicker(loadRetry)
+	poll := time.NewTicker(loadPoll)
 	defer poll.Stop()
 	end := time.NewTimer(wt.deadline - s.now())
 	defer end.Stop()
@@ -272,10 +296,10 @@
 		case t := <-wt.ready:
 			return t, nil
 		case <-poll.C:
-			s.mu.Lock()
-			s.mu.queue.dispatch(s.now(), s.mu.table)
-			_, absence = s.mu.table.peek(s.now(), &c.query)
-			s.mu.Unlock()
+			var err *resultcode.Error
+			if absence, err = c.reconsider(wt); err != nil {
+				return nil, err
+			}
 			continue
 		case <-end.C:
 		case <-s.leaving:
@@ -291,6 +315,21 @@
 	}
 }
 
+// reconsider gives out places and says why the request still has none. An error
+// ends the wait.
+func (c *call) reconsider(wt *waiter) (Absence, *resultcode.Error) {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.queue.dispatch(s.now(), s.mu.table)
+	_, absence := s.mu.table.peek(s.now(), &c.query)
+	err := c.hopeless(absence)
+	if err != nil && !s.mu.queue.remove(wt) {
+		return absence, nil // it has just got a place
+	}
+	return absence, err
+}
+
 func (c *call) noPlace(absence Absence) *resultcode.Error {
 	switch {
 	case errors.Is(c.ctx.Err(), context.Canceled):
@@ -326,9 +365,12 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		err := s.cfg.Loader.Load(ctx, model, adapter)
+		ready, err := s.cfg.Loader.Load(ctx, model, adapter)
 		s.mu.Lock()
 		delete(s.mu.loading, key)
+		if err == nil && adapter == "" {
+			s.mu.ready[model] = s.now() + ready
+		}
 		s.mu.Unlock()
 		if err != nil {
 			s.log.Info("load not accepted", "model", model, "adapter", adapter, "error", err.Error())
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -23,7 +23,8 @@
 
 // Loader asks the leader for a model or adapter that is resident nowhere.
 type Loader interface {
-	Load(ctx context.Context, model, adapter string) error
+	// Load returns the expected time until it is resident.
+	Load(ctx context.Context, model, adapter string) (time.Duration, error)
 }
 
 // Config holds what a Server needs.
@@ -57,6 +58,8 @@
 		queue   queue
 		demand  map[string]*Demand
 		loading map[string]bool
+		// ready is when a model that is resident nowhere is expected.
+		ready map[string]time.Duration
 		known   bool // a list of endpoints has arrived
 	}
 }
@@ -75,6 +78,7 @@
 	s.mu.budget = NewBudget(c.RetryWindow, c.RetryRatio, c.RetrySlack)
 	s.mu.demand = map[string]*Demand{}
 	s.mu.loading = map[string]bool{}
+	s.mu.ready = map[string]time.Duration{}
 	return s
 }
 
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -224,10 +224,10 @@
 }
 
 // Load implements Loader.
-func (w *Watcher) Load(ctx context.Context, model, adapter string) error {
+func (w *Watcher) Load(ctx context.Context, model, adapter string) (time.Duration, error) {
 	address, _ := w.address()
-	_, err := w.Calls.Load(ctx, address, &peerv1.LoadRequest{Model: model, Adapter: adapter})
-	return err
+	resp, err := w.Calls.Load(ctx, address, &peerv1.LoadRequest{Model: model, Adapter: adapter})
+	return time.Duration(resp.GetReadyMs()) * time.Millisecond, err
 }
 
 func sleep(ctx context.Context, d time.Duration) {
