forward: entries tell each other what they send, and space prompts at engines

Cause: an engine reads prompts between the tokens of its streams. Change: entries send each other datagrams with what they have at each engine; an engine gets further prompts only while less than 2,500 tokens wait there, and requests wait at the entry, the most urgent first. Ruled out: the first event (0.1 s at the median) and the balance by reported counts, which are a second old.

--- a/internal/coordination/directory/share.go
+++ b/internal/coordination/directory/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/radishloom/radishloom/internal/state/catalog"
@@ -31,12 +32,15 @@
 type Shares struct {
 	entries map[string]*entryUsage
 	levels  map[string]*level
+	// version grows when an entry comes, goes or has another address.
+	version uint64
 }
 
 type entryUsage struct {
-	seen   time.Duration
-	demand map[string]float64
-	at     time.Duration
+	address string
+	seen    time.Duration
+	demand  map[string]float64
+	at      time.Duration
 }
 
 // level is what is left of a customer's burst; it is negative after overspending.
@@ -86,8 +90,29 @@
 	for name, other := range s.entries {
 		if now-other.seen > entryTimeout {
 			delete(s.entries, name)
+			s.version++
+		}
+	}
+}
+
+// SetAddress records where an entry takes the load of others.
+func (s *Shares) SetAddress(entry, address string) {
+	if e := s.entries[entry]; e != nil && e.address != address {
+		e.address = address
+		s.version++
+	}
+}
+
+// Addresses returns where entries take the load of others, and the version of
+// that list.
+func (s *Shares) Addresses() (list []string, version uint64) {
+	for _, e := range s.entries {
+		if e.address != "" {
+			list = append(list, e.address)
 		}
 	}
+	slices.Sort(list)
+	return list, s.version
 }
 
 // Entries returns the number of entries.
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -30,10 +30,13 @@
 	// maxBuffered is the largest answer of a plain service that is read whole
 	// before its head is passed on, so that a cut answer can still be refused.
 	maxBuffered = 256 << 10
-	// engineDepth is how many requests beyond its slots an engine may have.
-	engineDepth = 0.4
-	// plainDepth is the same for a plain service, whose queue is short.
+	// plainDepth is how many requests beyond its slots an endpoint of a plain
+	// service may have, as a part of its slots.
 	plainDepth = 1.5
+	// sharedReads is the part of a prompt's shared parts that an engine has to
+	// read again, and outputUse the part of the stated output that is generated.
+	sharedReads = 0.25
+	outputUse   = 0.7
 	// loadPoll is how often a waiting request looks at its case again and asks for
 	// a load that it needs.
 	loadPoll = 100 * time.Millisecond
@@ -154,11 +157,26 @@
 	if c.service.Engine != nil {
 		q.Model, q.Adapter = c.req.Model, c.req.Adapter
 		q.Affinity = HashPrefix(q.Model, q.Adapter, c.req.Prefix)
-		q.Depth = engineDepth
+		q.Prompt, q.Held = c.engineTokens()
 	}
 	return q
 }
 
+// engineTokens returns the tokens that an engine has to read for the request,
+// and those that it holds until the end.
+func (c *call) engineTokens() (prompt, held int) {
+	if !c.req.HasTokens {
+		return 1, 1
+	}
+	held = c.req.PromptTokens + int(outputUse*float64(c.req.OutputTokens))
+	prompt = c.req.PromptTokens
+	if n := len(c.req.Prefix); n > 1 {
+		own := c.req.Prefix[n-1].Tokens
+		prompt = own + int(sharedReads*float64(c.req.PromptTokens-own))
+	}
+	return max(1, prompt), held
+}
+
 func (c *call) charge() *resultcode.Error {
 	s := c.server
 	tokens := c.req.PromptTokens + c.req.OutputTokens
@@ -242,6 +260,7 @@
 	s.mu.Lock()
 	ticket, absence := s.mu.table.Pick(s.now(), &c.query)
 	if ticket != nil {
+		s.tellLoads(true)
 		s.mu.Unlock()
 		return ticket, nil
 	}
@@ -385,6 +404,7 @@
 	now := s.now()
 	s.mu.table.Done(now, t, r, q)
 	s.mu.queue.dispatch(now, s.mu.table)
+	s.tellLoads(false)
 }
 
 // finish ends a request without an answer of an endpoint.
@@ -513,6 +533,11 @@
 	if a.HasLoad {
 		s.mu.table.Observe(s.now(), t, a.Load)
 	}
+	if !a.NotRun && !a.Wrong {
+		s.mu.table.Begun(t)
+		s.mu.queue.dispatch(s.now(), s.mu.table)
+		s.tellLoads(false)
+	}
 	if a.Leaving && a.NotRun {
 		s.mu.table.Leaves(t)
 	}
--- /dev/null
+++ b/internal/coordination/forward/loads.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"time"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+)
+
+// Constants of the exchange of loads between entries.
+const (
+	// peerAge is how long an entry's load counts without an update; it repeats
+	// everything each refreshInterval.
+	peerAge         = 2500 * time.Millisecond
+	refreshInterval = time.Second
+	// flushDelay collects changes that are not urgent.
+	flushDelay = 15 * time.Millisecond
+)
+
+// work is what one entry, or all of them, have at an engine.
+type work struct {
+	requests int
+	// prompt tokens of requests without a first event.
+	prompt int
+	// held tokens: prompts and expected output of all requests.
+	held int
+}
+
+func (w *work) add(o work) {
+	w.requests += o.requests
+	w.prompt += o.prompt
+	w.held += o.held
+}
+
+// peer is what another entry said.
+type peer struct {
+	seq  uint64
+	at   time.Duration
+	work map[string]work // by endpoint
+}
+
+// Loads holds what other entries have at engines.
+type Loads struct {
+	peers map[string]*peer
+	// changed are endpoints whose own work has to be told.
+	changed map[string]bool
+}
+
+// NewLoads returns Loads without peers.
+func NewLoads() *Loads { return &Loads{peers: map[string]*peer{}, changed: map[string]bool{}} }
+
+// Take takes over an update.
+func (l *Loads) Take(now time.Duration, u *peerv1.LoadUpdate) {
+	p := l.peers[u.GetSender()]
+	if p == nil {
+		p = &peer{work: map[string]work{}}
+		l.peers[u.GetSender()] = p
+	}
+	if u.GetSeq() <= p.seq {
+		return
+	}
+	p.seq, p.at = u.GetSeq(), now
+	if u.GetFull() {
+		clear(p.work)
+	}
+	for _, e := range u.GetEngines() {
+		if e.GetRequests() == 0 {
+			delete(p.work, e.GetEndpoint())
+			continue
+		}
+		p.work[e.GetEndpoint()] = work{int(e.GetRequests()), int(e.GetPromptTokens()), int(e.GetHeldTokens())}
+	}
+}
+
+// At returns what other entries have at an endpoint. Entries that fell silent
+// no longer count.
+func (l *Loads) At(now time.Duration, endpoint string) work {
+	var total work
+	for _, p := range l.peers {
+		if now-p.at <= peerAge {
+			total.add(p.work[endpoint])
+		}
+	}
+	return total
+}
+
+// Expire forgets entries that fell silent.
+func (l *Loads) Expire(now time.Duration) {
+	for name, p := range l.peers {
+		if now-p.at > 2*peerAge {
+			delete(l.peers, name)
+		}
+	}
+}
+
+// update returns the message for the changed endpoints, or for all of them.
+func (t *Table) update(sender string, seq uint64, full bool) *peerv1.LoadUpdate {
+	u := &peerv1.LoadUpdate{Sender: sender, Seq: seq, Full: full}
+	for id, e := range t.endpoints {
+		if full && e.own.requests > 0 || !full && t.loads.changed[id] {
+			u.Engines = append(u.Engines, &peerv1.EngineLoad{
+				Endpoint: id, Requests: uint32(e.own.requests), PromptTokens: uint32(e.own.prompt), HeldTokens: uint32(e.own.held),
+			})
+		}
+	}
+	clear(t.loads.changed)
+	return u
+}
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	"github.com/radishloom/radishloom/internal/coordination/directory"
 	"github.com/radishloom/radishloom/internal/protocol/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
@@ -33,7 +35,11 @@
 	Client  exchange.Client
 	Loader  Loader
 	Metrics Metrics
-	Log     *slog.Logger
+	// Tell sends a datagram with an update to every other entry; it may be lost.
+	Tell func(u *peerv1.LoadUpdate)
+	// Name is this incarnation of the entry in updates.
+	Name string
+	Log  *slog.Logger
 	// RetryWindow, RetryRatio and RetrySlack bound further attempts for a service
 	// over all entries.
 	RetryWindow            time.Duration
@@ -60,7 +66,11 @@
 		loading map[string]bool
 		// ready is when a model that is resident nowhere is expected.
 		ready map[string]time.Duration
-		known   bool // a list of endpoints has arrived
+		known bool // a list of endpoints has arrived
+		// seq numbers updates; flushing and rush are pending timers.
+		seq      uint64
+		flushing bool
+		heard    bool
 	}
 }
 
@@ -169,6 +179,70 @@
 	return d
 }
 
+// tellLoads tells other entries what changed: at once when a request was sent,
+// since they would send theirs to the same engine, else within flushDelay.
+// Callers hold the lock.
+func (s *Server) tellLoads(now bool) {
+	if len(s.mu.table.loads.changed) == 0 || s.cfg.Tell == nil {
+		return
+	}
+	if now {
+		s.mu.seq++
+		s.cfg.Tell(s.mu.table.update(s.cfg.Name, s.mu.seq, false))
+		return
+	}
+	if s.mu.flushing {
+		return
+	}
+	s.mu.flushing = true
+	time.AfterFunc(flushDelay, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.mu.flushing = false
+		s.tellLoads(true)
+	})
+}
+
+// HearLoads takes over an update of another entry. Waiting requests look for
+// places a moment later, so that entries do not all take the same one.
+func (s *Server) HearLoads(u *peerv1.LoadUpdate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.table.loads.Take(s.now(), u)
+	if len(s.mu.queue.list) == 0 || s.mu.heard {
+		return
+	}
+	s.mu.heard = true
+	time.AfterFunc(heardDelayMin+rand.N(heardDelaySpread), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.mu.heard = false
+		s.mu.queue.dispatch(s.now(), s.mu.table)
+		s.tellLoads(true)
+	})
+}
+
+// heardDelayMin and heardDelaySpread delay the use of a place that another
+// entry gave back; that entry has waiting requests of its own.
+const (
+	heardDelayMin    = time.Millisecond
+	heardDelaySpread = 5 * time.Millisecond
+)
+
+// RefreshLoads repeats the whole load now and then, until ctx ends: updates can
+// be lost, and new entries know nothing.
+func (s *Server) RefreshLoads(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, refreshInterval)
+		s.mu.Lock()
+		s.mu.table.loads.Expire(s.now())
+		s.mu.seq++
+		u := s.mu.table.update(s.cfg.Name, s.mu.seq, true)
+		s.mu.Unlock()
+		s.cfg.Tell(u)
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.cfg.Metrics.OpenRequests(int(s.open.Add(1)))
--- a/internal/coordination/forward/table.go
+++ b/internal/coordination/forward/table.go
@@ -26,6 +26,18 @@
 	// affinity is what a shared prefix is worth, in requests that may be ahead:
 	// reading a few hundred tokens again costs an engine less than one request.
 	affinity = 0.5
+	// promptWindow is how many prompt tokens may wait at an engine. It reads about
+	// 25 of them in a millisecond, so its streams pause for a tenth of a second.
+	promptWindow = 2500
+	// kvPart of an engine's memory for tokens may be taken; the rest is for
+	// outputs that are longer than expected.
+	kvPart = 0.9
+	// heldCost is what a token that is kept costs beside one that is to be read.
+	heldCost = 0.03
+	// tokensPerRequest makes tokens comparable with requests.
+	tokensPerRequest = 1000.0
+	// randomPart keeps entries with equal knowledge from choosing alike.
+	randomPart = 0.1
 )
 
 // Endpoint is an endpoint as the directory last described it.
@@ -34,15 +46,18 @@
 	// Closing holds models that take no new requests.
 	Closing          map[string]bool
 	Running, Waiting int
+	// KVTotal is the memory for tokens; zero if it is not known.
+	KVTotal int
 }
 
 // endpoint is the entry's own record of an endpoint.
 type endpoint struct {
 	Endpoint
 	models map[string]map[string]bool // model -> adapters
-	// own is the number of requests of this entry.
-	own int
-	// others is the last known number of requests of other entries.
+	// own are the requests of this entry.
+	own work
+	// others is the last known number of requests of other entries, from the
+	// endpoint's own count. Only plain services need it.
 	others   int
 	othersAt time.Duration
 
@@ -66,6 +81,9 @@
 	// may have before this one is added, as a part of its slots.
 	Urgency int
 	Depth   float64
+	// Prompt and Held are the tokens that an engine has to read, and to keep
+	// until the end. They are zero for plain services.
+	Prompt, Held int
 	// Exclude holds endpoints that this request already went to.
 	Exclude []string
 }
@@ -74,6 +92,8 @@
 type Ticket struct {
 	ID, Address string
 	target      *endpoint
+	// prompt and held are counted at the endpoint; prompt until the first event.
+	prompt, held int
 }
 
 // Absence says why there is no ticket.
@@ -98,12 +118,13 @@
 type Table struct {
 	endpoints map[string]*endpoint
 	services  map[string][]*endpoint
+	loads     *Loads
 	rand      func() float64
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, rand: rand.Float64}
+	return &Table{endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, loads: NewLoads(), rand: rand.Float64}
 }
 
 // Update replaces the list. What this entry learned of an incarnation stays.
@@ -141,15 +162,15 @@
 }
 
 func (e *endpoint) observe(now time.Duration, total int) {
-	e.others = max(0, total-e.own)
+	e.others = max(0, total-e.own.requests)
 	e.othersAt = now
 }
 
 func (e *endpoint) load(now time.Duration) int {
 	if now-e.othersAt > loadAge {
-		return e.own
+		return e.own.requests
 	}
-	return e.own + e.others
+	return e.own.requests + e.others
 }
 
 func missingKey(model, adapter string) string { return model + "/" + adapter }
@@ -183,8 +204,9 @@
 	if best == nil {
 		return nil, absence
 	}
-	best.own++
-	return &Ticket{ID: best.ID, Address: best.Address, target: best}, None
+	best.own.add(work{1, q.Prompt, q.Held})
+	t.loads.changed[best.ID] = true
+	return &Ticket{ID: best.ID, Address: best.Address, target: best, prompt: q.Prompt, held: q.Held}, None
 }
 
 func (t *Table) obstacle(now time.Duration, e *endpoint, q *Query) Absence {
@@ -194,16 +216,45 @@
 	if q.Adapter != "" && !e.has(now, q.Model, q.Adapter) {
 		return NoAdapter
 	}
-	if now < e.fullUntil || float64(e.load(now)) >= float64(max(1, e.Slots))*(1+q.Depth) {
+	if now < e.fullUntil || (q.Model == "" && float64(e.load(now)) >= float64(max(1, e.Slots))*(1+q.Depth)) {
+		return Full
+	}
+	if q.Model != "" && t.engineFull(now, e, q) {
 		return Full
 	}
 	return None
 }
 
+// engineFull says whether another request would make the engine's streams late:
+// an engine reads prompts between the tokens of its streams, so prompts that
+// arrive together stop all of them. It takes one prompt of any size, and more
+// only up to promptWindow.
+func (t *Table) engineFull(now time.Duration, e *endpoint, q *Query) bool {
+	w := t.work(now, e)
+	if w.prompt > 0 && w.prompt+q.Prompt > promptWindow {
+		return true
+	}
+	if w.requests >= max(1, e.Slots) {
+		return true
+	}
+	return w.requests > 0 && e.KVTotal > 0 && float64(w.held+q.Held) > kvPart*float64(e.KVTotal)
+}
+
+// work is what all entries have at an engine.
+func (t *Table) work(now time.Duration, e *endpoint) work {
+	w := t.loads.At(now, e.ID)
+	w.add(e.own)
+	return w
+}
+
 // cost is the load with a small random part, so that entries with equal
 // knowledge do not all choose the same endpoint.
 func (t *Table) cost(now time.Duration, e *endpoint, q *Query) float64 {
 	cost := float64(e.load(now)) + t.rand()
+	if q.Model != "" {
+		w := t.work(now, e)
+		cost = (float64(w.prompt)+heldCost*float64(w.held))/tokensPerRequest + t.rand()*randomPart
+	}
 	if q.Affinity != 0 {
 		cost -= affinity * rendezvous(q.Affinity, e.ID)
 	}
@@ -233,7 +284,8 @@
 // Done gives a place back.
 func (t *Table) Done(now time.Duration, ticket *Ticket, r Result, q *Query) {
 	e := ticket.target
-	e.own--
+	e.own.add(work{-1, -ticket.prompt, -ticket.held})
+	t.loads.changed[e.ID] = true
 	switch r {
 	case Worked:
 		e.failures, e.ejectedUntil = 0, 0
@@ -260,6 +312,16 @@
 	}
 }
 
+// Begun records that the first event of a request has come: its prompt is read.
+func (t *Table) Begun(ticket *Ticket) {
+	if ticket.prompt == 0 {
+		return
+	}
+	ticket.target.own.prompt -= ticket.prompt
+	ticket.prompt = 0
+	t.loads.changed[ticket.ID] = true
+}
+
 // Leaves marks an endpoint that said that it leaves.
 func (t *Table) Leaves(ticket *Ticket) { ticket.target.Leaving = true }
 
@@ -292,7 +354,7 @@
 	if ticket == nil {
 		return false, why
 	}
-	ticket.target.own--
+	ticket.target.own.add(work{-1, -ticket.prompt, -ticket.held})
 	return true, None
 }
 
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -41,6 +41,10 @@
 	// Decode decodes a catalog's document.
 	Decode func(document []byte) (*catalog.Catalog, error)
 	Log    *slog.Logger
+	// LoadAddress is where this entry takes the load of others; SetPeers is told
+	// where they take its own.
+	LoadAddress string
+	SetPeers    func(addresses []string)
 
 	mu struct {
 		sync.Mutex
@@ -49,6 +53,7 @@
 		current   int
 	}
 	epoch, version uint64
+	peersVersion   uint64
 	lastAnswer     time.Time
 	lost           bool
 }
@@ -129,7 +134,10 @@
 }
 
 func (w *Watcher) once(ctx context.Context, s *Server, address string) error {
-	r := &peerv1.WatchRequest{Entry: w.Session, Epoch: w.epoch, EndpointsVersion: w.version, HoldMs: uint32(watchHold.Milliseconds())}
+	r := &peerv1.WatchRequest{
+		Entry: w.Session, Epoch: w.epoch, EndpointsVersion: w.version, HoldMs: uint32(watchHold.Milliseconds()),
+		LoadAddress: w.LoadAddress, PeersVersion: w.peersVersion,
+	}
 	if x := s.Index(); x != nil {
 		r.CatalogVersion = x.Version()
 	}
@@ -183,6 +191,10 @@
 	}
 	w.setMembers(resp.GetMembers(), address)
 	s.SetShares(decodeShares(resp.GetShares()), int(resp.GetLiveEntries()))
+	if v := resp.GetPeersVersion(); v != 0 && v != w.peersVersion {
+		w.peersVersion = v
+		w.SetPeers(slices.DeleteFunc(resp.GetPeers(), func(a string) bool { return a == w.LoadAddress }))
+	}
 	if resp.GetEpoch() == 0 {
 		return nil // a new leader that has no list yet
 	}
@@ -210,7 +222,7 @@
 				Slots: int(e.GetSlots()), Leaving: e.GetLeaving(),
 			},
 			Closing: map[string]bool{},
-			Running: int(e.GetRunning()), Waiting: int(e.GetWaiting()),
+			Running: int(e.GetRunning()), Waiting: int(e.GetWaiting()), KVTotal: int(e.GetKvTotal()),
 		}
 		for _, m := range e.GetModels() {
 			one.Models = append(one.Models, directory.Resident{Model: m.GetModel(), Adapters: m.GetAdapters()})
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -7,10 +7,13 @@
 	"time"
 
 	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
 
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/coordination/forward"
 	"github.com/radishloom/radishloom/internal/telemetry"
+	"github.com/radishloom/radishloom/internal/transport/datagram"
 	"github.com/radishloom/radishloom/internal/transport/httpserver"
 	"github.com/radishloom/radishloom/platform"
 )
@@ -32,13 +35,31 @@
 	defer transport.Close()
 	client := newClient()
 	defer client.Close()
+	loadAddress := s.PeerAddress(s.IP)
+	loads, err := datagram.Listen(loadAddress)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = loads.Close() }() // the process ends
+	session := &statev1.Session{Vm: s.VM, Incarnation: uuid.NewString(), DataCentre: s.DataCentre}
 	watcher := &forward.Watcher{
+		LoadAddress: loadAddress,
+		SetPeers: func(addresses []string) {
+			if bad := loads.SetPeers(addresses); len(bad) > 0 {
+				log.Warn("addresses of entries cannot be read", "addresses", bad)
+			}
+		},
 		Calls: transport, Decode: platform.DecodeCatalog, Log: log,
-		Session: &statev1.Session{Vm: s.VM, Incarnation: uuid.NewString(), DataCentre: s.DataCentre},
+		Session: session,
 	}
 	watcher.SetSeeds(seedAddresses(s))
 	server := forward.New(forward.Config{
-		Codec: platform.Codec{}, Client: client, Loader: watcher, Metrics: metrics, Log: log,
+		Codec: platform.Codec{}, Client: client, Loader: watcher, Metrics: metrics, Log: log, Name: session.Incarnation,
+		Tell: func(u *peerv1.LoadUpdate) {
+			if err := loads.Send(u); err != nil {
+				log.Warn("load not told", "error", err)
+			}
+		},
 		RetryWindow: s.Bounds.RetryWindow, RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
 	})
 	callers, err := newServer(s.CallerAddress, server, httpserver.Limits{
@@ -59,11 +80,13 @@
 	// Parts outlive the stop signal, so that requests can be finished.
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
 	for _, part := range []*httpserver.Server{callers, ready, scrapes} {
 		serve(running, part, failed)
 	}
 	go watcher.Run(running, server)
+	go server.RefreshLoads(running)
+	go func() { failed <- receiveLoads(loads, server, log) }()
 	go watchSettings(running, s, log, func(next *platform.Settings) { watcher.SetSeeds(seedAddresses(next)) })
 	select {
 	case err := <-failed:
@@ -73,6 +96,18 @@
 	return stopEntry(server, callers, log)
 }
 
+// receiveLoads hands updates of other entries on until the socket is closed.
+func receiveLoads(loads *datagram.Socket, server *forward.Server, log *slog.Logger) error {
+	return loads.Receive(func(data []byte) {
+		u := &peerv1.LoadUpdate{}
+		if err := proto.Unmarshal(data, u); err != nil {
+			log.Warn("load update cannot be decoded", "bytes", len(data), "error", err)
+			return
+		}
+		server.HearLoads(u)
+	})
+}
+
 func seedAddresses(s *platform.Settings) []string {
 	var out []string
 	for _, m := range peersOf(s) {
