directory: place by the load of a model's engines, and keep copies for a while

Cause: a busy model got no further engine while its own were full, two orders went to one engine in a round, and last copies were evicted for planned ones. Change: a pool's load is the mean over its engines; an engine joins if its other load with the time of the load is well below that; copies stay 12 s; only ready copies count as another copy; an engine gets one order a round. Ruled out: moves at any gain.

--- a/internal/coordination/directory/plan.go
+++ b/internal/coordination/directory/plan.go
@@ -19,12 +19,18 @@
 	// closeTime is how long a model takes no new requests before its unload, so
 	// that every entry has heard of it.
 	closeTime = 700 * time.Millisecond
-	// gainToMove is the factor by which the load of a copy must exceed the load
-	// that the new copy would take over from, before a copy is moved.
-	gainToMove = 1.6
-	// leastLoad is the load of a model, in requests a second for each copy, below
-	// which it gets no further copy.
-	leastLoad = 2.0
+	// gainToMove is the part of a pool's load below which the load of an engine
+	// must be before the engine joins the pool, and below which the load of an
+	// evicted model's copies must stay.
+	gainToMove = 0.75
+	// tokensPerLoad makes tokens a unit of load: about one request.
+	tokensPerLoad = 1500.0
+	// leastLoad is the load of a pool, a second and engine, below which it gets no
+	// further engine.
+	leastLoad = 4.5
+	// leastStay is how long a copy stays after its load was ordered, unless another
+	// model is reachable nowhere.
+	leastStay = 12 * time.Second
 	// storeBurst is how many loads may start at once; the platform's bound allows
 	// a few more than the rate in each window.
 	storeBurst = 2.0
@@ -58,6 +64,7 @@
 	closing map[string]time.Duration
 	// replacement is the model that is loaded once closing models are gone.
 	replacement string
+	since       map[string]time.Duration  // when a load of a model was accepted
 	adapters    map[Adapter]time.Duration // last use
 }
 
@@ -90,7 +97,7 @@
 
 // modelDemand is the measured demand for a model or adapter.
 type modelDemand struct {
-	rate    float64 // requests a second
+	rate    float64 // load a second
 	waiting map[string]int
 	at      time.Duration
 	used    time.Duration
@@ -117,7 +124,7 @@
 		seen[in.ID] = true
 		e := p.engines[in.ID]
 		if e == nil || e.Address != in.Address {
-			e = &engine{closing: map[string]time.Duration{}, adapters: map[Adapter]time.Duration{}, stale: true}
+			e = &engine{closing: map[string]time.Duration{}, adapters: map[Adapter]time.Duration{}, since: map[string]time.Duration{}, stale: true}
 			e.report.Models = in.Models
 			p.engines[in.ID] = e
 		}
@@ -167,10 +174,11 @@
 	}
 }
 
-// Asked adds what an entry reports of a model, or of MODEL/ADAPTER.
-func (p *Planner) Asked(now time.Duration, entry, name string, requests, waiting int) {
+// Asked adds what an entry reports of a model, or of MODEL/ADAPTER: requests
+// with their tokens, and how many wait now.
+func (p *Planner) Asked(now time.Duration, entry, name string, requests, tokens, waiting int) {
 	d := p.demandOf(now, name)
-	d.rate += float64(requests) / loadMemory.Seconds()
+	d.rate += float64(tokens) / tokensPerLoad / loadMemory.Seconds()
 	if requests > 0 {
 		d.used = now
 	}
@@ -213,35 +221,40 @@
 	service *catalog.Service
 	engines []*engine // of the service, by identifier
 	models  map[string]*catalog.Model
-	copies  map[string]int
-	rates   map[string]float64
+	// copies counts those that were begun, ready only those that serve.
+	copies, ready map[string]int
+	rates         map[string]float64
+	moved         bool // a move was begun in this round
 }
 
 // Plan returns the orders to send now for one service, at most one for each
-// engine. Callers must pass each of them to Sent.
+// engine. Each of them counts as sent.
 func (p *Planner) Plan(now time.Duration, s *catalog.Service) []Decision {
 	r := p.newPlan(now, s)
 	var out []Decision
-	for _, e := range r.engines {
-		if d, ok := r.finishClosing(e); ok {
+	take := func(d Decision, ok bool) {
+		if ok {
+			p.Sent(d) // an engine gets one order at a time
 			out = append(out, d)
 		}
 	}
+	for _, e := range r.engines {
+		take(r.finishClosing(e))
+	}
 	for _, m := range r.unreachable() {
-		if d, ok := r.loadSomewhere(m, true); ok {
-			out = append(out, d)
-		}
+		take(r.loadSomewhere(m, true))
 	}
-	if m := r.mostLoaded(); m != "" {
-		if d, ok := r.loadSomewhere(m, false); ok {
-			out = append(out, d)
+	for _, m := range r.byPoolLoad() {
+		if d, ok := r.loadSomewhere(m, false); ok || r.moved {
+			take(d, ok)
+			break
 		}
 	}
 	return out
 }
 
 func (p *Planner) newPlan(now time.Duration, s *catalog.Service) *plan {
-	r := &plan{Planner: p, now: now, service: s, models: map[string]*catalog.Model{}, copies: map[string]int{}, rates: map[string]float64{}}
+	r := &plan{Planner: p, now: now, service: s, models: map[string]*catalog.Model{}, copies: map[string]int{}, ready: map[string]int{}, rates: map[string]float64{}}
 	for i := range s.Engine.Models {
 		m := &s.Engine.Models[i]
 		r.models[m.Name] = m
@@ -266,6 +279,7 @@
 	for _, m := range e.report.Models {
 		if e.serves(m.Model) {
 			r.copies[m.Model]++
+			r.ready[m.Model]++
 		}
 	}
 	for _, coming := range []string{e.loading, e.replacement} {
@@ -383,41 +397,56 @@
 	return r.rates[model] / float64(max(1, r.copies[model]))
 }
 
-// engineLoad is the load of an engine, in requests a second.
-func (r *plan) engineLoad(e *engine) float64 {
+// planned says whether an engine serves a model, or will when what was begun is
+// done.
+func (e *engine) planned(model string) bool {
+	return e.serves(model) || e.loading == model || e.replacement == model
+}
+
+// otherLoad is the load of an engine from all models but one and those that are
+// evicted.
+func (r *plan) otherLoad(e *engine, model string, evict []string) float64 {
 	total := 0.0
-	for _, m := range e.report.Models {
-		if e.serves(m.Model) {
-			total += r.perCopy(m.Model)
+	for name := range r.rates {
+		if name != model && e.planned(name) && !slices.Contains(evict, name) {
+			total += r.perCopy(name)
 		}
 	}
 	return total
 }
 
-// mostLoaded returns the model that gains most from a further copy, or "".
-func (r *plan) mostLoaded() string {
-	best, bestLoad := "", leastLoad
-	for _, name := range slices.Sorted(maps.Keys(r.rates)) {
-		if load := r.hottest(name); r.copies[name] > 0 && load > bestLoad && r.copies[name] < len(r.engines) {
-			best, bestLoad = name, load
+// poolLoad is the mean load of the engines of a model. Requests go to the least
+// loaded of them, so they share it.
+func (r *plan) poolLoad(model string) float64 {
+	total, n := r.rates[model], 0
+	for _, e := range r.engines {
+		if !e.Leaving && e.planned(model) {
+			total += r.otherLoad(e, model, nil)
+			n++
 		}
 	}
-	return best
+	if n == 0 {
+		return 0
+	}
+	return total / float64(n)
 }
 
-// hottest is the load of the least loaded engine that serves a model: requests
-// for the model cannot find a better one.
-func (r *plan) hottest(model string) float64 {
-	least := math.Inf(1)
-	for _, e := range r.engines {
-		if e.serves(model) {
-			least = min(least, r.engineLoad(e))
+// byPoolLoad lists the models whose pools have much load, the most first.
+func (r *plan) byPoolLoad() []string {
+	loads := make(map[string]float64, len(r.rates))
+	var out []string
+	for name, rate := range r.rates {
+		if r.copies[name] == 0 || r.copies[name] >= len(r.engines) || rate < leastLoad/2 {
+			continue
+		}
+		if loads[name] = r.poolLoad(name); loads[name] >= leastLoad {
+			out = append(out, name)
 		}
 	}
-	if math.IsInf(least, 1) || r.rates[model] < leastLoad {
-		return 0
-	}
-	return least
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(loads[b], loads[a]), cmp.Compare(a, b))
+	})
+	return out
 }
 
 // candidate is an engine for a new copy, with what has to go for it.
@@ -431,21 +460,23 @@
 // A needed model is not reachable at all; another one must gain enough.
 func (r *plan) loadSomewhere(model string, needed bool) (Decision, bool) {
 	m := r.models[model]
+	limit := math.Inf(1)
+	if !needed {
+		limit = gainToMove * r.poolLoad(model)
+	}
 	var best *candidate
 	for _, e := range r.engines {
-		if !r.free(e) || e.holds(model) {
+		if !r.free(e) || e.planned(model) {
 			continue
 		}
-		evict, ok := r.evictFor(e, m, needed)
+		evict, ok := r.evictFor(e, m, needed, limit)
 		if !ok {
 			continue
 		}
-		c := &candidate{engine: e, evict: evict, cost: r.engineLoad(e)}
-		for _, gone := range evict {
-			c.cost += r.perCopy(gone) / 2
-		}
-		if !e.local(model) {
-			c.cost += 1
+		c := &candidate{engine: e, evict: evict, cost: r.otherLoad(e, model, evict)}
+		c.cost += loadCost * e.loadTime(m).Seconds()
+		if c.cost > limit {
+			continue
 		}
 		if best == nil || c.cost < best.cost {
 			best = c
@@ -454,12 +485,13 @@
 	if best == nil {
 		return Decision{}, false
 	}
-	if !needed && r.hottest(model) < gainToMove*(best.cost+r.rates[model]/float64(r.copies[model]+1)) {
-		return Decision{}, false
-	}
 	return r.begin(best, m)
 }
 
+// loadCost is what a second of loading counts, in load: until it is over the
+// engine has lost a copy and gained none, and demand may have moved on.
+const loadCost = 0.7
+
 func (r *plan) begin(c *candidate, m *catalog.Model) (Decision, bool) {
 	if !c.engine.local(m.Name) && r.store < 1 {
 		return Decision{}, false
@@ -472,15 +504,17 @@
 	for _, gone := range c.evict {
 		c.engine.closing[gone] = r.now
 		r.copies[gone]--
+		r.ready[gone]--
 	}
 	c.engine.replacement = m.Name
+	r.moved = true
 	return Decision{}, false
 }
 
 // evictFor returns the models whose memory a new one needs on an engine, the
 // least loaded first. A model keeps a copy elsewhere unless nobody asks for it
-// and the new one is needed.
-func (r *plan) evictFor(e *engine, m *catalog.Model, needed bool) ([]string, bool) {
+// and the new one is needed, and its other copies must not get more than limit.
+func (r *plan) evictFor(e *engine, m *catalog.Model, needed bool, limit float64) ([]string, bool) {
 	var evict []string
 	if r.fits(e, m, evict) {
 		return nil, true
@@ -490,10 +524,16 @@
 		return cmp.Or(cmp.Compare(r.perCopy(a.Model), r.perCopy(b.Model)), cmp.Compare(a.Model, b.Model))
 	})
 	for _, h := range held {
-		last := r.copies[h.Model] <= 1
+		if !needed && r.now-e.since[h.Model] < leastStay {
+			continue
+		}
+		last := r.ready[h.Model] <= 1
 		if last && (!needed || r.rates[h.Model] > 0.05 || r.demandOf(r.now, h.Model).waits() > 0) {
 			continue
 		}
+		if !last && r.rates[h.Model]/float64(max(1, r.ready[h.Model]-1)) > limit {
+			continue
+		}
 		evict = append(evict, h.Model)
 		if r.fits(e, m, evict) {
 			return evict, true
@@ -526,6 +566,7 @@
 		p.adapterDone(now, e, o)
 	case o.Operation == Load:
 		e.loading = o.Model
+		e.since[o.Model] = now
 		e.loadingReady = now + e.loadTime(findModel(s, o.Model))
 		e.loadingUntil = now + loadLimit(findModel(s, o.Model))
 		e.stale, e.staleSince = true, now
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -333,10 +333,7 @@
 			continue
 		}
 		closing := s.closingLocked()
-		for _, d := range s.mu.planner.Plan(s.now(), service) {
-			s.mu.planner.Sent(d)
-			out = append(out, d)
-		}
+		out = append(out, s.mu.planner.Plan(s.now(), service)...)
 		if s.closingLocked() != closing {
 			s.bumpLocked()
 		}
@@ -457,7 +454,7 @@
 	named := make(map[string]bool, len(r.GetDemand()))
 	for _, d := range r.GetDemand() {
 		named[d.GetModel()] = true
-		s.mu.planner.Asked(now, entry, d.GetModel(), int(d.GetRequests()), int(d.GetWaiting()))
+		s.mu.planner.Asked(now, entry, d.GetModel(), int(d.GetRequests()), int(d.GetTokens()), int(d.GetWaiting()))
 	}
 	s.mu.planner.Silent(entry, named)
 	return true
