forward: a resumed stream goes on only with a stream

Change: an answer to a resumption with another status than 200 is dropped and counts as a failed attempt. Ruled out: a joint inside an event; only whole events had been passed on. Conclusion: the answer now ends visibly broken or is resumed.

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -552,6 +552,9 @@
 	case resp.Status < 300 && !a.Sealed, !c.idempotent() && claimsNotRun(resp.Status):
 		resp.Body.Discard()
 		return Failed, resultcode.New(resultcode.AnswerMismatch, "endpoint %s answered with status %d and no proof", t.ID, resp.Status)
+	case c.relay != nil && resp.Status != http.StatusOK:
+		c.drop(resp)
+		return Worked, resultcode.New(resultcode.StreamBroken, "endpoint %s does not go on with the stream: status %d", t.ID, resp.Status)
 	case resp.Status >= http.StatusInternalServerError && c.idempotent() && c.ran+1 < c.route.MaxAttempts && c.relay == nil && c.mayRetry():
 		c.drop(resp)
 		return Worked, resultcode.New(resultcode.EndpointLost, "endpoint %s failed with status %d", t.ID, resp.Status)
