forward: log late streams, measure first events and pauses

Change: one bounded line for a late stream with its wait, first event and pause; histograms of answers, first events and pauses; retries counted by name.

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -71,6 +71,7 @@
 	sends   int
 	ran     int // endpoints that may have run it
 	relay   *relay
+	waited  time.Duration // for places
 	lastErr *resultcode.Error
 }
 
@@ -207,7 +208,9 @@
 // run sends the request until it is answered or nothing more may be tried.
 func (c *call) run() {
 	for {
+		started := c.server.now()
 		ticket, err := c.place()
+		c.waited += c.server.now() - started
 		if err != nil {
 			c.finish(err)
 			return
@@ -215,6 +218,7 @@
 		result, err := c.send(ticket)
 		c.server.done(ticket, result, &c.query)
 		if err == nil {
+			c.served(ticket)
 			return
 		}
 		c.lastErr = err
@@ -223,11 +227,28 @@
 			c.finish(err)
 			return
 		}
-		c.server.cfg.Metrics.Retry(strconv.Itoa(int(err.Code)))
+		c.server.cfg.Metrics.Retry(err.Code.Info().Name)
 		c.server.log.Info("another endpoint is tried", "request", c.req.ID, "endpoint", ticket.ID, "code", err.Code, "error", err.Error(), "sends", c.sends)
 	}
 }
 
+// served records an answer, with a line for a stream that was late.
+func (c *call) served(t *Ticket) {
+	took := c.server.now() - c.arrived
+	if c.relay == nil {
+		c.server.cfg.Metrics.Answered(took)
+		return
+	}
+	r := c.relay
+	c.server.cfg.Metrics.Streamed(r.first, r.pause)
+	if r.first <= c.route.Target && r.pause <= c.route.MaxPause {
+		return
+	}
+	c.server.log.Info("late", "request", c.req.ID, "endpoint", t.ID, "model", c.req.Model, "urgency", c.query.Urgency,
+		"waited_ms", c.waited.Milliseconds(), "first_ms", r.first.Milliseconds(), "pause_ms", r.pause.Milliseconds(),
+		"prompt", c.req.PromptTokens, "sends", c.sends)
+}
+
 // idempotent says whether the request may run more than once.
 func (c *call) idempotent() bool {
 	return c.route.Kind == catalog.Idempotent || (c.route.Kind == catalog.Streaming && c.route.Resumable)
--- a/internal/coordination/forward/relay.go
+++ b/internal/coordination/forward/relay.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/radishloom/radishloom/internal/protocol/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
@@ -29,6 +30,9 @@
 	held     []byte
 	lastID   string
 	events   int
+	// first is the time from the request's arrival to the first bytes, last that
+	// of the newest ones, pause the longest time between two.
+	first, last, pause time.Duration
 }
 
 // newRelay writes the head of the answer.
@@ -88,12 +92,23 @@
 	if len(p) == 0 {
 		return nil
 	}
+	r.observe(r.call.server.now() - r.call.arrived)
 	if _, err := r.call.w.Write(p); err != nil {
 		return err
 	}
 	return r.control.Flush()
 }
 
+// observe notes when bytes were passed on.
+func (r *relay) observe(at time.Duration) {
+	if r.first == 0 {
+		r.first = at
+	} else {
+		r.pause = max(r.pause, at-r.last)
+	}
+	r.last = at
+}
+
 // eventEnd separates events.
 var eventEnd = []byte("\n\n")
 
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -21,6 +21,10 @@
 	Refusal(code resultcode.Code)
 	Retry(reason string)
 	OpenRequests(n int)
+	// Answered reports the time of a whole answer, Streamed the time to the first
+	// event and the longest pause of a stream.
+	Answered(took time.Duration)
+	Streamed(first, pause time.Duration)
 }
 
 // Loader asks the leader for a model or adapter that is resident nowhere.
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -113,6 +113,9 @@
 func (noMetrics) Retry(string)            {}
 func (noMetrics) OpenRequests(int)        {}
 
+func (noMetrics) Answered(time.Duration)                {}
+func (noMetrics) Streamed(time.Duration, time.Duration) {}
+
 // fakeLoader expects every model after a fixed time.
 type fakeLoader struct{ ready time.Duration }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -57,23 +57,25 @@
 	moves    map[string]metric.MeasurementOption
 	other    metric.MeasurementOption
 
-	refusals   metric.Int64Counter
-	retries    metric.Int64Counter
-	requests   metric.Int64Counter
-	queueTime  metric.Float64Histogram
-	firstToken metric.Float64Histogram
-	tokenGap   metric.Float64Histogram
-	tokens     metric.Int64Counter
-	modelMoves metric.Int64Counter
-	leases     metric.Int64Counter
-	leaseLevel metric.Int64Gauge
-	elections  metric.Int64Counter
-	leader     metric.Int64Gauge
-	logBytes   metric.Int64Gauge
-	logEntries metric.Int64Gauge
-	version    metric.Int64Gauge
-	fresh      metric.Int64Gauge
-	open       metric.Int64Gauge
+	refusals    metric.Int64Counter
+	retries     metric.Int64Counter
+	requests    metric.Int64Counter
+	queueTime   metric.Float64Histogram
+	firstToken  metric.Float64Histogram
+	answerTime  metric.Float64Histogram
+	streamPause metric.Float64Histogram
+	tokenGap    metric.Float64Histogram
+	tokens      metric.Int64Counter
+	modelMoves  metric.Int64Counter
+	leases      metric.Int64Counter
+	leaseLevel  metric.Int64Gauge
+	elections   metric.Int64Counter
+	leader      metric.Int64Gauge
+	logBytes    metric.Int64Gauge
+	logEntries  metric.Int64Gauge
+	version     metric.Int64Gauge
+	fresh       metric.Int64Gauge
+	open        metric.Int64Gauge
 }
 
 // names is the set of names that get their own label. Options are built once,
@@ -175,6 +177,10 @@
 	m.elections = i.counter("radishloom.elections", "Elections of a leader that this VM learned of.")
 	m.queueTime = i.seconds("radishloom.queue.time", "Time between admission and the first send.",
 		0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
+	m.answerTime = i.seconds("radishloom.answer.time", "Time from a request of a plain service to its whole answer.",
+		0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5)
+	m.streamPause = i.seconds("radishloom.stream.pause", "Longest pause between two events of a stream.",
+		0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5)
 	m.firstToken = i.seconds("radishloom.first.token.time", "Time from the request to its first token.",
 		0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.8, 2.5, 5, 10, 30)
 	m.tokenGap = i.seconds("radishloom.token.gap", "Time between tokens of a stream.",
@@ -338,3 +344,15 @@
 	}
 	return 0
 }
+
+// Answered records the time to a whole answer of a plain service.
+func (m *Metrics) Answered(took time.Duration) {
+	m.answerTime.Record(context.Background(), took.Seconds())
+}
+
+// Streamed records the time to the first event of a stream and its longest
+// pause.
+func (m *Metrics) Streamed(first, pause time.Duration) {
+	m.firstToken.Record(context.Background(), first.Seconds(), m.pair(Other, Other).plain)
+	m.streamPause.Record(context.Background(), pause.Seconds())
+}
