forward: requests that can still be in time go first; fewer prompt tokens wait

Change: places go first to waiting requests that can still meet their target, then to the others; 1,500 prompt tokens at most wait at an engine. Ruled out: the engine's own queue (first event 0.1 s without a wait).

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -48,6 +48,9 @@
 	streamPatience  = 2 * time.Second
 	patienceTargets = 4
 	patiencePauses  = 8
+	// firstEventReserve is the time from a place to the first event that an answer
+	// in time leaves.
+	firstEventReserve = 150 * time.Millisecond
 	// firstEventTime is kept from that for the endpoint's own work.
 	firstEventTime = 400 * time.Millisecond
 )
@@ -289,7 +292,7 @@
 		s.mu.Unlock()
 		return nil, err
 	}
-	wt := &waiter{query: &c.query, deadline: c.waitUntil(s.now()), ready: make(chan *Ticket, 1)}
+	wt := &waiter{query: &c.query, target: c.arrived + c.route.Target - firstEventReserve, deadline: c.waitUntil(s.now()), ready: make(chan *Ticket, 1)}
 	s.mu.queue.add(wt)
 	s.mu.Unlock()
 	return c.wait(wt, absence)
--- a/internal/coordination/forward/queue.go
+++ b/internal/coordination/forward/queue.go
@@ -8,9 +8,10 @@
 // waiter is a request that waits for a place.
 type waiter struct {
 	query *Query
-	// deadline is when waiting ends.
-	deadline time.Duration
-	order    uint64
+	// target is until when a place leads to an answer in time; deadline is when
+	// waiting ends.
+	target, deadline time.Duration
+	order            uint64
 	// ready receives the ticket; it has room for one.
 	ready chan *Ticket
 }
@@ -57,10 +58,21 @@
 	return n
 }
 
-// dispatch gives places to waiters in their order.
+// dispatch gives places to waiters in their order: first to those that can
+// still be in time, then to the others. Under more load than there are places
+// the order of arrival alone would make every answer late.
 func (q *queue) dispatch(now time.Duration, t *Table) {
+	q.give(now, t, func(w *waiter) bool { return now <= w.target })
+	q.give(now, t, func(w *waiter) bool { return now > w.target })
+}
+
+func (q *queue) give(now time.Duration, t *Table, eligible func(*waiter) bool) {
 	kept := q.list[:0]
 	for _, w := range q.list {
+		if !eligible(w) {
+			kept = append(kept, w)
+			continue
+		}
 		ticket, _ := t.Pick(now, w.query)
 		if ticket == nil {
 			kept = append(kept, w)
--- a/internal/coordination/forward/table.go
+++ b/internal/coordination/forward/table.go
@@ -27,8 +27,8 @@
 	// reading a few hundred tokens again costs an engine less than one request.
 	affinity = 0.5
 	// promptWindow is how many prompt tokens may wait at an engine. It reads about
-	// 25 of them in a millisecond, so its streams pause for a tenth of a second.
-	promptWindow = 2500
+	// 25 of them in a millisecond, so its streams pause for some 60 ms.
+	promptWindow = 1500
 	// kvPart of an engine's memory for tokens may be taken; the rest is for
 	// outputs that are longer than expected.
 	kvPart = 0.9
