directory: fill free memory by short loads, and engines that are empty

Cause: engines that replaced others stayed empty until a model was reachable nowhere. Change: an engine with free memory gets the model with the most load for each copy, single copies first, if the load is short or the engine holds nothing. Ruled out: filling by any load.

--- a/internal/coordination/directory/plan.go
+++ b/internal/coordination/directory/plan.go
@@ -250,9 +250,52 @@
 			break
 		}
 	}
+	take(r.fillFree())
 	return out
 }
 
+// fillFree uses memory that nothing is evicted from: an engine that has just
+// started, or one whose model went. The model with the most load for each copy
+// comes first, and a single copy counts as more, since its engine may go.
+func (r *plan) fillFree() (Decision, bool) {
+	if r.store < storeBurst {
+		return Decision{}, false // needed loads come first
+	}
+	var best *candidate
+	var bestModel *catalog.Model
+	worth := leastSpare
+	for _, e := range r.engines {
+		if !r.free(e) {
+			continue
+		}
+		for name, m := range r.models {
+			gain := r.perCopy(name)
+			if r.copies[name] <= 1 {
+				gain += singleCopy
+			}
+			if len(e.report.Models) > 0 && e.loadTime(m) > spareLoad {
+				continue // a long load would keep the engine from needed orders
+			}
+			if gain > worth && r.copies[name] < len(r.engines) && !e.planned(name) && r.fits(e, m, nil) {
+				best, bestModel, worth = &candidate{engine: e}, m, gain
+			}
+		}
+	}
+	if best == nil {
+		return Decision{}, false
+	}
+	return r.begin(best, bestModel)
+}
+
+// leastSpare is the load of each copy from which a model gets one in free
+// memory; singleCopy is added where there is one copy only.
+const (
+	leastSpare = 0.4
+	singleCopy = 0.5
+	// spareLoad is the longest load into free memory of an engine in use.
+	spareLoad = 2 * time.Second
+)
+
 func (p *Planner) newPlan(now time.Duration, s *catalog.Service) *plan {
 	r := &plan{Planner: p, now: now, service: s, models: map[string]*catalog.Model{}, copies: map[string]int{}, ready: map[string]int{}, rates: map[string]float64{}}
 	for i := range s.Engine.Models {
