--- a/internal/coordination/control/loop_test.go
+++ b/internal/coordination/control/loop_test.go
@@ -85,9 +85,11 @@
 
 const simulatedVMs = 3
 
-func newWorld(t *rapid.T, f faults) *world {
+func newWorld(t *rapid.T, f faults) *world { return newWorldOf(t, f, simulatedVMs) }
+
+func newWorldOf(t *rapid.T, f faults, vms int) *world {
 	w := &world{t: t, rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), faults: f, accepted: map[uint64]string{}}
-	for i := range simulatedVMs {
+	for i := range vms {
 		v := &vm{world: w, disk: faultfs.New(w.rand.IntN)}
 		v.member = &statev1.Member{Vm: fmt.Sprint("vm", i), Address: fmt.Sprint("10.0.0.", i+1, ":1")}
 		v.clock = &fakeClock{world: w}
--- a/internal/coordination/directory/plan.go
+++ b/internal/coordination/directory/plan.go
@@ -254,8 +254,7 @@
 	return out
 }
 
-// fillFree uses memory that nothing is evicted from: an engine that has just
-// started, or one whose model went. The model with the most load for each copy
+// fillFree gives an engine that has just started its first model. The model with the most load for each copy
 // comes first, and a single copy counts as more, since its engine may go.
 func (r *plan) fillFree() (Decision, bool) {
 	if r.store < storeBurst {
@@ -265,17 +264,14 @@
 	var bestModel *catalog.Model
 	worth := leastSpare
 	for _, e := range r.engines {
-		if !r.free(e) {
-			continue
+		if !r.free(e) || len(e.report.Models) > 0 {
+			continue // a model that nobody needs would only have to go again
 		}
 		for name, m := range r.models {
 			gain := r.perCopy(name)
 			if r.copies[name] <= 1 {
 				gain += singleCopy
 			}
-			if len(e.report.Models) > 0 && e.loadTime(m) > spareLoad {
-				continue // a long load would keep the engine from needed orders
-			}
 			if gain > worth && r.copies[name] < len(r.engines) && !e.planned(name) && r.fits(e, m, nil) {
 				best, bestModel, worth = &candidate{engine: e}, m, gain
 			}
@@ -290,10 +286,8 @@
 // leastSpare is the load of each copy from which a model gets one in free
 // memory; singleCopy is added where there is one copy only.
 const (
-	leastSpare = 0.4
+	leastSpare = 0.1
 	singleCopy = 0.5
-	// spareLoad is the longest load into free memory of an engine in use.
-	spareLoad = 2 * time.Second
 )
 
 func (p *Planner) newPlan(now time.Duration, s *catalog.Service) *plan {
@@ -517,7 +511,7 @@
 			continue
 		}
 		c := &candidate{engine: e, evict: evict, cost: r.otherLoad(e, model, evict)}
-		c.cost += loadCost * e.loadTime(m).Seconds()
+		c.cost += loadCost*e.loadTime(m).Seconds() + r.evictCost(evict)
 		if c.cost > limit {
 			continue
 		}
@@ -531,6 +525,24 @@
 	return r.begin(best, m)
 }
 
+// evictCost is what the copies that have to go count, in load: each delays the
+// new one, and a model without any other copy will be missed.
+func (r *plan) evictCost(evict []string) float64 {
+	total := 0.0
+	for _, gone := range evict {
+		total += evictEach
+		if r.ready[gone] <= 1 {
+			total += evictLast
+		}
+	}
+	return total
+}
+
+const (
+	evictEach = 0.3
+	evictLast = 3.0
+)
+
 // loadCost is what a second of loading counts, in load: until it is over the
 // engine has lost a copy and gained none, and demand may have moved on.
 const loadCost = 0.7
@@ -579,12 +591,23 @@
 		}
 		evict = append(evict, h.Model)
 		if r.fits(e, m, evict) {
-			return evict, true
+			return r.needed(e, m, evict), true
 		}
 	}
 	return nil, false
 }
 
+// needed leaves out what need not go, the most loaded first.
+func (r *plan) needed(e *engine, m *catalog.Model, evict []string) []string {
+	for i := len(evict) - 2; i >= 0; i-- {
+		fewer := slices.Delete(slices.Clone(evict), i, i+1)
+		if r.fits(e, m, fewer) {
+			evict = fewer
+		}
+	}
+	return evict
+}
+
 // Sent records that an order is on its way.
 func (p *Planner) Sent(d Decision) {
 	if e := p.engines[d.Engine.ID]; e != nil {
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -42,7 +42,9 @@
 	return Answer{Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Wrong: status == http.StatusMisdirectedRequest}
 }
 
-func (testCodec) Belongs(h http.Header, id string) bool { return h.Get("Id") == id || h.Get("Id") == "" }
+func (testCodec) Belongs(h http.Header, id string) bool {
+	return h.Get("Id") == id || h.Get("Id") == ""
+}
 
 func (testCodec) Identify(h http.Header, id string) { h.Set("Id", id) }
 
--- /dev/null
+++ b/internal/transport/datagram/datagram_test.go
@@ -0,0 +1,46 @@
+package datagram
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/types/known/wrapperspb"
+)
+
+// A message reaches every peer, and an address that cannot be read keeps no
+// other from it.
+func TestSendToPeers(t *testing.T) {
+	sender, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = sender.Close() }()
+	got := make(chan int, 2)
+	var addresses []string
+	for range 2 {
+		s, err := Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = s.Close() }()
+		addresses = append(addresses, s.conn.LocalAddr().String())
+		go func() {
+			if err := s.Receive(func(data []byte) { got <- len(data) }); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	if bad := sender.SetPeers(append(addresses, "nowhere")); len(bad) != 1 || bad[0] != "nowhere" {
+		t.Fatalf("malformed: %v", bad)
+	}
+	if err := sender.Send(wrapperspb.String("hello")); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if n := <-got; n == 0 {
+			t.Fatal("an empty message")
+		}
+	}
+	if n := sender.Failed(); n != 0 {
+		t.Fatalf("%d sends failed", n)
+	}
+}
