--- /dev/null
+++ b/soak/fleet_test.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/radishloom/radishloom/platform/standin"
+	"github.com/radishloom/radishloom/soak/proxy"
+)
+
+const (
+	controlVMs = 3
+	entryVMs   = 3
+	// stopLimit is above the grace period of the settings.
+	stopLimit = 10 * time.Second
+)
+
+// process is one VM with its daemon.
+type process struct {
+	fleet    *fleet
+	settings standin.Settings
+	dir      string
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	paused   bool
+	starts   int
+}
+
+// fleet is every process that the soak started.
+type fleet struct {
+	t         *testing.T
+	dir       string
+	binary    string
+	list      *httptest.Server
+	endpoints *standin.Fleet
+	servers   []*standin.Endpoint
+	toServers []*proxy.Proxy
+	control   []*process
+	entries   []*process
+	toEntries []*proxy.Proxy
+}
+
+// address is the loopback address of a VM. Runs beside each other differ in the
+// second part.
+func address(run, host int) string { return fmt.Sprintf("127.%d.0.%d", 10+run%200, host) }
+
+func newFleet(t *testing.T, run int) *fleet {
+	f := &fleet{t: t, dir: t.TempDir(), endpoints: standin.NewFleet()}
+	f.binary = filepath.Join(f.dir, "radishloomd")
+	if out, err := exec.Command("go", "build", "-o", f.binary, "../cmd/radishloomd").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	f.startEndpoints(run)
+	f.list = httptest.NewServer(f.endpoints)
+	t.Cleanup(f.list.Close)
+	var seeds []string
+	for i := range controlVMs {
+		seeds = append(seeds, address(run, 1+i))
+	}
+	for i := range controlVMs + entryVMs {
+		ip := address(run, 1+i)
+		p := &process{fleet: f, dir: filepath.Join(f.dir, fmt.Sprint("vm", i)), settings: standin.Settings{
+			VM: fmt.Sprint("vm-", i), IP: ip, Control: i < controlVMs, Seeds: seeds, Bootstrap: true, ListAddress: f.list.Listener.Addr().String(),
+		}}
+		p.settings.DataFolder = filepath.Join(p.dir, "data")
+		if i < controlVMs {
+			f.control = append(f.control, p)
+		} else {
+			f.entries = append(f.entries, p)
+			f.toEntries = append(f.toEntries, f.newProxy(address(run, 100+i), net.JoinHostPort(ip, fmt.Sprint(standin.CallerPort))))
+		}
+	}
+	t.Cleanup(f.stopAll)
+	for _, p := range f.all() {
+		p.start()
+	}
+	return f
+}
+
+func (f *fleet) newProxy(ip, target string) *proxy.Proxy {
+	p, err := proxy.New(ip+":0", target)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return p
+}
+
+func (f *fleet) startEndpoints(run int) {
+	for i, service := range []string{"plain", "plain", "models", "models", "models"} {
+		var models []string
+		if service == "models" {
+			models = []string{standin.Model}
+		}
+		e, err := f.endpoints.Add(fmt.Sprint("e-", i), service, address(run, 200+i)+":0", models...)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		p := f.newProxy(address(run, 210+i), e.Listen())
+		e.Address = p.Address()
+		f.servers, f.toServers = append(f.servers, e), append(f.toServers, p)
+	}
+}
+
+func (f *fleet) all() []*process { return append(append([]*process(nil), f.control...), f.entries...) }
+
+// start starts the daemon with its present settings; its output goes to a file.
+func (p *process) start() {
+	t := p.fleet.t
+	if err := os.MkdirAll(p.dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(p.dir, "settings.toml")
+	settings := p.settings
+	settings.Bootstrap = settings.Bootstrap && p.starts == 0
+	if err := os.WriteFile(path, []byte(settings.Text()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }() // the child has its own descriptor
+	cmd := exec.Command(p.fleet.binary, "--platform")
+	cmd.Env = append(os.Environ(), standin.Environment(path))
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd, p.paused, p.exited = cmd, false, make(chan struct{})
+	p.starts++
+	go func(done chan struct{}) {
+		_ = cmd.Wait() // signals end it
+		close(done)
+	}(p.exited)
+}
+
+// signal sends a signal to the process that this soak started.
+func (p *process) signal(s syscall.Signal) {
+	if p.cmd != nil && p.alive() {
+		_ = p.cmd.Process.Signal(s) // it may have just ended
+	}
+}
+
+func (p *process) alive() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// end waits until the process is gone and kills it after the limit.
+func (p *process) end(limit time.Duration) (graceful bool) {
+	select {
+	case <-p.exited:
+		return true
+	case <-time.After(limit):
+		p.signal(syscall.SIGKILL)
+		<-p.exited
+		return false
+	}
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+func (f *fleet) stopAll() {
+	var all sync.WaitGroup
+	for _, p := range f.all() {
+		all.Go(func() {
+			p.signal(syscall.SIGCONT)
+			p.signal(syscall.SIGKILL)
+			<-p.exited
+		})
+	}
+	all.Wait()
+}
+
+// ready says whether an entry takes requests.
+func (p *process) ready(client *http.Client) bool {
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d%s", p.settings.IP, standin.ReadyPort, standin.ReadyPath))
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
