--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -20,7 +20,7 @@
 	"github.com/jessevdk/go-flags"
 )
 
-// Exit codes; docs/operations.md lists them.
+// Exit codes; docs/OPERATIONS.md lists them.
 const (
 	ExitOK = 0
 	// ExitRefused is a refusal that has no exit code of its own.
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -77,13 +77,13 @@
 
 // checkAlarms guards against alarms on metrics that do not exist.
 func checkAlarms(t *testing.T, scraped string) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, name := range regexp.MustCompile(`radishloom_[a-z_]+`).FindAllString(string(page), -1) {
 		if !strings.Contains(scraped, "\n# TYPE "+name+" ") {
-			t.Errorf("docs/operations.md names the metric %s, which is not exported", name)
+			t.Errorf("docs/OPERATIONS.md names the metric %s, which is not exported", name)
 		}
 	}
 }
