telemetry: one observer of the control role; orders and elections are counted on the platform

Cause: the platform's control VMs exported no counter of orders, elections or the log; the observer stood in the daemon package. Change: telemetry.Control serves both; the directory counts accepted orders. Figures: TestScrape covers the metrics that the operations page names; it failed for the two new histograms until they were recorded.

--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -55,9 +55,16 @@
 	Holder string
 	// OrderLease is how long orders of an earlier leader exclude this one's.
 	OrderLease time.Duration
+	Metrics    Metrics
 	Log        *slog.Logger
 }
 
+// Metrics receives counts; calls must not block.
+type Metrics interface {
+	// ModelMove counts an accepted order by its kind.
+	ModelMove(kind string)
+}
+
 // Server is the directory of one control VM. It is safe for concurrent use.
 type Server struct {
 	cfg   Config
@@ -356,6 +363,9 @@
 	out, err := s.order(ctx, &d)
 	s.cfg.Log.Info("order", "endpoint", d.Engine.ID, "operation", d.Order.Operation.String(), "model", d.Order.Model,
 		"adapter", d.Order.Adapter, "expected", d.Order.Expected, "fence", d.Order.Fence, "outcome", out.String(), "error", errorText(err))
+	if out == Accepted || out == Holds {
+		s.cfg.Metrics.ModelMove(d.Order.kind())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.mu.planner == nil || s.mu.index == nil {
--- a/internal/coordination/directory/types.go
+++ b/internal/coordination/directory/types.go
@@ -76,6 +76,14 @@
 	Fence    uint64
 }
 
+// kind names the order in metrics.
+func (o Order) kind() string {
+	if o.Adapter != "" {
+		return o.Operation.String() + "_adapter"
+	}
+	return o.Operation.String() + "_model"
+}
+
 // Outcome is an engine's answer to an order.
 type Outcome int
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -121,8 +121,8 @@
 		Bootstrap: c.Bootstrap,
 		Transport: d.transport,
 		Demand:    d.takeDemand,
-		Metrics: controlMetrics{
-			metrics: d.metrics, log: d.log, self: func() uint64 { return d.control.MemberID() },
+		Metrics: telemetry.Control{
+			Metrics: d.metrics, Log: d.log, Self: func() uint64 { return d.control.MemberID() },
 		},
 	}
 	for _, m := range c.BootstrapMembers {
--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -72,30 +72,3 @@
 func (o observer) Crashed(endpoint string, suspects int) {
 	o.log.Warn("endpoint crashed", "endpoint", endpoint, "suspects", suspects)
 }
-
-// controlMetrics passes the control role's measurements on.
-type controlMetrics struct {
-	metrics *telemetry.Metrics
-	log     *slog.Logger
-	self    func() uint64
-}
-
-// LeaderChanged implements control.Metrics.
-func (c controlMetrics) LeaderChanged(term, leader uint64) {
-	if leader != 0 {
-		c.metrics.Election()
-	}
-	c.metrics.Leader(leader != 0 && leader == c.self())
-	c.log.Info("leader changed", "term", term, "leader", leader)
-}
-
-// LogSize implements control.Metrics.
-func (c controlMetrics) LogSize(entries uint64, bytes int) { c.metrics.LogSize(int64(bytes), entries) }
-
-// CommitLatency implements control.Metrics.
-func (c controlMetrics) CommitLatency(time.Duration) {}
-
-// SnapshotTaken implements control.Metrics.
-func (c controlMetrics) SnapshotTaken(bytes int, took time.Duration) {
-	c.log.Info("snapshot taken", "bytes", bytes, "took", took)
-}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -49,8 +49,10 @@
 	transport := newTransport()
 	defer transport.Close()
 	member := &statev1.Member{Vm: s.VM, Address: s.PeerAddress(s.IP), DataCentre: s.DataCentre}
+	var server *control.Server
 	server, err := control.New(control.Config{
 		Dir: s.DataFolder, FS: wal.OS{}, Member: member, Peers: peersOf(s), Bootstrap: s.Bootstrap, Transport: transport,
+		Metrics: telemetry.Control{Metrics: metrics, Log: log, Self: func() uint64 { return server.MemberID() }},
 	})
 	if err != nil {
 		return err
@@ -62,7 +64,7 @@
 	}}
 	guide := directory.New(directory.Config{
 		Leadership: server, Platform: endpoints, Decode: decodeStored,
-		Holder: s.VM, OrderLease: s.Bounds.OrderLease, Log: log,
+		Holder: s.VM, OrderLease: s.Bounds.OrderLease, Metrics: metrics, Log: log,
 	})
 	peers, err := newServer(s.PeerAddress(s.IP), peerrpc.NewDirectoryHandler(server, guide), httpserver.Limits{}, log)
 	if err != nil {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -48,6 +48,8 @@
 	m.LogSize(4096, 12)
 	m.Freshness(9, true)
 	m.OpenRequests(3)
+	m.Answered(time.Millisecond)
+	m.Streamed(time.Second, time.Millisecond)
 	text := scrape(t, m)
 	for _, want := range []string{
 		`radishloom_refusals_total{code="1004",name="key_unknown"} 1`,
