exchange: move the port of HTTP exchanges to the layer that uses it

Cause: coordination/forward imported protocol/exchange, a higher layer; TestImportsGoDown found it. Change: the package moves to coordination/exchange, unchanged. Conclusion: imports go down again.

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/catalog"
 )
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -11,7 +11,7 @@
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	"github.com/radishloom/radishloom/internal/coordination/directory"
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/catalog"
 )
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -6,7 +6,7 @@
 	"log/slog"
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/protocol/peerrpc"
 	"github.com/radishloom/radishloom/internal/protocol/platformhttp"
 	"github.com/radishloom/radishloom/internal/settings"
--- a/internal/protocol/enginehttp/control.go
+++ b/internal/protocol/enginehttp/control.go
@@ -9,7 +9,7 @@
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
 	"github.com/radishloom/radishloom/internal/protocol/enginejson"
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
--- a/internal/protocol/enginehttp/stream.go
+++ b/internal/protocol/enginehttp/stream.go
@@ -11,7 +11,7 @@
 	"strings"
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
--- a/internal/protocol/inference/handler.go
+++ b/internal/protocol/inference/handler.go
@@ -18,7 +18,7 @@
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/coordination/entry"
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/protocol/refusal"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
--- a/internal/protocol/inference/models.go
+++ b/internal/protocol/inference/models.go
@@ -6,7 +6,7 @@
 	"strconv"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
--- a/internal/protocol/inference/responder.go
+++ b/internal/protocol/inference/responder.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"github.com/radishloom/radishloom/internal/coordination/entry"
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/protocol/refusal"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
--- a/internal/protocol/inference/route.go
+++ b/internal/protocol/inference/route.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
--- a/internal/standin/engine/infer.go
+++ b/internal/standin/engine/infer.go
@@ -13,7 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 )
 
 const (
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/radishloom/radishloom/internal/protocol/enginejson"
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 )
 
 // resident is a model in memory, or on its way in or out.
--- a/internal/standin/engine/reports.go
+++ b/internal/standin/engine/reports.go
@@ -10,7 +10,7 @@
 
 	"github.com/radishloom/radishloom/internal/coordination/routing"
 	"github.com/radishloom/radishloom/internal/protocol/enginejson"
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 )
 
 // report is a load report as it was at a time.
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 )
 
 // streamRun sends the events of a run from the given one on.
--- a/internal/transport/httpclient/body.go
+++ b/internal/transport/httpclient/body.go
@@ -6,7 +6,7 @@
 	"io"
 	"net/http"
 
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 )
 
 var errNoEnd = errors.New("the answer has neither a length nor chunks")
--- a/internal/transport/httpclient/client.go
+++ b/internal/transport/httpclient/client.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
--- a/internal/transport/httpclient/client_test.go
+++ b/internal/transport/httpclient/client_test.go
@@ -18,7 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 )
 
 // joinLimit is the largest body that is copied behind the head so that both
--- a/internal/transport/httpclient/cut_test.go
+++ b/internal/transport/httpclient/cut_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/radishloom/radishloom/internal/proptest"
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
--- a/internal/transport/httpclient/errors.go
+++ b/internal/transport/httpclient/errors.go
@@ -8,7 +8,7 @@
 	"strings"
 	"syscall"
 
-	"github.com/radishloom/radishloom/internal/protocol/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
