--- a/internal/coordination/directory/plan.go
+++ b/internal/coordination/directory/plan.go
@@ -347,11 +347,11 @@
 	if !r.idle(e) {
 		return Decision{}, false
 	}
-	for _, model := range slices.Sorted(maps.Keys(e.closing)) {
-		if r.now-e.closing[model] >= closeTime {
-			return r.order(e, Order{Operation: Unload, Model: model}), true
+	if closing := slices.Sorted(maps.Keys(e.closing)); len(closing) > 0 {
+		if r.now-e.closing[closing[0]] < closeTime {
+			return Decision{}, false
 		}
-		return Decision{}, false
+		return r.order(e, Order{Operation: Unload, Model: closing[0]}), true
 	}
 	if e.replacement == "" {
 		return Decision{}, false
--- a/internal/coordination/forward/queue.go
+++ b/internal/coordination/forward/queue.go
@@ -47,17 +47,6 @@
 	return true
 }
 
-// ahead counts the waiters for a service that go before the urgency.
-func (q *queue) ahead(service string, urgency int) int {
-	n := 0
-	for _, w := range q.list {
-		if w.query.Service == service && w.query.Urgency <= urgency {
-			n++
-		}
-	}
-	return n
-}
-
 // dispatch gives places to waiters in their order: first to those that can
 // still be in time, then to the others. Under more load than there are places
 // the order of arrival alone would make every answer late.
--- a/internal/protocol/servicehttp/service.go
+++ b/internal/protocol/servicehttp/service.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
-	"github.com/radishloom/radishloom/internal/protocol/enginejson"
 	"github.com/radishloom/radishloom/internal/coordination/exchange"
+	"github.com/radishloom/radishloom/internal/protocol/enginejson"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
-	"github.com/radishloom/radishloom/internal/protocol/enginejson"
 	"github.com/radishloom/radishloom/internal/coordination/exchange"
+	"github.com/radishloom/radishloom/internal/protocol/enginejson"
 )
 
 // resident is a model in memory, or on its way in or out.
--- a/internal/standin/engine/reports.go
+++ b/internal/standin/engine/reports.go
@@ -8,9 +8,9 @@
 	"strconv"
 	"time"
 
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/coordination/routing"
 	"github.com/radishloom/radishloom/internal/protocol/enginejson"
-	"github.com/radishloom/radishloom/internal/coordination/exchange"
 )
 
 // report is a load report as it was at a time.
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
-	"github.com/radishloom/radishloom/internal/protocol/enginejson"
 	"github.com/radishloom/radishloom/internal/coordination/exchange"
+	"github.com/radishloom/radishloom/internal/protocol/enginejson"
 	"github.com/radishloom/radishloom/internal/standin/listen"
 )
 
--- a/internal/transport/httpclient/cut_test.go
+++ b/internal/transport/httpclient/cut_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/coordination/exchange"
+	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -159,18 +159,6 @@
 	}
 }
 
-// end waits until the process is gone and kills it after the limit.
-func (p *process) end(limit time.Duration) (graceful bool) {
-	select {
-	case <-p.exited:
-		return true
-	case <-time.After(limit):
-		p.signal(syscall.SIGKILL)
-		<-p.exited
-		return false
-	}
-}
-
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
 	<-p.exited
