directory: bring unreachable models back by their demand

Change: a model with measured demand counts as asked for; the most demand first. Ruled out: the weight store's rate; seven other loads started at 11.2 s.

--- a/internal/coordination/directory/plan.go
+++ b/internal/coordination/directory/plan.go
@@ -414,21 +414,33 @@
 }
 
 // unreachable lists models that are asked for and that no engine holds, those
-// with the most waiting requests first.
+// with the most demand first. Requests for such a model may be refused at once,
+// so their number counts and not how many of them wait.
 func (r *plan) unreachable() []string {
 	var out []string
 	for name := range r.models {
-		d := r.demand[name]
-		if r.copies[name] == 0 && d != nil && (d.waits() > 0 || (d.wanted != 0 && r.now-d.wanted < time.Second)) {
+		if r.copies[name] == 0 && r.asked(name) {
 			out = append(out, name)
 		}
 	}
 	slices.SortFunc(out, func(a, b string) int {
-		return cmp.Or(cmp.Compare(r.demand[b].waits(), r.demand[a].waits()), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(r.rates[b], r.rates[a]), cmp.Compare(r.demand[b].waits(), r.demand[a].waits()), cmp.Compare(a, b))
 	})
 	return out
 }
 
+// asked says whether somebody wants a model now.
+func (r *plan) asked(model string) bool {
+	d := r.demand[model]
+	if d == nil {
+		return false
+	}
+	return r.rates[model] >= leastAsked || d.waits() > 0 || (d.wanted != 0 && r.now-d.wanted < time.Second)
+}
+
+// leastAsked is the load of a model from which it is kept reachable.
+const leastAsked = 0.05
+
 // perCopy is the load of each copy of a model.
 func (r *plan) perCopy(model string) float64 {
 	return r.rates[model] / float64(max(1, r.copies[model]))
@@ -583,7 +595,7 @@
 			continue
 		}
 		last := r.ready[h.Model] <= 1
-		if last && (!needed || r.rates[h.Model] > 0.05 || r.demandOf(r.now, h.Model).waits() > 0) {
+		if last && (!needed || r.asked(h.Model)) {
 			continue
 		}
 		if !last && r.rates[h.Model]/float64(max(1, r.ready[h.Model]-1)) > limit {
--- a/internal/coordination/directory/plan_test.go
+++ b/internal/coordination/directory/plan_test.go
@@ -250,6 +250,20 @@
 	}
 }
 
+// Requests for a model that takes long to load are refused at once and never
+// wait. Their demand must bring the model back all the same, and before models
+// that few ask for.
+func TestUnreachableModelsComeByDemand(t *testing.T) {
+	s := testService(6)
+	p, now := newPlanned(s, []string{"m0"})
+	p.Asked(now, "entry", "m1", 1, 1500, 0)
+	p.Asked(now, "entry", "m5", 20, 30_000, 0)
+	got := p.Plan(now, s)
+	if len(got) != 1 || got[0].Order.Model != "m5" {
+		t.Fatalf("decisions: %+v", got)
+	}
+}
+
 // The last copy of a model that is asked for never makes way.
 func TestLastCopyStays(t *testing.T) {
 	s := testService(4)
