--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -448,7 +448,9 @@
 		c.server.mu.Unlock()
 	}
 	if c.relay != nil {
-		c.server.log.Info("answer cut", "request", c.req.ID, "code", err.Code, "error", err.Error(), "events", c.relay.events)
+		took := c.server.now() - c.arrived
+		c.server.log.Info("answer cut", "request", c.req.ID, "code", err.Code, "model", c.req.Model, "sends", c.sends, "ms", took.Milliseconds(),
+			"first_ms", c.relay.first.Milliseconds(), "silent_ms", (took - c.relay.last).Milliseconds(), "error", err.Error())
 		c.relay.abort()
 	}
 	c.refuse(err)
--- a/internal/coordination/forward/relay.go
+++ b/internal/coordination/forward/relay.go
@@ -29,7 +29,6 @@
 	unframed bool
 	held     []byte
 	lastID   string
-	events   int
 	// first is the time from the request's arrival to the first bytes, last that
 	// of the newest ones, pause the longest time between two.
 	first, last, pause time.Duration
@@ -133,7 +132,6 @@
 	for line := range bytes.Lines(p) {
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			r.lastID = string(bytes.TrimSpace(id))
-			r.events++
 		}
 	}
 }
