control: room for the members of the grown deployments

Cause: a fleet took 8 members; the grown deployments have 9 control VMs, so the last one never joined. Change: up to 12 members.

--- a/internal/coordination/control/config.go
+++ b/internal/coordination/control/config.go
@@ -54,8 +54,9 @@
 	// at which it sent the call.
 	freshnessLease = 4 * time.Second
 
-	// maxMembers is the limit of 7 control VMs and one that replaces another.
-	maxMembers = 8
+	// maxMembers bounds the members: the 9 control VMs of the users' grown
+	// deployments, each third of which may be replaced at the same time.
+	maxMembers = 12
 
 	// joinInterval is the pause between requests to join.
 	joinInterval = 500 * time.Millisecond
