directory, forward: what grows with the square of the entries

Change: the parts that may be spent at once add up to 3 levels at most; entries get the endpoints that changed, and new loads less often; beyond 16 entries they tell their loads in their own data centre and prefer its engines. Ruled out: nothing else was measured.

--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/resultcode"
@@ -24,8 +26,13 @@
 	reportInterval = time.Second
 	// callLimit bounds one call to the platform or an engine.
 	callLimit = time.Second
-	// loadNews is how often changed loads alone are handed on.
-	loadNews = 700 * time.Millisecond
+	// loadNews is how often changed loads alone are handed on; loadNewsLarge is
+	// the same with more entries than ExchangeLimit.
+	loadNews      = 700 * time.Millisecond
+	loadNewsLarge = 2500 * time.Millisecond
+	// ExchangeLimit is the number of entries up to which each tells all others
+	// what it sends. Beyond it they tell those of their own data centre.
+	ExchangeLimit = 16
 )
 
 // Leadership is what the directory needs of the control role.
@@ -72,27 +79,38 @@
 
 	mu struct {
 		sync.Mutex
-		term     uint64 // zero while another VM leads
-		since    time.Duration
-		planner  *Planner
-		shares   *Shares
-		list     []Endpoint
-		listed   bool
-		version  uint64
-		changed  chan struct{} // closed and replaced with each version
-		index    *catalog.Index
-		news     time.Duration // when loads were last handed on
-		dirty    bool          // loads changed since
-		nextList time.Duration
-		listing  bool
-		asking   map[string]time.Duration // engine -> when its report is due
-	}
+		term    uint64 // zero while another VM leads
+		since   time.Duration
+		planner *Planner
+		shares  *Shares
+		list    []Endpoint
+		listed  bool
+		version uint64
+		changed chan struct{} // closed and replaced with each version
+		// published is what entries are told, with the version of each change; an
+		// entry older than complete gets the whole list.
+		published map[string]*published
+		complete  uint64
+		index     *catalog.Index
+		news      time.Duration // when loads were last handed on
+		dirty     bool          // loads changed since
+		nextList  time.Duration
+		listing   bool
+		asking    map[string]time.Duration // engine -> when its report is due
+	}
+}
+
+// published is an endpoint as entries are told of it.
+type published struct {
+	message *peerv1.DirectoryEndpoint
+	version uint64
 }
 
 // New returns a Server; Run starts it.
 func New(c Config) *Server {
 	s := &Server{cfg: c, start: time.Now()}
 	s.mu.changed = make(chan struct{})
+	s.mu.published = map[string]*published{}
 	return s
 }
 
@@ -145,12 +163,39 @@
 	s.mu.nextList, s.mu.listing = 0, false
 	s.mu.asking = map[string]time.Duration{}
 	s.bumpLocked()
+	s.mu.complete = s.mu.version
 }
 
-func (s *Server) bumpLocked() {
+// bumpLocked makes a new version of what entries are told.
+func (s *Server) bumpLocked() { s.publishLocked(false) }
+
+// publishLocked finds what changed since the last version. Loads change all the
+// time and are renewed only if withLoads is set.
+func (s *Server) publishLocked(withLoads bool) {
 	s.mu.version++
-	s.mu.dirty = false
-	s.mu.news = s.now()
+	if withLoads {
+		s.mu.dirty = false
+		s.mu.news = s.now()
+	}
+	present := make(map[string]bool, len(s.mu.list))
+	for _, e := range s.mu.list {
+		present[e.ID] = true
+		old := s.mu.published[e.ID]
+		message := s.describeLocked(e)
+		if old != nil && !withLoads {
+			message.Running, message.Waiting, message.KvUsed = old.message.GetRunning(), old.message.GetWaiting(), old.message.GetKvUsed()
+		}
+		if old == nil || !proto.Equal(old.message, message) {
+			s.mu.published[e.ID] = &published{message: message, version: s.mu.version}
+		}
+	}
+	for id := range s.mu.published {
+		if !present[id] {
+			// A partial list cannot tell of an endpoint that is gone.
+			delete(s.mu.published, id)
+			s.mu.complete = s.mu.version
+		}
+	}
 	close(s.mu.changed)
 	s.mu.changed = make(chan struct{})
 }
@@ -314,8 +359,12 @@
 func (s *Server) publishLoads() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.mu.dirty && s.now()-s.mu.news >= loadNews {
-		s.bumpLocked()
+	interval := loadNews
+	if s.mu.shares.Entries() > ExchangeLimit {
+		interval = loadNewsLarge
+	}
+	if s.mu.dirty && s.now()-s.mu.news >= interval {
+		s.publishLocked(true)
 	}
 }
 
@@ -460,7 +509,7 @@
 		usage[u.GetCustomer()] = Usage{Asked: float64(u.GetTokens()), Spent: float64(u.GetSpent())}
 	}
 	s.mu.shares.Report(now, entry, usage)
-	s.mu.shares.SetAddress(entry, r.GetLoadAddress())
+	s.mu.shares.SetAddress(entry, r.GetEntry().GetDataCentre(), r.GetLoadAddress())
 	named := make(map[string]bool, len(r.GetDemand()))
 	for _, d := range r.GetDemand() {
 		named[d.GetModel()] = true
@@ -485,7 +534,7 @@
 		return nil, notLeading()
 	}
 	out.LiveEntries = uint32(s.mu.shares.Entries())
-	if peers, version := s.mu.shares.Addresses(); version+s.mu.term<<32 != r.GetPeersVersion() {
+	if peers, version := s.mu.shares.Addresses(r.GetEntry().GetDataCentre(), ExchangeLimit); version+s.mu.term<<32 != r.GetPeersVersion() {
 		out.Peers, out.PeersVersion = peers, version+s.mu.term<<32
 	}
 	if s.mu.index != nil {
@@ -499,28 +548,38 @@
 	}
 	out.Epoch, out.EndpointsVersion = s.mu.term, s.mu.version
 	if r.GetEpoch() != s.mu.term || r.GetEndpointsVersion() != s.mu.version {
-		out.Endpoints = s.encodeLocked()
+		out.Partial = r.GetEpoch() == s.mu.term && r.GetEndpointsVersion() >= s.mu.complete
+		out.Endpoints = s.sinceLocked(r.GetEndpointsVersion(), out.GetPartial())
 	}
 	return out, nil
 }
 
-func (s *Server) encodeLocked() []*peerv1.DirectoryEndpoint {
-	out := make([]*peerv1.DirectoryEndpoint, 0, len(s.mu.list))
+// sinceLocked returns what changed after a version, or everything.
+func (s *Server) sinceLocked(version uint64, partial bool) []*peerv1.DirectoryEndpoint {
+	var out []*peerv1.DirectoryEndpoint
 	for _, e := range s.mu.list {
-		one := &peerv1.DirectoryEndpoint{
-			Id: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
-			Slots: uint32(e.Slots), Leaving: e.Leaving,
-		}
-		if p := s.mu.planner.engines[e.ID]; p != nil {
-			one.Leaving = one.Leaving || p.report.Leaving
-			one.Running, one.Waiting = uint32(p.report.Running), uint32(p.report.Waiting)
-			one.KvUsed, one.KvTotal = uint64(p.report.KVUsed), uint64(p.report.KVTotal)
-			for _, m := range p.report.Models {
-				_, closing := p.closing[m.Model]
-				one.Models = append(one.Models, &peerv1.ResidentSet{Model: m.Model, Adapters: m.Adapters, Closing: closing})
-			}
+		if p := s.mu.published[e.ID]; p != nil && (!partial || p.version > version) {
+			out = append(out, p.message)
 		}
-		out = append(out, one)
+	}
+	return out
+}
+
+func (s *Server) describeLocked(e Endpoint) *peerv1.DirectoryEndpoint {
+	out := &peerv1.DirectoryEndpoint{
+		Id: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
+		Slots: uint32(e.Slots), Leaving: e.Leaving,
+	}
+	p := s.mu.planner.engines[e.ID]
+	if p == nil {
+		return out
+	}
+	out.Leaving = out.Leaving || p.report.Leaving
+	out.Running, out.Waiting = uint32(p.report.Running), uint32(p.report.Waiting)
+	out.KvUsed, out.KvTotal = uint64(p.report.KVUsed), uint64(p.report.KVTotal)
+	for _, m := range p.report.Models {
+		_, closing := p.closing[m.Model]
+		out.Models = append(out.Models, &peerv1.ResidentSet{Model: m.Model, Adapters: m.Adapters, Closing: closing})
 	}
 	return out
 }
--- a/internal/coordination/directory/share.go
+++ b/internal/coordination/directory/share.go
@@ -22,6 +22,8 @@
 	// once. The parts add up to more than the level: few entries meet a burst in
 	// the same instant, and what they overspend is made up for afterwards.
 	freePart = 0.35
+	// freeEntries bounds the sum of these parts where there are many entries.
+	freeEntries = 3.0
 	// firstLevel is the part of the burst that a new leader starts with. It does
 	// not know what was spent before.
 	firstLevel = 0.3
@@ -37,10 +39,11 @@
 }
 
 type entryUsage struct {
-	address string
-	seen    time.Duration
-	demand  map[string]float64
-	at      time.Duration
+	address, dataCentre string
+
+	seen   time.Duration
+	demand map[string]float64
+	at     time.Duration
 }
 
 // level is what is left of a customer's burst; it is negative after overspending.
@@ -96,18 +99,19 @@
 }
 
 // SetAddress records where an entry takes the load of others.
-func (s *Shares) SetAddress(entry, address string) {
+func (s *Shares) SetAddress(entry, dataCentre, address string) {
 	if e := s.entries[entry]; e != nil && e.address != address {
-		e.address = address
+		e.address, e.dataCentre = address, dataCentre
 		s.version++
 	}
 }
 
-// Addresses returns where entries take the load of others, and the version of
-// that list.
-func (s *Shares) Addresses() (list []string, version uint64) {
+// Addresses returns where entries take the load of an entry in the data centre,
+// and the version of that list. With more entries than limit only those of the
+// data centre do: the messages grow with the square of their number.
+func (s *Shares) Addresses(dataCentre string, limit int) (list []string, version uint64) {
 	for _, e := range s.entries {
-		if e.address != "" {
+		if e.address != "" && (len(s.entries) <= limit || e.dataCentre == dataCentre) {
 			list = append(list, e.address)
 		}
 	}
@@ -133,7 +137,7 @@
 		part := s.part(own, c.Name)
 		left := s.refill(now, c)
 		if left > 0 {
-			left *= max(part, freePart)
+			left *= max(part, min(freePart, freeEntries/float64(s.Entries())))
 		} else {
 			left *= part
 		}
--- a/internal/coordination/forward/loads.go
+++ b/internal/coordination/forward/loads.go
@@ -12,8 +12,10 @@
 	// everything each refreshInterval.
 	peerAge         = 2500 * time.Millisecond
 	refreshInterval = time.Second
-	// flushDelay collects changes that are not urgent.
-	flushDelay = 15 * time.Millisecond
+	// flushDelay collects changes that are not urgent; flushDelayLarge is the same
+	// where many entries listen.
+	flushDelay      = 15 * time.Millisecond
+	flushDelayLarge = 40 * time.Millisecond
 )
 
 // work is what one entry, or all of them, have at an engine.
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -41,6 +41,10 @@
 	Metrics Metrics
 	// Tell sends a datagram with an update to every other entry; it may be lost.
 	Tell func(u *peerv1.LoadUpdate)
+	// DataCentre is where this entry is. With more entries than ExchangeLimit it
+	// hears the loads of its own data centre only.
+	DataCentre    string
+	ExchangeLimit int
 	// Name is this incarnation of the entry in updates.
 	Name string
 	Log  *slog.Logger
@@ -149,6 +153,10 @@
 	defer s.mu.Unlock()
 	s.mu.buckets.SetShares(s.now(), shares, entries)
 	s.mu.budget.SetEntries(entries)
+	s.mu.table.dataCentre = ""
+	if entries > s.cfg.ExchangeLimit {
+		s.mu.table.dataCentre = s.cfg.DataCentre
+	}
 }
 
 // TakeUsage returns and forgets what customers and models were asked for.
@@ -199,7 +207,11 @@
 		return
 	}
 	s.mu.flushing = true
-	time.AfterFunc(flushDelay, func() {
+	delay := flushDelay
+	if s.mu.table.dataCentre != "" {
+		delay = flushDelayLarge
+	}
+	time.AfterFunc(delay, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.mu.flushing = false
--- a/internal/coordination/forward/table.go
+++ b/internal/coordination/forward/table.go
@@ -36,6 +36,9 @@
 	heldCost = 0.03
 	// tokensPerRequest makes tokens comparable with requests.
 	tokensPerRequest = 1000.0
+	// elsewhere is what an engine in another data centre costs, in requests, if
+	// the loads of its entries are not known.
+	elsewhere = 0.7
 	// randomPart keeps entries with equal knowledge from choosing alike.
 	randomPart = 0.1
 )
@@ -119,7 +122,10 @@
 	endpoints map[string]*endpoint
 	services  map[string][]*endpoint
 	loads     *Loads
-	rand      func() float64
+	// dataCentre is set when entries tell their loads in their own data centre
+	// only; its endpoints then come first.
+	dataCentre string
+	rand       func() float64
 }
 
 // NewTable returns an empty table.
@@ -137,9 +143,11 @@
 		if e == nil || e.Address != in.Address {
 			e = &endpoint{missing: map[string]time.Duration{}}
 		}
+		if in.Running != e.Running || in.Waiting != e.Waiting {
+			e.observe(now, in.Running+in.Waiting)
+		}
 		e.Endpoint = in
 		e.setModels(in.Models)
-		e.observe(now, in.Running+in.Waiting)
 		t.endpoints[in.ID] = e
 		t.services[in.Service] = append(t.services[in.Service], e)
 	}
@@ -234,7 +242,7 @@
 	if w.prompt > 0 && w.prompt+q.Prompt > promptWindow {
 		return true
 	}
-	if w.requests >= max(1, e.Slots) {
+	if w.requests >= max(1, e.Slots) || (t.dataCentre != "" && e.load(now) >= max(1, e.Slots)) {
 		return true
 	}
 	return w.requests > 0 && e.KVTotal > 0 && float64(w.held+q.Held) > kvPart*float64(e.KVTotal)
@@ -255,6 +263,9 @@
 		w := t.work(now, e)
 		cost = (float64(w.prompt)+heldCost*float64(w.held))/tokensPerRequest + t.rand()*randomPart
 	}
+	if t.dataCentre != "" && e.DataCentre != t.dataCentre {
+		cost += elsewhere
+	}
 	if q.Affinity != 0 {
 		cost -= affinity * rendezvous(q.Affinity, e.ID)
 	}
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -54,6 +55,7 @@
 	}
 	epoch, version uint64
 	peersVersion   uint64
+	endpoints      map[string]Endpoint // the list as of version
 	lastAnswer     time.Time
 	lost           bool
 }
@@ -199,12 +201,23 @@
 		return nil // a new leader that has no list yet
 	}
 	if resp.GetEpoch() != w.epoch || resp.GetEndpointsVersion() != w.version {
-		s.SetEndpoints(decodeEndpoints(resp.GetEndpoints()))
+		s.SetEndpoints(w.merge(resp))
 		w.epoch, w.version = resp.GetEpoch(), resp.GetEndpointsVersion()
 	}
 	return nil
 }
 
+// merge takes over the endpoints of an answer and returns the whole list.
+func (w *Watcher) merge(resp *peerv1.WatchResponse) []Endpoint {
+	if !resp.GetPartial() || w.endpoints == nil {
+		w.endpoints = map[string]Endpoint{}
+	}
+	for _, e := range decodeEndpoints(resp.GetEndpoints()) {
+		w.endpoints[e.ID] = e
+	}
+	return slices.Collect(maps.Values(w.endpoints))
+}
+
 func decodeShares(in []*peerv1.CustomerShare) map[string]directory.Share {
 	out := make(map[string]directory.Share, len(in))
 	for _, s := range in {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -11,6 +11,7 @@
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/coordination/directory"
 	"github.com/radishloom/radishloom/internal/coordination/forward"
 	"github.com/radishloom/radishloom/internal/telemetry"
 	"github.com/radishloom/radishloom/internal/transport/datagram"
@@ -55,6 +56,7 @@
 	watcher.SetSeeds(seedAddresses(s))
 	server := forward.New(forward.Config{
 		Codec: platform.Codec{}, Client: client, Loader: watcher, Metrics: metrics, Log: log, Name: session.Incarnation,
+		DataCentre: s.DataCentre, ExchangeLimit: directory.ExchangeLimit,
 		Tell: func(u *peerv1.LoadUpdate) {
 			if err := loads.Send(u); err != nil {
 				log.Warn("load not told", "error", err)
