forward: with many entries each prefers its own engines and tells loads in batches

Change: beyond 16 entries each has an order of engines of its own and tells loads every 60 ms; 600 ms are kept for the first event.

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -52,7 +52,7 @@
 	// in time leaves.
 	firstEventReserve = 150 * time.Millisecond
 	// firstEventTime is kept from that for the endpoint's own work.
-	firstEventTime = 400 * time.Millisecond
+	firstEventTime = 600 * time.Millisecond
 )
 
 // call is one request on its way.
--- a/internal/coordination/forward/loads.go
+++ b/internal/coordination/forward/loads.go
@@ -15,7 +15,7 @@
 	// flushDelay collects changes that are not urgent; flushDelayLarge is the same
 	// where many entries listen.
 	flushDelay      = 15 * time.Millisecond
-	flushDelayLarge = 40 * time.Millisecond
+	flushDelayLarge = 60 * time.Millisecond
 )
 
 // work is what one entry, or all of them, have at an engine.
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	"github.com/radishloom/radishloom/internal/coordination/directory"
 	"github.com/radishloom/radishloom/internal/coordination/exchange"
@@ -156,6 +158,7 @@
 	s.mu.table.dataCentre = ""
 	if entries > s.cfg.ExchangeLimit {
 		s.mu.table.dataCentre = s.cfg.DataCentre
+		s.mu.table.preference = xxhash.Sum64String(s.cfg.Name)
 	}
 }
 
@@ -192,15 +195,15 @@
 }
 
 // tellLoads tells other entries what changed: at once when a request was sent,
-// since they would send theirs to the same engine, else within flushDelay.
+// since they would send theirs to the same engine, else within flushDelay. Where
+// many listen, nothing is told at once.
 // Callers hold the lock.
 func (s *Server) tellLoads(now bool) {
 	if len(s.mu.table.loads.changed) == 0 || s.cfg.Tell == nil {
 		return
 	}
-	if now {
-		s.mu.seq++
-		s.cfg.Tell(s.mu.table.update(s.cfg.Name, s.mu.seq, false))
+	if now && s.mu.table.dataCentre == "" {
+		s.flushLoads()
 		return
 	}
 	if s.mu.flushing {
@@ -215,10 +218,19 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.mu.flushing = false
-		s.tellLoads(true)
+		s.flushLoads()
 	})
 }
 
+// flushLoads tells what changed. Callers hold the lock.
+func (s *Server) flushLoads() {
+	if len(s.mu.table.loads.changed) == 0 {
+		return
+	}
+	s.mu.seq++
+	s.cfg.Tell(s.mu.table.update(s.cfg.Name, s.mu.seq, false))
+}
+
 // HearLoads takes over an update of another entry. Waiting requests look for
 // places a moment later, so that entries do not all take the same one.
 func (s *Server) HearLoads(u *peerv1.LoadUpdate) {
--- a/internal/coordination/forward/table.go
+++ b/internal/coordination/forward/table.go
@@ -39,6 +39,10 @@
 	// elsewhere is what an engine in another data centre costs, in requests, if
 	// the loads of its entries are not known.
 	elsewhere = 0.7
+	// preferred is what an entry's own order of endpoints counts, in requests,
+	// where there are many entries: each then uses few endpoints, on connections
+	// that it has.
+	preferred = 0.8
 	// randomPart keeps entries with equal knowledge from choosing alike.
 	randomPart = 0.1
 )
@@ -125,6 +129,8 @@
 	// dataCentre is set when entries tell their loads in their own data centre
 	// only; its endpoints then come first.
 	dataCentre string
+	// preference orders endpoints for this entry in that case.
+	preference uint64
 	rand       func() float64
 }
 
@@ -263,8 +269,11 @@
 		w := t.work(now, e)
 		cost = (float64(w.prompt)+heldCost*float64(w.held))/tokensPerRequest + t.rand()*randomPart
 	}
-	if t.dataCentre != "" && e.DataCentre != t.dataCentre {
-		cost += elsewhere
+	if t.dataCentre != "" {
+		cost += preferred * rendezvous(t.preference, e.ID)
+		if e.DataCentre != t.dataCentre {
+			cost += elsewhere
+		}
 	}
 	if q.Affinity != 0 {
 		cost -= affinity * rendezvous(q.Affinity, e.ID)
