directory, forward: smaller files

Change: declarations move to files by job: observations, placing, adapters, orders, polling, publication and the watch; admission, waiting, sending and refusals. Conclusion: tests of both packages pass.

--- /dev/null
+++ b/internal/coordination/directory/poll.go
@@ -0,0 +1,141 @@
+package directory
+
+import (
+	"context"
+	"slices"
+	"time"
+)
+
+// startList asks for the list when that is due.
+func (s *Server) startList(ctx context.Context) {
+	s.mu.Lock()
+	due := !s.mu.listing && s.now() >= s.mu.nextList
+	term := s.mu.term
+	if due {
+		s.mu.listing = true
+		s.mu.nextList = s.now() + listInterval
+	}
+	s.mu.Unlock()
+	if !due {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, callLimit)
+		defer cancel()
+		list, err := s.cfg.Platform.List(ctx)
+		if err != nil {
+			s.cfg.Log.Warn("list not read", "error", err)
+		}
+		s.setList(term, list, err)
+	}()
+}
+
+func (s *Server) setList(term uint64, list []Endpoint, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mu.term != term || term == 0 {
+		return
+	}
+	s.mu.listing = false
+	if err != nil {
+		return
+	}
+	slices.SortFunc(list, func(a, b Endpoint) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	changed := !s.mu.listed || !slices.EqualFunc(list, s.mu.list, sameEndpoint)
+	s.mu.listed = true
+	s.noteChanges(list)
+	s.mu.list = list
+	s.mu.planner.SetEndpoints(list)
+	if changed {
+		s.bumpLocked()
+	}
+}
+
+// noteChanges logs endpoints that came, leave or went.
+func (s *Server) noteChanges(list []Endpoint) {
+	old := map[string]Endpoint{}
+	for _, e := range s.mu.list {
+		old[e.ID] = e
+	}
+	for _, e := range list {
+		before, known := old[e.ID]
+		delete(old, e.ID)
+		switch {
+		case !known:
+			s.cfg.Log.Info("endpoint listed", "endpoint", e.ID, "service", e.Service, "address", e.Address, "leaving", e.Leaving)
+		case e.Leaving && !before.Leaving:
+			s.cfg.Log.Info("endpoint leaves", "endpoint", e.ID, "service", e.Service)
+		}
+	}
+	for id, e := range old {
+		s.cfg.Log.Info("endpoint gone", "endpoint", id, "service", e.Service)
+	}
+}
+
+func sameEndpoint(a, b Endpoint) bool {
+	return a.ID == b.ID && a.Address == b.Address && a.Leaving == b.Leaving && a.Service == b.Service && a.Slots == b.Slots
+}
+
+// startReports asks each engine whose report is due.
+func (s *Server) startReports(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if s.mu.index == nil {
+		return
+	}
+	for i, e := range s.mu.list {
+		service := s.mu.index.Service(e.Service)
+		if service == nil || service.Engine == nil || e.Leaving {
+			continue
+		}
+		due, known := s.mu.asking[e.ID]
+		if !known {
+			// Spread the first reports, so that they do not all come at once.
+			due = now + time.Duration(i%4)*workInterval
+			s.mu.asking[e.ID] = due
+		}
+		if now < due {
+			continue
+		}
+		s.mu.asking[e.ID] = now + reportInterval
+		go s.ask(ctx, s.mu.term, e, now)
+	}
+}
+
+func (s *Server) ask(ctx context.Context, term uint64, e Endpoint, asked time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	r, err := s.cfg.Platform.Report(ctx, e)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mu.term != term {
+		return
+	}
+	if err != nil {
+		s.cfg.Log.Info("report not read", "endpoint", e.ID, "error", err)
+		return
+	}
+	before := s.residencyLocked(e.ID)
+	s.mu.planner.Reported(s.now(), asked, e.ID, r)
+	s.mu.dirty = true
+	if !slices.EqualFunc(before, s.residencyLocked(e.ID), sameResident) {
+		s.bumpLocked()
+	}
+}
+
+func sameResident(a, b Resident) bool {
+	return a.Model == b.Model && slices.Equal(a.Adapters, b.Adapters)
+}
+
+func (s *Server) residencyLocked(id string) []Resident {
+	if e := s.mu.planner.engines[id]; e != nil {
+		return e.report.Models
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/forward/admit.go
@@ -0,0 +1,129 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// admit finds route and customer, reads the body and charges the request.
+func (c *call) admit(r *http.Request) *resultcode.Error {
+	c.index = c.server.index.Load()
+	if c.index == nil {
+		return resultcode.New(resultcode.NoFreshState, "this VM has no catalog yet")
+	}
+	if c.route = c.index.Route(c.req.Host, c.req.Path); c.route == nil {
+		return resultcode.New(resultcode.NoRoute, "no route for host %q and path %q in version %d", c.req.Host, c.req.Path, c.index.Version())
+	}
+	if err := c.authenticate(); err != nil {
+		return err
+	}
+	if err := c.readBody(r); err != nil {
+		return err
+	}
+	c.deadline = c.arrived + c.route.Timeout
+	if c.req.Wait > 0 {
+		c.deadline = min(c.deadline, c.arrived+c.req.Wait)
+	}
+	c.service = c.index.Service(c.route.Choose(rand.Float64()))
+	c.query = c.newQuery()
+	return c.charge()
+}
+
+func (c *call) authenticate() *resultcode.Error {
+	if c.req.Key != "" {
+		c.customer = c.index.Authenticate(c.req.Key)
+	}
+	if c.route.Public || len(c.index.Catalog().Customers) == 0 || c.customer != nil {
+		return nil
+	}
+	if c.req.Key == "" {
+		return resultcode.New(resultcode.KeyMissing, "route %q needs a key", c.route.Name)
+	}
+	return resultcode.New(resultcode.KeyUnknown, "the key belongs to no customer in version %d", c.index.Version())
+}
+
+func (c *call) readBody(r *http.Request) *resultcode.Error {
+	limit := c.index.Catalog().Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, r.Body, limit))
+	var large *http.MaxBytesError
+	var coded *resultcode.Error
+	switch {
+	case err == nil:
+		c.req.Body = body
+		return nil
+	case errors.As(err, &large):
+		return resultcode.New(resultcode.BodyTooLarge, "the body has more than %d bytes", limit)
+	case errors.As(err, &coded):
+		return coded
+	default:
+		return resultcode.Wrap(resultcode.CallerGone, err, "the body did not arrive")
+	}
+}
+
+// urgencyPerPriority spreads a customer's priority over the route's.
+const (
+	urgencyPerPriority = 3
+	maxUrgency         = 9
+)
+
+func (c *call) newQuery() Query {
+	q := Query{Service: c.service.Name, Depth: plainDepth, Urgency: min(maxUrgency, c.route.Priority)}
+	if c.customer != nil {
+		q.Urgency = min(maxUrgency, c.customer.Priority*urgencyPerPriority+min(c.route.Priority, urgencyPerPriority-1))
+	}
+	if c.service.Engine != nil {
+		q.Model, q.Adapter = c.req.Model, c.req.Adapter
+		q.Affinity = HashPrefix(q.Model, q.Adapter, c.req.Prefix)
+		q.Prompt, q.Held = c.engineTokens()
+	}
+	return q
+}
+
+// engineTokens returns the tokens that an engine has to read for the request,
+// and those that it holds until the end.
+func (c *call) engineTokens() (prompt, held int) {
+	if !c.req.HasTokens {
+		return 1, 1
+	}
+	held = c.req.PromptTokens + int(outputUse*float64(c.req.OutputTokens))
+	prompt = c.req.PromptTokens
+	if n := len(c.req.Prefix); n > 1 {
+		own := c.req.Prefix[n-1].Tokens
+		prompt = own + int(sharedReads*float64(c.req.PromptTokens-own))
+	}
+	return max(1, prompt), held
+}
+
+func (c *call) charge() *resultcode.Error {
+	s := c.server
+	tokens := c.req.PromptTokens + c.req.OutputTokens
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if c.customer != nil {
+		c.cost = c.customer.Cost(tokens, c.req.HasTokens)
+	}
+	ok, wait := s.mu.buckets.Take(now, c.customer, c.cost)
+	if !ok {
+		err := resultcode.New(resultcode.RateExceeded, "customer %q has used its rate", c.customer.Name)
+		err.RetryAfter = wait
+		return err
+	}
+	s.mu.budget.Request(now, c.service.Name)
+	if c.query.Model != "" {
+		d := demandOf(s.mu.demand, c.query.Model, "")
+		d.Requests++
+		d.Tokens += uint64(tokens)
+		if c.query.Adapter != "" {
+			demandOf(s.mu.demand, c.query.Model, c.query.Adapter).Requests++
+		}
+	}
+	return nil
+}
--- a/internal/coordination/forward/budget.go
+++ b/internal/coordination/forward/budget.go
@@ -6,7 +6,7 @@
 const budgetSlots = 10
 
 // Budget bounds further attempts for each service: at every entry to a part of
-// its own requests plus its part of the fixed allowance, so that the sum over
+// its own requests plus its part of the fixed slack, so that the sum over
 // all entries keeps the fleet's bound without any message.
 type Budget struct {
 	window  time.Duration
@@ -21,7 +21,7 @@
 	requests, retries [budgetSlots]int
 }
 
-// budgetMargin keeps part of the allowance for restarts of entries, which
+// budgetMargin keeps part of the bound for restarts of entries, which
 // forget what they spent.
 const budgetMargin = 0.6
 
@@ -30,7 +30,7 @@
 	return &Budget{window: window, ratio: ratio, slack: slack, entries: 1, counts: map[string]*budgetCount{}}
 }
 
-// SetEntries says over how many entries the allowance is divided.
+// SetEntries says over how many entries the slack is divided.
 func (b *Budget) SetEntries(n int) { b.entries = max(1, n) }
 
 func (b *Budget) count(now time.Duration, service string) *budgetCount {
--- /dev/null
+++ b/internal/coordination/forward/refuse.go
@@ -0,0 +1,85 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// finish ends a request without an answer of an endpoint.
+func (c *call) finish(err *resultcode.Error) {
+	if c.sends > 0 && c.ran == 0 && err.Code.Info().Run != resultcode.NotRun {
+		c.ran = 1
+	}
+	if c.ran > 0 && err.Code.Info().Run == resultcode.NotRun {
+		err = c.lastErr
+		if err.Code.Info().Run == resultcode.NotRun {
+			err = resultcode.Wrap(resultcode.EndpointLost, err, "an earlier attempt may have run")
+		}
+	}
+	if c.ran == 0 {
+		c.server.mu.Lock()
+		c.server.mu.buckets.Refund(c.customer, c.cost)
+		c.server.mu.Unlock()
+	}
+	if c.relay != nil {
+		took := c.server.now() - c.arrived
+		c.server.log.Info("answer cut", "request", c.req.ID, "code", err.Code, "model", c.req.Model, "sends", c.sends, "ms", took.Milliseconds(),
+			"first_ms", c.relay.first.Milliseconds(), "silent_ms", (took - c.relay.last).Milliseconds(), "error", err.Error())
+		c.relay.abort()
+	}
+	c.refuse(err)
+}
+
+// retryAfter bounds the advice to come back when the time is not known.
+const (
+	retryAfterMin    = 300 * time.Millisecond
+	retryAfterSpread = 700 * time.Millisecond
+)
+
+// refuse writes the final answer of a request that no endpoint answered.
+func (c *call) refuse(err *resultcode.Error) {
+	c.server.cfg.Metrics.Refusal(err.Code)
+	customer := ""
+	if c.customer != nil {
+		customer = c.customer.Name
+	}
+	var version uint64
+	if c.index != nil {
+		version = c.index.Version()
+	}
+	c.server.log.Info("refused", "request", c.req.ID, "code", err.Code, "customer", customer, "model", c.req.Model,
+		"catalog", version, "sends", c.sends, "ms", (c.server.now() - c.arrived).Milliseconds(), "error", err.Error())
+	info := err.Code.Info()
+	if err.Code == resultcode.CallerGone {
+		panic(http.ErrAbortHandler)
+	}
+	status := info.Status
+	h := c.w.Header()
+	if info.Run == resultcode.NotRun && (status >= http.StatusInternalServerError || status == http.StatusTooManyRequests) {
+		wait := err.RetryAfter
+		if wait <= 0 {
+			wait = retryAfterMin + rand.N(retryAfterSpread)
+		}
+		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
+		if status != http.StatusTooManyRequests {
+			status = http.StatusServiceUnavailable
+		}
+	} else if status >= http.StatusInternalServerError || info.Run != resultcode.NotRun {
+		status = http.StatusBadGateway
+		if errors.Is(c.ctx.Err(), context.DeadlineExceeded) {
+			status = http.StatusGatewayTimeout
+		}
+	}
+	c.server.cfg.Codec.Identify(h, c.req.ID)
+	h.Set(resultcode.Header, strconv.Itoa(int(err.Code)))
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	c.w.WriteHeader(status)
+	_, _ = io.WriteString(c.w, err.Error()+"\n") // the caller may be gone
+}
