telemetry: kratos' lines are JSON lines on the platform, too

Cause: each server of a process wrote a line of its own format at its start. Change: the daemon's adapter moves to telemetry and serves both. Conclusion: standard output holds JSON lines only.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -318,7 +318,7 @@
 		kratos.ID(d.settings.VM),
 		kratos.Version(d.version),
 		kratos.Context(ctx),
-		kratos.Logger(kratosLogger{d.log}),
+		kratos.Logger(telemetry.KratosLogger{Logger: d.log}),
 		kratos.Server(servers...),
 		kratos.StopTimeout(d.settings.GracePeriod+stopMargin),
 		kratos.BeforeStop(d.turnAway),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	kratoslog "github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
@@ -45,6 +46,7 @@
 func Run(ctx context.Context, s *platform.Settings, log *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	kratoslog.SetLogger(telemetry.KratosLogger{Logger: log})
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return err
--- a/internal/daemon/kratoslog.go
+++ b/internal/telemetry/kratos.go
@@ -1,4 +1,4 @@
-package daemon
+package telemetry
 
 import (
 	"fmt"
@@ -7,11 +7,11 @@
 	kratoslog "github.com/go-kratos/kratos/v2/log"
 )
 
-// kratosLogger writes kratos' own log lines as JSON lines.
-type kratosLogger struct{ log *slog.Logger }
+// KratosLogger writes kratos' own log lines as JSON lines.
+type KratosLogger struct{ Logger *slog.Logger }
 
 // Log implements kratoslog.Logger.
-func (k kratosLogger) Log(level kratoslog.Level, keyvals ...any) error {
+func (k KratosLogger) Log(level kratoslog.Level, keyvals ...any) error {
 	message := ""
 	args := []any{"component", "kratos"}
 	for i := 0; i+1 < len(keyvals); i += 2 {
@@ -23,11 +23,11 @@
 	}
 	switch {
 	case level >= kratoslog.LevelError:
-		k.log.Error(message, args...)
+		k.Logger.Error(message, args...)
 	case level == kratoslog.LevelWarn:
-		k.log.Warn(message, args...)
+		k.Logger.Warn(message, args...)
 	default:
-		k.log.Debug(message, args...)
+		k.Logger.Debug(message, args...)
 	}
 	return nil
 }
