--- a/internal/coordination/directory/orders.go
+++ b/internal/coordination/directory/orders.go
@@ -10,7 +10,7 @@
 	"github.com/radishloom/radishloom/internal/state/catalog"
 )
 
-// mayOrder says whether the lease of an earlier leader's orders is over.
+// mayOrderLocked says whether the lease of an earlier leader's orders is over.
 func (s *Server) mayOrderLocked() bool {
 	return s.mu.term != 0 && s.mu.listed && s.mu.index != nil && s.now()-s.mu.since >= s.cfg.OrderLease+orderMargin
 }
--- a/internal/coordination/directory/place.go
+++ b/internal/coordination/directory/place.go
@@ -9,7 +9,8 @@
 	"github.com/radishloom/radishloom/internal/state/catalog"
 )
 
-// fillFree gives an engine that has just started its first model. The model with the most load for each copy
+// fillFree gives an engine that has just started its first model. The model
+// with the most load for each copy
 // comes first, and a single copy counts as more, since its engine may go.
 func (r *plan) fillFree() (Decision, bool) {
 	if r.store < storeBurst {
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -77,7 +77,7 @@
 		// ready is when a model that is resident nowhere is expected.
 		ready map[string]time.Duration
 		known bool // a list of endpoints has arrived
-		// seq numbers updates; flushing and rush are pending timers.
+		// seq numbers updates; flushing and heard say that a timer is pending.
 		seq      uint64
 		flushing bool
 		heard    bool
