forward: an entry asks every control VM when none that it asked knows a leader

A control VM without a leader put itself first in the entry's list, so the next call went to the first member and the one after that back: an entry went to and fro between two VMs of the half without a majority until the cut healed. Ruled out: the size of the catalog (35 KB) and the leader, which was elected within 0.6 s and acknowledged changes. Change: such an answer only adds members that are not known, behind the others. Figures: TestWatcherFindsTheLeaderOfTheOtherHalf fails before, with two of five VMs asked five times each, and passes after.

--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -179,10 +179,22 @@
 		w.setMembers(resp.GetMembers(), leader)
 		return errFollower
 	}
-	w.setMembers(resp.GetMembers(), address)
+	w.addMembers(resp.GetMembers())
 	return errElection
 }
 
+// addMembers adds control VMs behind those that are known and keeps the order
+// of calls, so that each of them gets its turn.
+func (w *Watcher) addMembers(members []*statev1.Member) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range members {
+		if !slices.Contains(w.mu.addresses, m.GetAddress()) {
+			w.mu.addresses = append(w.mu.addresses, m.GetAddress())
+		}
+	}
+}
+
 func (w *Watcher) apply(s *Server, address string, resp *peerv1.WatchResponse) error {
 	if c := resp.GetCatalog(); c != nil {
 		decoded, err := w.Decode(c.GetDocument())
