forward, directory: one loop for new addresses, two unread fields go

SetSeeds and addMembers held the same loop; HasAvailableLists and engine.asked were written and never read. Change: addLocked serves both; the fields go. Behaviour is unchanged.

--- a/internal/coordination/directory/engine.go
+++ b/internal/coordination/directory/engine.go
@@ -13,8 +13,6 @@
 	Endpoint
 	report   Report
 	reported time.Duration // zero before the first report
-	// asked is when the report was asked for.
-	asked time.Duration
 	// stale says that a newer report is needed before the next order.
 	stale bool
 	// staleSince is when the last order made the report useless.
--- a/internal/coordination/directory/observe.go
+++ b/internal/coordination/directory/observe.go
@@ -45,7 +45,7 @@
 		}
 		return
 	}
-	e.report, e.reported, e.asked, e.stale = r, now, asked, false
+	e.report, e.reported, e.stale = r, now, false
 	if e.loading != "" && (e.holds(e.loading) || (now > e.loadingUntil && !r.Busy)) {
 		e.loading = ""
 	}
--- a/internal/coordination/directory/types.go
+++ b/internal/coordination/directory/types.go
@@ -37,11 +37,10 @@
 	Sequence uint64
 	// Started is the engine's start in Unix milliseconds; it names the
 	// incarnation together with the identifier.
-	Started           int64
-	Running, Waiting  int
-	KVUsed, KVTotal   int
-	InMemory, OnDisk  []string
-	HasAvailableLists bool
+	Started          int64
+	Running, Waiting int
+	KVUsed, KVTotal  int
+	InMemory, OnDisk []string
 }
 
 // Adapter names an adapter of a model.
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -65,6 +65,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.mu.seeds = addresses
+	w.addLocked(addresses)
+}
+
+// addLocked adds addresses that are not known behind the others.
+func (w *Watcher) addLocked(addresses []string) {
 	for _, a := range addresses {
 		if !slices.Contains(w.mu.addresses, a) {
 			w.mu.addresses = append(w.mu.addresses, a)
@@ -188,11 +193,11 @@
 func (w *Watcher) addMembers(members []*statev1.Member) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	var addresses []string
 	for _, m := range members {
-		if !slices.Contains(w.mu.addresses, m.GetAddress()) {
-			w.mu.addresses = append(w.mu.addresses, m.GetAddress())
-		}
+		addresses = append(addresses, m.GetAddress())
 	}
+	w.addLocked(addresses)
 }
 
 func (w *Watcher) apply(s *Server, address string, resp *peerv1.WatchResponse) error {
