e2e: the harness waits until a new key is in force at every VM

Its log shows the request at 09:36:43.4358 and version 2, which has the key, in force at 43.4389; vm-2 had acknowledged the key at 43.4254. An acknowledged change is in force on other VMs within 9 s, not at once, and the harness asked only for readiness, which every VM already had with version 1. Change: the harness keeps the version that created the key and waits until each VM reports it in force. No assertion changes. Conclusion: a fault of the test, not of the product.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -71,6 +71,8 @@
 	service *service.Service
 	key     string
 	keyID   string
+	// version is the first configuration that has the key.
+	version uint64
 	// authority, if set, signs a certificate for every listener.
 	authority *authority
 }
@@ -339,8 +341,25 @@
 	f.change(func(ctx context.Context, a adminv1.Admin) error {
 		r, err := a.CreateKey(ctx, &adminv1.CreateKeyRequest{RequestId: "key", Customer: "c"})
 		f.key, f.keyID = r.GetSecret(), r.GetKeyId()
+		if err == nil {
+			f.version = r.GetVersion()
+		}
 		return err
 	})
+	for _, v := range f.vms {
+		f.waitInForce(v)
+	}
+}
+
+// waitInForce waits until a VM uses the configuration with the customer's key.
+// An acknowledged change is in force on other VMs some time later, and a VM that
+// is ready may still have the version before.
+func (f *fleet) waitInForce(v *vm) {
+	f.t.Helper()
+	f.waitFor(fmt.Sprintf("version %d is in force at %s", f.version, v.name), func() bool {
+		s, err := f.admin(v).Status(context.Background(), &adminv1.StatusRequest{})
+		return err == nil && s.GetConfigVersion() >= f.version
+	})
 }
 
 func (f *fleet) waitReady(v *vm) {
