control: a leader acknowledges changes only once enough members vote

With one voter the acknowledged catalog itself would have been lost. Ruled out: elections (all three VMs ran and answered) and the replacement of a lost voter (it cannot commit without a majority). Change: control.Config.MinVoters; a leader refuses changes of callers with NoLeader while fewer members vote, for 4 s at most, so that a VM that never starts is borne.

--- a/internal/coordination/control/catalog_test.go
+++ b/internal/coordination/control/catalog_test.go
@@ -8,6 +8,7 @@
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/state/fleet"
+	"github.com/radishloom/radishloom/internal/state/wal/faultfs"
 )
 
 // Catalogs arrive in any order and more than once, from two operators, and
@@ -94,3 +95,58 @@
 		})
 	}
 }
+
+// Guards against a catalog that is acknowledged while the fleet still forms and
+// is gone, or blocks the fleet for good, with the disk of one of its first voters.
+func TestFirstCatalogSurvivesALostDisk(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const vms, losses = 3, 1
+		w := newFormingWorld(t, faults{}, vms, 2*losses+1)
+		acknowledged := false
+		for deadline := w.now + 30*time.Second; !acknowledged; w.run(50 * time.Millisecond) {
+			if w.now > deadline {
+				t.Fatal("the first catalog is not acknowledged")
+			}
+			l := w.leader()
+			if l == nil {
+				continue
+			}
+			put := &statev1.Command{Op: &statev1.Command_PutCatalog{PutCatalog: &statev1.PutCatalog{
+				Catalog: &statev1.Catalog{Version: 1, Document: []byte("first")},
+			}}}
+			l.loop.submit(put, func(_ *statev1.Result, err error) { acknowledged = acknowledged || err == nil })
+		}
+		lost := w.vms[rapid.IntRange(0, vms-1).Draw(t, "lost")]
+		w.kill(lost)
+		lost.disk = faultfs.New(w.rand.IntN)
+		w.start(lost)
+		w.run(20 * time.Second)
+		l := w.leader()
+		if l == nil {
+			t.Fatal("nobody leads after the loss of one disk")
+		}
+		if got := l.loop.machine.Catalog().GetVersion(); got != 1 {
+			t.Fatalf("catalog version %d after the loss of one disk, want 1", got)
+		}
+	})
+}
+
+// Guards against a fleet that never takes its first catalog because one of its
+// VMs does not start.
+func TestFleetTakesChangesWithoutAVMThatNeverStarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newFormingWorld(t, faults{}, 3, 3)
+		w.kill(w.vms[2])
+		w.run(formTimeout + 6*time.Second)
+		acknowledged := false
+		if l := w.leader(); l != nil {
+			l.loop.submit(&statev1.Command{Op: &statev1.Command_Stamp{Stamp: &statev1.Stamp{}}}, func(_ *statev1.Result, err error) {
+				acknowledged = err == nil
+			})
+		}
+		w.run(time.Second)
+		if !acknowledged {
+			t.Fatal("two of three VMs take no change")
+		}
+	})
+}
--- a/internal/coordination/control/config.go
+++ b/internal/coordination/control/config.go
@@ -68,6 +68,11 @@
 	// than keepVoters vote.
 	removeAfter = 8 * time.Second
 	keepVoters  = 5
+
+	// formTimeout is how long a leader refuses changes while fewer than MinVoters
+	// vote. A VM that never starts must not keep the fleet from its first
+	// configuration: users' traffic begins 10 s after the VMs.
+	formTimeout = 4 * time.Second
 )
 
 // Clock is the source of time.
@@ -104,6 +109,10 @@
 	// Bootstrap allows the first of Peers to start a new fleet, if its folder is
 	// empty and none of the other peers belongs to a fleet.
 	Bootstrap bool
+	// MinVoters is how many members must vote before a change is acknowledged:
+	// with fewer, the loss of the disks that the fleet must bear could lose it.
+	// Zero asks for none.
+	MinVoters int
 	// Replaces is the member that this one replaces when it joins. If it is zero,
 	// a member with the same VM name is replaced.
 	Replaces  uint64
--- a/internal/coordination/control/loop_test.go
+++ b/internal/coordination/control/loop_test.go
@@ -81,6 +81,8 @@
 	changes  []*change
 	accepted map[uint64]string // request by version
 	newest   uint64            // newest accepted version
+	// minVoters is the setting of every VM.
+	minVoters int
 }
 
 const simulatedVMs = 3
@@ -88,7 +90,17 @@
 func newWorld(t *rapid.T, f faults) *world { return newWorldOf(t, f, simulatedVMs) }
 
 func newWorldOf(t *rapid.T, f faults, vms int) *world {
-	w := &world{t: t, rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), faults: f, accepted: map[uint64]string{}}
+	w := newFormingWorld(t, f, vms, 0)
+	w.run(8 * time.Second)
+	return w
+}
+
+// newFormingWorld returns a world whose first VM has just started a fleet.
+func newFormingWorld(t *rapid.T, f faults, vms, minVoters int) *world {
+	w := &world{
+		t: t, rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+		faults: f, accepted: map[uint64]string{}, minVoters: minVoters,
+	}
 	for i := range vms {
 		v := &vm{world: w, disk: faultfs.New(w.rand.IntN)}
 		v.member = &statev1.Member{Vm: fmt.Sprint("vm", i), Address: fmt.Sprint("10.0.0.", i+1, ":1")}
@@ -97,7 +109,6 @@
 		w.start(v)
 	}
 	w.must(w.vms[0].loop.bootstrap())
-	w.run(8 * time.Second)
 	return w
 }
 
@@ -119,6 +130,7 @@
 func (w *world) start(v *vm) {
 	l, err := newLoop(Config{
 		Dir: "data", FS: v.disk, Member: v.member, Transport: v, Clock: v.clock, Rand: w.rand.IntN, Random: w, Metrics: noMetrics{},
+		MinVoters: w.minVoters,
 	})
 	if errors.Is(err, wal.ErrSync) {
 		w.kill(v)
--- a/internal/coordination/control/propose.go
+++ b/internal/coordination/control/propose.go
@@ -65,6 +65,35 @@
 	l.await(index, term, done)
 }
 
+// submit proposes a caller's command once enough members vote. While the fleet
+// forms, the first voters alone would acknowledge what the loss of one disk
+// takes away again.
+func (l *loop) submit(c *statev1.Command, done func(*statev1.Result, error)) {
+	if l.forming() {
+		done(nil, noLeader("fewer than %d control VMs vote so far", l.cfg.MinVoters))
+		return
+	}
+	l.propose(c, done)
+}
+
+// forming reports whether this leader still waits for members to vote.
+func (l *loop) forming() bool {
+	if l.status.Role != raft.Leader || countVoters(l.core.Status().Membership) >= l.cfg.MinVoters {
+		return false
+	}
+	return !l.leading() || l.cfg.Clock.Now()-l.since < formTimeout
+}
+
+func countVoters(m *statev1.Membership) int {
+	n := 0
+	for _, x := range m.GetMembers() {
+		if !x.GetLearner() {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *loop) refuseNotLeading(leader uint64, done func(*statev1.Result, error)) {
 	if l.diskFull && leader == 0 {
 		done(nil, resultcode.New(resultcode.DiskFull, "the disk of %s is full", l.member.GetVm()))
--- a/internal/coordination/control/server.go
+++ b/internal/coordination/control/server.go
@@ -230,7 +230,7 @@
 	defer cancel()
 	for {
 		result, err := ask(ctx, s, unconfirmed("the result did not arrive in time"), func(done func(*statev1.Result, error)) {
-			s.loop.propose(r.GetCommand(), done)
+			s.loop.submit(r.GetCommand(), done)
 		})
 		if err == nil {
 			return &peerv1.ProposeResponse{Result: result}, nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -119,6 +119,7 @@
 		FS:        wal.OS{},
 		Member:    member,
 		Bootstrap: c.Bootstrap,
+		MinVoters: len(c.BootstrapMembers),
 		Transport: d.transport,
 		Demand:    d.takeDemand,
 		Metrics: telemetry.Control{
