forward, directory: entries know each other's loads in all data centres; a bounded planner

Cause: with more than 16 entries each knew what the others of its own data centre sent and had reports of up to 2.5 s for the rest; engines counted as full on old reports, and were overfilled on others. TestTotalIsTheSumOfPeers found that an update without requests still counted prompt tokens.

--- a/internal/coordination/directory/adapter.go
+++ b/internal/coordination/directory/adapter.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,17 +12,18 @@
 // unload of another one in its place. The second result is the engine that has
 // it already.
 func (p *Planner) PlanAdapter(now time.Duration, s *catalog.Service, model, adapter string) (*Decision, string) {
-	r := p.newPlan(now, s)
 	var best *engine
-	for _, e := range r.engines {
-		if !e.serves(model) {
+	for _, e := range p.engines {
+		if e.Service != s.Name || !e.serves(model) {
 			continue
 		}
 		if slices.Contains(e.adaptersOf(model), adapter) {
 			return nil, e.ID
 		}
-		usable := !e.ordering && !e.stale && e.reported != 0 && r.now-e.reported < ReportAge && len(e.report.Incoming) < 4
-		if usable && (best == nil || r.adapterCost(e) < r.adapterCost(best)) {
+		if !e.takesAdapter(now) {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(e.adapterCost(s), best.adapterCost(s)), cmp.Compare(e.ID, best.ID)) < 0 {
 			best = e
 		}
 	}
@@ -29,36 +31,44 @@
 		return nil, ""
 	}
 	if best.adapterPlaces() >= s.Engine.AdapterSlots {
-		victim, ok := r.idleAdapter(best)
+		victim, ok := p.idleAdapter(now, best)
 		if !ok {
 			return nil, ""
 		}
-		d := r.order(best, Order{Operation: Unload, Model: victim.Model, Adapter: victim.Name})
+		d := best.order(Order{Operation: Unload, Model: victim.Model, Adapter: victim.Name})
 		return &d, ""
 	}
-	d := r.order(best, Order{Operation: Load, Model: model, Adapter: adapter})
+	d := best.order(Order{Operation: Load, Model: model, Adapter: adapter})
 	return &d, ""
 }
 
+// incomingLimit is how many adapters may be on their way to an engine.
+const incomingLimit = 4
+
+// takesAdapter says whether what is known of the engine is enough for an order.
+func (e *engine) takesAdapter(now time.Duration) bool {
+	return !e.ordering && !e.stale && e.reported != 0 && now-e.reported < ReportAge && len(e.report.Incoming) < incomingLimit
+}
+
 // adapterCost prefers engines with free places and little load.
-func (r *plan) adapterCost(e *engine) float64 {
+func (e *engine) adapterCost(s *catalog.Service) float64 {
 	cost := float64(e.report.Running+e.report.Waiting) / float64(max(1, e.Slots))
-	cost += float64(e.adapterPlaces()) / float64(max(1, r.service.Engine.AdapterSlots))
+	cost += float64(e.adapterPlaces()) / float64(max(1, s.Engine.AdapterSlots))
 	return cost
 }
 
 // idleAdapter returns the adapter that was used longest ago.
-func (r *plan) idleAdapter(e *engine) (Adapter, bool) {
+func (p *Planner) idleAdapter(now time.Duration, e *engine) (Adapter, bool) {
 	var oldest Adapter
-	found, at := false, r.now
+	found, at := false, now
 	for _, m := range e.report.Models {
 		for _, a := range m.Adapters {
 			key := Adapter{m.Model, a}
 			last := e.adapters[key]
-			if d := r.demand[m.Model+"/"+a]; d != nil {
+			if d := p.demand[m.Model+"/"+a]; d != nil {
 				last = max(last, d.used)
 			}
-			if r.now-last >= adapterIdle && (!found || last < at) {
+			if now-last >= adapterIdle && (!found || last < at) {
 				oldest, found, at = key, true, last
 			}
 		}
--- a/internal/coordination/directory/place.go
+++ b/internal/coordination/directory/place.go
@@ -135,9 +135,8 @@
 // all pools again after each, and returns the orders that can be sent at once.
 func (r *plan) spread() []Decision {
 	var out []Decision
-	stuck := map[string]bool{}
-	for moves := 0; moves < movesPerRound; {
-		model := r.mostLoaded(stuck)
+	for range triesPerRound {
+		model := r.mostLoaded()
 		if model == "" {
 			break
 		}
@@ -145,10 +144,8 @@
 		if now {
 			out = append(out, d)
 		}
-		if begun {
-			moves++
-		} else {
-			stuck[model] = true
+		if !begun {
+			r.stuck[model] = r.now + stuckTime
 		}
 	}
 	return out
@@ -156,11 +153,11 @@
 
 // mostLoaded returns the model whose pool has the most load, if that is enough
 // for a further copy and the model is not passed over; or "".
-func (r *plan) mostLoaded(except map[string]bool) string {
+func (r *plan) mostLoaded() string {
 	best, most := "", leastLoad
 	for name, load := range r.load {
 		copies := len(r.pools[name])
-		if except[name] || copies == 0 || copies >= len(r.engines) || load < leastLoad/2 {
+		if r.now < r.stuck[name] || copies == 0 || copies >= len(r.engines) || load < leastLoad/2 {
 			continue
 		}
 		if l := r.poolLoad(name); l > most || (l == most && name < best) {
@@ -251,7 +248,7 @@
 		return Decision{}, true, false
 	}
 	r.mayLoad(e, m)
-	return r.order(e, Order{Operation: Load, Model: m.Name}), true, true
+	return e.order(Order{Operation: Load, Model: m.Name}), true, true
 }
 
 // evictFor returns the models whose memory a new one needs on an engine, the
--- a/internal/coordination/directory/plan.go
+++ b/internal/coordination/directory/plan.go
@@ -32,8 +32,11 @@
 	storePart  = 0.85
 	storeBurst = 0.7
 	storeSlack = 2.0
-	// movesPerRound bounds the moves that one round begins.
-	movesPerRound = 8
+	// triesPerRound bounds the models for which one round looks for an engine, and
+	// stuckTime is how long one that found none is passed over: a control VM of the
+	// users has 0.12 of a core, and under overload most models want copies.
+	triesPerRound = 8
+	stuckTime     = 700 * time.Millisecond
 	// adapterIdle is the age from which an unused adapter may make way.
 	adapterIdle = 1500 * time.Millisecond
 	// adapterReady is the time from an accepted order to the adapter's use.
@@ -44,13 +47,15 @@
 type Planner struct {
 	engines map[string]*engine
 	demand  map[string]*modelDemand
+	// stuck is until when a model that found no engine is passed over.
+	stuck   map[string]time.Duration
 	store   float64 // loads that may start now
 	storeAt time.Duration
 }
 
 // NewPlanner returns a planner without engines that may start no load at once.
 func NewPlanner(now time.Duration) *Planner {
-	return &Planner{engines: map[string]*engine{}, demand: map[string]*modelDemand{}, storeAt: now}
+	return &Planner{engines: map[string]*engine{}, demand: map[string]*modelDemand{}, stuck: map[string]time.Duration{}, storeAt: now}
 }
 
 // Decision is an order for one engine.
@@ -167,7 +172,7 @@
 		if r.now-e.closing[closing[0]] < closeTime {
 			return Decision{}, false
 		}
-		return r.order(e, Order{Operation: Unload, Model: closing[0]}), true
+		return e.order(Order{Operation: Unload, Model: closing[0]}), true
 	}
 	if e.replacement == "" {
 		return Decision{}, false
@@ -181,10 +186,11 @@
 		return Decision{}, false
 	}
 	e.replacement = ""
-	return r.order(e, Order{Operation: Load, Model: m.Name}), true
+	return e.order(Order{Operation: Load, Model: m.Name}), true
 }
 
-func (r *plan) order(e *engine, o Order) Decision {
+// order is an order for the engine's present state.
+func (e *engine) order(o Order) Decision {
 	o.Expected = e.report.Sequence
 	return Decision{Engine: e.Endpoint, Order: o}
 }
--- a/internal/coordination/directory/publish.go
+++ b/internal/coordination/directory/publish.go
@@ -51,7 +51,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	interval := loadNews
-	if s.mu.shares.Entries() > ExchangeLimit {
+	if s.mu.shares.Entries() > AtOnceLimit {
 		interval = loadNewsLarge
 	}
 	if s.mu.dirty && s.now()-s.mu.news >= interval {
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -24,12 +24,16 @@
 	// callLimit bounds one call to the platform or an engine.
 	callLimit = time.Second
 	// loadNews is how often changed loads alone are handed on; loadNewsLarge is
-	// the same with more entries than ExchangeLimit.
+	// the same with more entries than AtOnceLimit.
 	loadNews      = 700 * time.Millisecond
 	loadNewsLarge = 2500 * time.Millisecond
-	// ExchangeLimit is the number of entries up to which each tells all others
-	// what it sends. Beyond it they tell those of their own data centre.
-	ExchangeLimit = 16
+	// AtOnceLimit is the number of entries up to which each tells all others of
+	// each request that it sends; with more they tell what changed now and then.
+	AtOnceLimit = 16
+	// ExchangeLimit is the number of entries up to which each tells all others.
+	// With more they tell those of their own data centre, since the messages grow
+	// with the square: 96 entries receive 1600 updates of 100 bytes a second each.
+	ExchangeLimit = 96
 )
 
 // Leadership is what the directory needs of the control role.
--- a/internal/coordination/forward/decide_test.go
+++ b/internal/coordination/forward/decide_test.go
@@ -27,7 +27,7 @@
 func TestPromptsAreSpaced(t *testing.T) {
 	table := NewTable()
 	table.Update(0, []Endpoint{modelEndpoint("e")})
-	large, _ := table.Pick(0, modelQuery(promptWindow*2, 100))
+	large, _ := table.Pick(0, modelQuery(mostWindow*2, 100))
 	if large == nil {
 		t.Fatal("a large prompt does not pass an idle engine")
 	}
@@ -44,7 +44,7 @@
 func TestLoadsOfOtherEntriesCount(t *testing.T) {
 	table := NewTable()
 	table.Update(0, []Endpoint{modelEndpoint("e")})
-	table.loads.Take(0, &peerv1.LoadUpdate{Sender: "other", Seq: 2, Engines: []*peerv1.EngineLoad{{Endpoint: "e", Requests: 1, PromptTokens: promptWindow}}})
+	table.loads.Take(0, &peerv1.LoadUpdate{Sender: "other", Seq: 2, Engines: []*peerv1.EngineLoad{{Endpoint: "e", Requests: 1, PromptTokens: mostWindow}}})
 	if ticket, why := table.Pick(0, modelQuery(100, 100)); ticket != nil || why != Full {
 		t.Fatalf("the other entry's prompt does not count: %v", why)
 	}
@@ -57,6 +57,67 @@
 	}
 }
 
+// The sum that places are chosen by is what the updates of all entries that are
+// not silent say, in whatever order and however often they arrive.
+func TestTotalIsTheSumOfPeers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLoads()
+		type said struct {
+			seq  uint64
+			at   time.Duration
+			work map[string]work
+		}
+		peers := map[string]*said{}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "updates") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond
+			name := rapid.SampledFrom([]string{"p", "q", "r"}).Draw(t, "peer")
+			u := &peerv1.LoadUpdate{Sender: name, Seq: uint64(rapid.IntRange(1, 40).Draw(t, "seq")), Full: rapid.Bool().Draw(t, "full")}
+			for _, id := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b"}), 0, 2, rapid.ID[string]).Draw(t, "engines") {
+				u.Engines = append(u.Engines, &peerv1.EngineLoad{Endpoint: id, Requests: uint32(rapid.IntRange(0, 3).Draw(t, "requests")), PromptTokens: 5})
+			}
+			p := peers[name]
+			if p == nil {
+				p = &said{work: map[string]work{}}
+				peers[name] = p
+			}
+			l.Take(now, u)
+			if u.GetSeq() > p.seq {
+				p.seq, p.at = u.GetSeq(), now
+				if u.GetFull() {
+					clear(p.work)
+				}
+				for _, e := range u.GetEngines() {
+					p.work[e.GetEndpoint()] = work{}
+					if e.GetRequests() > 0 {
+						p.work[e.GetEndpoint()] = work{int(e.GetRequests()), int(e.GetPromptTokens()), 0}
+					}
+				}
+			}
+			l.expire(now)
+			for name, p := range peers {
+				if now-p.at > peerAge {
+					clear(p.work) // until it tells everything again
+				}
+				if now-p.at > 2*peerAge {
+					delete(peers, name) // it may have started anew
+				}
+			}
+			for _, id := range []string{"a", "b"} {
+				want := work{}
+				for _, p := range peers {
+					if now-p.at <= peerAge {
+						want.add(p.work[id])
+					}
+				}
+				if got := l.At(now, id); got != want {
+					t.Fatalf("at %v endpoint %s has %+v, want %+v", now, id, got, want)
+				}
+			}
+		}
+	})
+}
+
 // An engine whose memory for tokens is taken would interrupt streams to make
 // room.
 func TestMemoryForTokensBoundsRequests(t *testing.T) {
@@ -163,7 +224,7 @@
 	table.Update(0, []Endpoint{modelEndpoint("e")})
 	var q queue
 	add := func(urgency int, target time.Duration) *waiter {
-		query := modelQuery(promptWindow, 1)
+		query := modelQuery(mostWindow, 1)
 		query.Urgency = urgency
 		w := &waiter{query: query, target: target, ready: make(chan *Ticket, 1)}
 		q.add(w)
--- a/internal/coordination/forward/loads.go
+++ b/internal/coordination/forward/loads.go
@@ -8,9 +8,10 @@
 
 // Constants of the exchange of loads between entries.
 const (
-	// peerAge is how long an entry's load counts without an update; it repeats
-	// everything each refreshInterval.
+	// peerAge is how long an entry's load counts without an update, and at most
+	// expireInterval longer; it repeats everything each refreshInterval.
 	peerAge         = 2500 * time.Millisecond
+	expireInterval  = 100 * time.Millisecond
 	refreshInterval = time.Second
 	// flushDelay collects changes that are not urgent; flushDelayLarge is the same
 	// where many entries listen.
@@ -43,12 +44,18 @@
 // Loads holds what other entries have at engines.
 type Loads struct {
 	peers map[string]*peer
+	// total is the sum over all peers by endpoint, without those that were silent
+	// at the time expired.
+	total   map[string]work
+	expired time.Duration
 	// changed are endpoints whose own work has to be told.
 	changed map[string]bool
 }
 
 // NewLoads returns Loads without peers.
-func NewLoads() *Loads { return &Loads{peers: map[string]*peer{}, changed: map[string]bool{}} }
+func NewLoads() *Loads {
+	return &Loads{peers: map[string]*peer{}, total: map[string]work{}, changed: map[string]bool{}}
+}
 
 // Take takes over an update.
 func (l *Loads) Take(now time.Duration, u *peerv1.LoadUpdate) {
@@ -62,32 +69,54 @@
 	}
 	p.seq, p.at = u.GetSeq(), now
 	if u.GetFull() {
-		clear(p.work)
+		l.forget(p)
 	}
 	for _, e := range u.GetEngines() {
-		if e.GetRequests() == 0 {
-			delete(p.work, e.GetEndpoint())
-			continue
+		w := work{int(e.GetRequests()), int(e.GetPromptTokens()), int(e.GetHeldTokens())}
+		if w.requests == 0 {
+			w = work{}
 		}
-		p.work[e.GetEndpoint()] = work{int(e.GetRequests()), int(e.GetPromptTokens()), int(e.GetHeldTokens())}
+		l.set(p, e.GetEndpoint(), w)
+	}
+}
+
+// set replaces what a peer has at an endpoint.
+func (l *Loads) set(p *peer, endpoint string, w work) {
+	total, old := l.total[endpoint], p.work[endpoint]
+	total.add(w)
+	total.add(work{-old.requests, -old.prompt, -old.held})
+	p.work[endpoint], l.total[endpoint] = w, total
+	if w == (work{}) {
+		delete(p.work, endpoint)
+	}
+	if total == (work{}) {
+		delete(l.total, endpoint)
+	}
+}
+
+func (l *Loads) forget(p *peer) {
+	for endpoint := range p.work {
+		l.set(p, endpoint, work{})
 	}
 }
 
 // At returns what other entries have at an endpoint. Entries that fell silent
 // no longer count.
 func (l *Loads) At(now time.Duration, endpoint string) work {
-	var total work
-	for _, p := range l.peers {
-		if now-p.at <= peerAge {
-			total.add(p.work[endpoint])
-		}
+	if now-l.expired >= expireInterval {
+		l.expire(now)
 	}
-	return total
+	return l.total[endpoint]
 }
 
-// Expire forgets entries that fell silent.
-func (l *Loads) Expire(now time.Duration) {
+// expire forgets the loads of entries that fell silent.
+func (l *Loads) expire(now time.Duration) {
+	l.expired = now
 	for name, p := range l.peers {
+		if now-p.at <= peerAge {
+			continue
+		}
+		l.forget(p)
 		if now-p.at > 2*peerAge {
 			delete(l.peers, name)
 		}
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -43,6 +43,8 @@
 	Metrics Metrics
 	// Tell sends a datagram with an update to every other entry; it may be lost.
 	Tell func(u *peerv1.LoadUpdate)
+	// With more entries than AtOnceLimit they collect what they tell each other.
+	AtOnceLimit int
 	// DataCentre is where this entry is. With more entries than ExchangeLimit it
 	// hears the loads of its own data centre only.
 	DataCentre    string
@@ -156,11 +158,10 @@
 	defer s.mu.Unlock()
 	s.mu.buckets.SetShares(s.now(), shares, entries)
 	s.mu.budget.SetEntries(entries)
-	s.mu.table.dataCentre = ""
-	if entries > s.cfg.ExchangeLimit {
-		s.mu.table.dataCentre = s.cfg.DataCentre
-		s.mu.table.preference = xxhash.Sum64String(s.cfg.Name)
-	}
+	t := s.mu.table
+	t.many, t.crowded = entries > s.cfg.AtOnceLimit, entries > s.cfg.ExchangeLimit
+	t.dataCentre = s.cfg.DataCentre
+	t.preference = xxhash.Sum64String(s.cfg.Name)
 }
 
 // TakeUsage returns and forgets what customers and models were asked for.
@@ -203,7 +204,7 @@
 	if len(s.mu.table.loads.changed) == 0 || s.cfg.Tell == nil {
 		return
 	}
-	if now && s.mu.table.dataCentre == "" {
+	if now && !s.mu.table.many {
 		s.flushLoads()
 		return
 	}
@@ -212,7 +213,7 @@
 	}
 	s.mu.flushing = true
 	delay := flushDelay
-	if s.mu.table.dataCentre != "" {
+	if s.mu.table.many {
 		delay = flushDelayLarge
 	}
 	time.AfterFunc(delay, func() {
@@ -264,7 +265,6 @@
 	for ctx.Err() == nil {
 		sleep(ctx, refreshInterval)
 		s.mu.Lock()
-		s.mu.table.loads.Expire(s.now())
 		s.mu.seq++
 		u := s.mu.table.update(s.cfg.Name, s.mu.seq, true)
 		s.mu.Unlock()
--- a/internal/coordination/forward/table.go
+++ b/internal/coordination/forward/table.go
@@ -26,9 +26,14 @@
 	// affinity is what a shared prefix is worth, in requests that may be ahead:
 	// reading a few hundred tokens again costs an engine less than one request.
 	affinity = 0.5
-	// promptWindow is how many prompt tokens may wait at an engine. It reads about
-	// 25 of them in a millisecond, so its streams pause for some 60 ms.
-	promptWindow = 1500
+	// leastWindow is how many prompt tokens may wait at an engine at least. It
+	// reads about 25 of them in a millisecond, so its streams pause for some 60 ms.
+	// The fewer streams an engine runs, the less harm a pause does: the window is
+	// slotWindow over its slots, up to mostWindow, which an engine reads within one
+	// event of a stream that is on time.
+	leastWindow = 1500
+	mostWindow  = 4000
+	slotWindow  = 48_000
 	// kvPart of an engine's memory for tokens may be taken; the rest is for
 	// outputs that are longer than expected.
 	kvPart = 0.9
@@ -36,13 +41,15 @@
 	heldCost = 0.03
 	// tokensPerRequest makes tokens comparable with requests.
 	tokensPerRequest = 1000.0
-	// elsewhere is what an engine in another data centre costs, in requests, if
-	// the loads of its entries are not known.
-	elsewhere = 0.7
+	// elsewhere is what an engine in another data centre costs, in requests, where
+	// there are many entries; elsewhereUnknown is the same if the loads of its
+	// entries are not known.
+	elsewhere        = 0.1
+	elsewhereUnknown = 0.7
 	// preferred is what an entry's own order of endpoints counts, in requests,
 	// where there are many entries: each then uses few endpoints, on connections
 	// that it has.
-	preferred = 0.8
+	preferred = 0.3
 	// randomPart keeps entries with equal knowledge from choosing alike.
 	randomPart = 0.1
 )
@@ -126,10 +133,12 @@
 	endpoints map[string]*endpoint
 	services  map[string][]*endpoint
 	loads     *Loads
-	// dataCentre is set when entries tell their loads in their own data centre
-	// only; its endpoints then come first.
+	// many says that entries tell their loads now and then; crowded, that they do
+	// so in their own data centre only.
+	many, crowded bool
+	// dataCentre is where this entry is. Where there are many entries, its
+	// endpoints come first, in an order by preference.
 	dataCentre string
-	// preference orders endpoints for this entry in that case.
 	preference uint64
 	rand       func() float64
 }
@@ -242,18 +251,23 @@
 // engineFull says whether another request would make the engine's streams late:
 // an engine reads prompts between the tokens of its streams, so prompts that
 // arrive together stop all of them. It takes one prompt of any size, and more
-// only up to promptWindow.
+// only up to a window.
 func (t *Table) engineFull(now time.Duration, e *endpoint, q *Query) bool {
 	w := t.work(now, e)
-	if w.prompt > 0 && w.prompt+q.Prompt > promptWindow {
+	if w.prompt > 0 && w.prompt+q.Prompt > promptWindow(e.Slots) {
 		return true
 	}
-	if w.requests >= max(1, e.Slots) || (t.dataCentre != "" && e.load(now) >= max(1, e.Slots)) {
+	if w.requests >= max(1, e.Slots) || (t.crowded && e.load(now) >= max(1, e.Slots)) {
 		return true
 	}
 	return w.requests > 0 && e.KVTotal > 0 && float64(w.held+q.Held) > kvPart*float64(e.KVTotal)
 }
 
+// promptWindow is how many prompt tokens may wait at an engine.
+func promptWindow(slots int) int {
+	return min(mostWindow, max(leastWindow, slotWindow/max(1, slots)))
+}
+
 // work is what all entries have at an engine.
 func (t *Table) work(now time.Duration, e *endpoint) work {
 	w := t.loads.At(now, e.ID)
@@ -269,11 +283,15 @@
 		w := t.work(now, e)
 		cost = (float64(w.prompt)+heldCost*float64(w.held))/tokensPerRequest + t.rand()*randomPart
 	}
-	if t.dataCentre != "" {
+	if t.many {
 		cost += preferred * rendezvous(t.preference, e.ID)
-		if e.DataCentre != t.dataCentre {
-			cost += elsewhere
-		}
+	}
+	switch {
+	case e.DataCentre == t.dataCentre || !t.many:
+	case t.crowded:
+		cost += elsewhereUnknown
+	default:
+		cost += elsewhere
 	}
 	if q.Affinity != 0 {
 		cost -= affinity * rendezvous(q.Affinity, e.ID)
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -119,7 +119,11 @@
 	}
 }
 
-// askLoad asks the leader for what is resident nowhere, once at a time for
+// loadPause follows a call for a load that was not accepted: many entries wait
+// for the same adapters, and the leader answers each call.
+const loadPause = 600 * time.Millisecond
+
+// askLoad asks the leader for what is resident nowhere, one call at a time for
 // each model and adapter.
 func (c *call) askLoad(absence Absence) {
 	if absence != NoModel && absence != NoAdapter {
@@ -136,18 +140,24 @@
 		return
 	}
 	s.mu.loading[key] = true
+	again := loadPoll
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		ready, err := s.cfg.Loader.Load(ctx, model, adapter)
+		if err != nil {
+			again = loadPause
+			s.log.Info("load not accepted", "model", model, "adapter", adapter, "error", err.Error())
+		}
 		s.mu.Lock()
-		delete(s.mu.loading, key)
+		defer s.mu.Unlock()
 		if err == nil && adapter == "" {
 			s.mu.ready[model] = s.now() + ready
 		}
-		s.mu.Unlock()
-		if err != nil {
-			s.log.Info("load not accepted", "model", model, "adapter", adapter, "error", err.Error())
-		}
+		time.AfterFunc(again, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			delete(s.mu.loading, key)
+		})
 	}()
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -56,7 +56,7 @@
 	watcher.SetSeeds(seedAddresses(s))
 	server := forward.New(forward.Config{
 		Codec: platform.Codec{}, Client: client, Loader: watcher, Metrics: metrics, Log: log, Name: session.Incarnation,
-		DataCentre: s.DataCentre, ExchangeLimit: directory.ExchangeLimit,
+		DataCentre: s.DataCentre, AtOnceLimit: directory.AtOnceLimit, ExchangeLimit: directory.ExchangeLimit,
 		Tell: func(u *peerv1.LoadUpdate) {
 			if err := loads.Send(u); err != nil {
 				log.Warn("load not told", "error", err)
