directory: an adapter goes to an engine that has a place for it

Change: engines without a free place or an idle adapter are left out. TestAdapterGoesWhereThereIsAPlace fails before (no decision).

--- a/internal/coordination/directory/adapter.go
+++ b/internal/coordination/directory/adapter.go
@@ -20,7 +20,7 @@
 		if slices.Contains(e.adaptersOf(model), adapter) {
 			return nil, e.ID
 		}
-		if !e.takesAdapter(now) {
+		if !e.takesAdapter(now) || !p.hasAdapterPlace(now, s, e) {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(e.adapterCost(s), best.adapterCost(s)), cmp.Compare(e.ID, best.ID)) < 0 {
@@ -31,10 +31,7 @@
 		return nil, ""
 	}
 	if best.adapterPlaces() >= s.Engine.AdapterSlots {
-		victim, ok := p.idleAdapter(now, best)
-		if !ok {
-			return nil, ""
-		}
+		victim, _ := p.idleAdapter(now, best)
 		d := best.order(Order{Operation: Unload, Model: victim.Model, Adapter: victim.Name})
 		return &d, ""
 	}
@@ -50,6 +47,16 @@
 	return !e.ordering && !e.stale && e.reported != 0 && now-e.reported < ReportAge && len(e.report.Incoming) < incomingLimit
 }
 
+// hasAdapterPlace says whether an engine has a place for an adapter, or one that
+// is not used.
+func (p *Planner) hasAdapterPlace(now time.Duration, s *catalog.Service, e *engine) bool {
+	if e.adapterPlaces() < s.Engine.AdapterSlots {
+		return true
+	}
+	_, idle := p.idleAdapter(now, e)
+	return idle
+}
+
 // adapterCost prefers engines with free places and little load.
 func (e *engine) adapterCost(s *catalog.Service) float64 {
 	cost := float64(e.report.Running+e.report.Waiting) / float64(max(1, e.Slots))
--- a/internal/coordination/directory/plan_test.go
+++ b/internal/coordination/directory/plan_test.go
@@ -316,6 +316,22 @@
 	}
 }
 
+// Guards against adapters that are refused because the least loaded engine has no
+// place for them, while another one of the pool has.
+func TestAdapterGoesWhereThereIsAPlace(t *testing.T) {
+	s := testService(2)
+	p, now := newPlanned(s, []string{"m0"}, []string{"m0"})
+	p.Reported(now, now, "a", Report{Models: []Resident{{Model: "m0", Adapters: []string{"a1", "a2"}}}})
+	p.Reported(now, now, "b", Report{Running: 80, Models: []Resident{{Model: "m0"}}})
+	for _, used := range []string{"m0/a1", "m0/a2"} {
+		p.Asked(now, "entry", used, 1, 100, 0)
+	}
+	d, _ := p.PlanAdapter(now, s, "m0", "a3")
+	if d == nil || d.Engine.ID != "b" || d.Order.Adapter != "a3" || d.Order.Operation != Load {
+		t.Fatalf("decision: %+v", d)
+	}
+}
+
 // A new leader may not load at once: the one before may just have used the
 // weight store's rate.
 func TestNewLeaderStartsWithoutLoads(t *testing.T) {
