directory: one round gives an engine one order at most

Cause: found while reading the change: spread marked orders as sent only after it had collected all of them, so two models could go to one engine in the same round. Change: spread hands each order on as it is decided. Figures: TestOneOrderForEachEngine fails before with two orders for one engine.

--- a/internal/coordination/directory/place.go
+++ b/internal/coordination/directory/place.go
@@ -132,23 +132,19 @@
 }
 
 // spread begins copies of the models whose pools have the most load. It looks at
-// all pools again after each, and returns the orders that can be sent at once.
-func (r *plan) spread() []Decision {
-	var out []Decision
+// all pools again after each. Orders that can be sent at once go to take.
+func (r *plan) spread(take func(d Decision, ok bool)) {
 	for range triesPerRound {
 		model := r.mostLoaded()
 		if model == "" {
-			break
+			return
 		}
 		d, begun, now := r.loadSomewhere(model, false)
-		if now {
-			out = append(out, d)
-		}
+		take(d, now)
 		if !begun {
 			r.stuck[model] = r.now + stuckTime
 		}
 	}
-	return out
 }
 
 // mostLoaded returns the model whose pool has the most load, if that is enough
--- a/internal/coordination/directory/plan.go
+++ b/internal/coordination/directory/plan.go
@@ -125,9 +125,7 @@
 		d, _, now := r.loadSomewhere(m, true)
 		take(d, now)
 	}
-	for _, d := range r.spread() {
-		take(d, true)
-	}
+	r.spread(take)
 	take(r.fillFree())
 	return out
 }
--- a/internal/coordination/directory/plan_test.go
+++ b/internal/coordination/directory/plan_test.go
@@ -335,6 +335,24 @@
 	}
 }
 
+// Guards against two orders for one engine from one round: the second is refused
+// by the engine, and its answer is taken for that of the first.
+func TestOneOrderForEachEngine(t *testing.T) {
+	s := testService(4)
+	s.Engine.MemoryMB, s.Engine.LoadsPerSecond = 400, 10
+	p, now := newPlanned(s, []string{"m0", "m1"}, []string{})
+	for _, m := range []string{"m0", "m1"} {
+		p.Asked(now, "entry", m, 1, 4*EngineTokenRate, 0)
+	}
+	orders := map[string]int{}
+	for _, d := range p.Plan(now, s) {
+		orders[d.Engine.ID]++
+	}
+	if orders["b"] != 1 {
+		t.Fatalf("orders for each engine: %v", orders)
+	}
+}
+
 // A new leader may not load at once: the one before may just have used the
 // weight store's rate.
 func TestNewLeaderStartsWithoutLoads(t *testing.T) {
