--- a/internal/coordination/directory/demand_test.go
+++ b/internal/coordination/directory/demand_test.go
@@ -85,3 +85,29 @@
 		t.Fatalf("the forecasts add up to %.2f engines, the demand to %.2f", expected, present)
 	}
 }
+
+// Guards against a leader that spends its processor on planning: under overload
+// every model wants a copy and no engine can give one. Each round looks at a
+// bounded number of models, and later rounds at the others.
+func TestRoundIsBoundedUnderOverload(t *testing.T) {
+	const models = 40
+	s := testService(models)
+	p, now := newPlanned(s)
+	var list []Endpoint
+	for i := range models / 2 {
+		list = append(list, Endpoint{ID: string(rune('A' + i)), Service: "s", Address: "a", Slots: 8})
+	}
+	p.SetEndpoints(list)
+	for i, e := range list {
+		p.Reported(now, now, e.ID, Report{Models: []Resident{{Model: s.Engine.Models[2*i].Name}, {Model: s.Engine.Models[2*i+1].Name}}})
+	}
+	for _, m := range s.Engine.Models {
+		p.Asked(now, "entry", m.Name, 1, 2*EngineTokenRate, 0)
+	}
+	for round := 1; round <= 3; round++ {
+		p.Plan(now, s)
+		if got, want := len(p.stuck), round*triesPerRound; got != want {
+			t.Fatalf("%d models were looked at in %d rounds, want %d", got, round, want)
+		}
+	}
+}
--- a/internal/coordination/directory/observe.go
+++ b/internal/coordination/directory/observe.go
@@ -65,10 +65,10 @@
 }
 
 // Asked adds what an entry reports of a model, or of MODEL/ADAPTER: requests
-// with their tokens, and how many wait now.
-func (p *Planner) Asked(now time.Duration, entry, name string, requests, tokens, waiting int) {
+// with their work in prompt tokens, and how many wait now.
+func (p *Planner) Asked(now time.Duration, entry, name string, requests, work, waiting int) {
 	d := p.demandOf(now, name)
-	d.add(float64(tokens))
+	d.add(float64(work))
 	if requests > 0 {
 		d.used = now
 	}
--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -104,7 +104,7 @@
 // Work of an engine beside the reading of prompts, in prompt tokens.
 const (
 	// stepTokens is what an engine reads in the time of one step of its batch:
-	// 8.2 ms of 25.8 tokens each, by the platform's page. All requests of the batch
+	// 8.2 ms of 25.8 tokens each, by the platform's page. The requests of a batch
 	// share a step.
 	stepTokens = 212
 	// contextTokens is what a step takes longer for each request of its batch.
