scripts: the tests never take a result from the cache

Both build and run the daemon, whose sources the test cache does not follow, so a fault in it could be covered by an older pass. Change: -count=1.

--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Runs the tests with the race detector. Tests listed in KNOWN-RED.txt
-# ("test: <Name>" lines) are passed over and printed.
+# ("test: <Name>" lines) are passed over and printed. Results are never taken from
+# the cache: soak and e2e build the daemon themselves, and the cache does not know
+# of its sources.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 skip=()
@@ -11,4 +13,4 @@
     skip=(-skip "^($names)\$")
   fi
 fi
-exec "${GO:-go}" test -race -timeout 9m "${skip[@]}" "$@" ./...
+exec "${GO:-go}" test -race -count=1 -timeout 9m "${skip[@]}" "$@" ./...
