--- a/internal/proptest/integral.go
+++ b/internal/proptest/integral.go
@@ -24,8 +24,8 @@
 	i.spent = append(i.spent, moment{at, tokens})
 }
 
-// allowance returns the rate summed over a window, in thousandths of a token.
-func (i *Integral) allowance(from, to uint64) uint64 {
+// accrued returns the rate summed over a window, in thousandths of a token.
+func (i *Integral) accrued(from, to uint64) uint64 {
 	var sum uint64
 	for n, c := range i.changes {
 		end := to
@@ -47,7 +47,7 @@
 		from := i.spent[n].at
 		for _, s := range i.spent[n:] {
 			sum += s.value * milli
-			if bound := i.allowance(from, s.at) + i.burst*milli; sum > bound {
+			if bound := i.accrued(from, s.at) + i.burst*milli; sum > bound {
 				t.Fatalf("%d thousandths of a token from %d ms to %d ms, allowed are %d", sum, from, s.at, bound)
 			}
 		}
