--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -41,15 +41,15 @@
 	Tokens int
 }
 
-// Attempt is what one send to an endpoint adds to a request.
+// Attempt is what one send to an endpoint adds to a request. It names no urgency:
+// waiting requests are ordered before they are sent, and an engine that is told
+// of urgencies interrupts running streams for more urgent requests and reads
+// their prompts a second time.
 type Attempt struct {
 	EndpointID string
 	Customer   string
 	// Left is the time until the caller stops waiting.
 	Left time.Duration
-	// Urgency orders requests at an engine; 0 is first. Plain services get none.
-	Urgency    int
-	HasUrgency bool
 	// ResumeAfter is the last event that the caller has; empty at the start.
 	ResumeAfter string
 }
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -21,7 +21,7 @@
 		return Unknown, resultcode.New(resultcode.DeadlineTooClose, "%d ms are left", left.Milliseconds())
 	}
 	c.sends++
-	a := Attempt{EndpointID: t.ID, Left: left, Urgency: c.query.Urgency, HasUrgency: c.service.Engine != nil, ResumeAfter: c.req.LastEvent}
+	a := Attempt{EndpointID: t.ID, Left: left, ResumeAfter: c.req.LastEvent}
 	if c.customer != nil {
 		a.Customer = c.customer.Name
 	}
