--- a/internal/coordination/directory/poll.go
+++ b/internal/coordination/directory/poll.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"google.golang.org/protobuf/proto"
 )
 
 // startList asks for the list when that is due.
@@ -121,21 +123,9 @@
 		s.cfg.Log.Info("report not read", "endpoint", e.ID, "error", err)
 		return
 	}
-	before := s.residencyLocked(e.ID)
+	before := s.describeLocked(e)
 	s.mu.planner.Reported(s.now(), asked, e.ID, r)
-	s.mu.dirty = true
-	if !slices.EqualFunc(before, s.residencyLocked(e.ID), sameResident) {
+	if !proto.Equal(before, s.describeLocked(e)) {
 		s.bumpLocked()
 	}
 }
-
-func sameResident(a, b Resident) bool {
-	return a.Model == b.Model && slices.Equal(a.Adapters, b.Adapters)
-}
-
-func (s *Server) residencyLocked(id string) []Resident {
-	if e := s.mu.planner.engines[id]; e != nil {
-		return e.report.Models
-	}
-	return nil
-}
--- a/internal/coordination/directory/publish.go
+++ b/internal/coordination/directory/publish.go
@@ -12,25 +12,15 @@
 	version uint64
 }
 
-// bumpLocked makes a new version of what entries are told.
-func (s *Server) bumpLocked() { s.publishLocked(false) }
-
-// publishLocked finds what changed since the last version. Loads change all the
-// time and are renewed only if withLoads is set.
-func (s *Server) publishLocked(withLoads bool) {
+// bumpLocked makes a new version of what entries are told: what changed since
+// the last one.
+func (s *Server) bumpLocked() {
 	s.mu.version++
-	if withLoads {
-		s.mu.dirty = false
-		s.mu.news = s.now()
-	}
 	present := make(map[string]bool, len(s.mu.list))
 	for _, e := range s.mu.list {
 		present[e.ID] = true
 		old := s.mu.published[e.ID]
 		message := s.describeLocked(e)
-		if old != nil && !withLoads {
-			message.Running, message.Waiting, message.KvUsed = old.message.GetRunning(), old.message.GetWaiting(), old.message.GetKvUsed()
-		}
 		if old == nil || !proto.Equal(old.message, message) {
 			s.mu.published[e.ID] = &published{message: message, version: s.mu.version}
 		}
@@ -46,19 +36,6 @@
 	s.mu.changed = make(chan struct{})
 }
 
-// publishLoads hands changed loads on, now and then.
-func (s *Server) publishLoads() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	interval := loadNews
-	if s.mu.shares.Entries() > AtOnceLimit {
-		interval = loadNewsLarge
-	}
-	if s.mu.dirty && s.now()-s.mu.news >= interval {
-		s.publishLocked(true)
-	}
-}
-
 // sinceLocked returns what changed after a version, or everything.
 func (s *Server) sinceLocked(version uint64, partial bool) []*peerv1.DirectoryEndpoint {
 	var out []*peerv1.DirectoryEndpoint
@@ -80,8 +57,7 @@
 		return out
 	}
 	out.Leaving = out.Leaving || p.report.Leaving
-	out.Running, out.Waiting = uint32(p.report.Running), uint32(p.report.Waiting)
-	out.KvUsed, out.KvTotal = uint64(p.report.KVUsed), uint64(p.report.KVTotal)
+	out.KvTotal = uint64(p.report.KVTotal)
 	for _, m := range p.report.Models {
 		_, closing := p.closing[m.Model]
 		out.Models = append(out.Models, &peerv1.ResidentSet{Model: m.Model, Adapters: m.Adapters, Closing: closing})
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -23,17 +23,9 @@
 	movingReportInterval = 250 * time.Millisecond
 	// callLimit bounds one call to the platform or an engine.
 	callLimit = time.Second
-	// loadNews is how often changed loads alone are handed on; loadNewsLarge is
-	// the same with more entries than AtOnceLimit.
-	loadNews      = 700 * time.Millisecond
-	loadNewsLarge = 2500 * time.Millisecond
-	// AtOnceLimit is the number of entries up to which each tells all others of
-	// each request that it sends; with more they tell what changed now and then.
-	AtOnceLimit = 16
-	// ExchangeLimit is the number of entries up to which each tells all others.
-	// With more they tell those of their own data centre, since the messages grow
-	// with the square: 96 entries receive 1600 updates of 100 bytes a second each.
-	ExchangeLimit = 96
+	// peersInterval bounds how often entries are told of other entries: after a
+	// restart of all of them each one that comes back would be news to the others.
+	peersInterval = 300 * time.Millisecond
 )
 
 // Leadership is what the directory needs of the control role.
@@ -93,8 +85,6 @@
 		published map[string]*published
 		complete  uint64
 		index     *catalog.Index
-		news      time.Duration // when loads were last handed on
-		dirty     bool          // loads changed since
 		nextList  time.Duration
 		listing   bool
 		asked     map[string]time.Duration // engine -> when its report was last asked for
@@ -140,7 +130,6 @@
 	for _, d := range s.plan() {
 		go func() { _, _ = s.send(ctx, d) }() // the outcome is logged and planned with
 	}
-	s.publishLoads()
 }
 
 func (s *Server) setTerm(term uint64) {
--- a/internal/coordination/directory/share.go
+++ b/internal/coordination/directory/share.go
@@ -34,16 +34,18 @@
 type Shares struct {
 	entries map[string]*entryUsage
 	levels  map[string]*level
-	// version grows when an entry comes, goes or has another address.
-	version uint64
+	// version grows when an entry comes, goes or has another address. listed is the
+	// list of addresses as of listedVersion.
+	version, listedVersion uint64
+	listed                 []string
+	listedAt               time.Duration
 }
 
 type entryUsage struct {
-	address, dataCentre string
-
-	seen   time.Duration
-	demand map[string]float64
-	at     time.Duration
+	address string
+	seen    time.Duration
+	demand  map[string]float64
+	at      time.Duration
 }
 
 // level is what is left of a customer's burst; it is negative after overspending.
@@ -98,25 +100,28 @@
 	}
 }
 
-// SetAddress records where an entry takes the load of others.
-func (s *Shares) SetAddress(entry, dataCentre, address string) {
+// SetAddress records where an entry takes datagrams of others.
+func (s *Shares) SetAddress(entry, address string) {
 	if e := s.entries[entry]; e != nil && e.address != address {
-		e.address, e.dataCentre = address, dataCentre
+		e.address = address
 		s.version++
 	}
 }
 
-// Addresses returns where entries take the load of an entry in the data centre,
-// and the version of that list. With more entries than limit only those of the
-// data centre do: the messages grow with the square of their number.
-func (s *Shares) Addresses(dataCentre string, limit int) (list []string, version uint64) {
+// Addresses returns where entries take datagrams of others, and the version of
+// that list. A list is kept for peersInterval.
+func (s *Shares) Addresses(now time.Duration) (list []string, version uint64) {
+	if s.listedVersion == s.version || (s.listed != nil && now-s.listedAt < peersInterval) {
+		return s.listed, s.listedVersion
+	}
+	s.listed, s.listedVersion, s.listedAt = nil, s.version, now
 	for _, e := range s.entries {
-		if e.address != "" && (len(s.entries) <= limit || e.dataCentre == dataCentre) {
-			list = append(list, e.address)
+		if e.address != "" {
+			s.listed = append(s.listed, e.address)
 		}
 	}
-	slices.Sort(list)
-	return list, s.version
+	slices.Sort(s.listed)
+	return s.listed, s.listedVersion
 }
 
 // Entries returns the number of entries.
--- a/internal/coordination/directory/watch.go
+++ b/internal/coordination/directory/watch.go
@@ -70,7 +70,7 @@
 		usage[u.GetCustomer()] = Usage{Asked: float64(u.GetTokens()), Spent: float64(u.GetSpent())}
 	}
 	s.mu.shares.Report(now, entry, usage)
-	s.mu.shares.SetAddress(entry, r.GetEntry().GetDataCentre(), r.GetLoadAddress())
+	s.mu.shares.SetAddress(entry, r.GetLoadAddress())
 	named := make(map[string]bool, len(r.GetDemand()))
 	for _, d := range r.GetDemand() {
 		named[d.GetModel()] = true
@@ -95,7 +95,7 @@
 		return nil, notLeading()
 	}
 	out.LiveEntries = uint32(s.mu.shares.Entries())
-	if peers, version := s.mu.shares.Addresses(r.GetEntry().GetDataCentre(), ExchangeLimit); version+s.mu.term<<32 != r.GetPeersVersion() {
+	if peers, version := s.mu.shares.Addresses(s.now()); version+s.mu.term<<32 != r.GetPeersVersion() {
 		out.Peers, out.PeersVersion = peers, version+s.mu.term<<32
 	}
 	if s.mu.index != nil {
--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 
+	"github.com/radishloom/radishloom/internal/coordination/pool"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
@@ -73,19 +74,27 @@
 	maxUrgency         = 9
 )
 
-func (c *call) newQuery() Query {
-	q := Query{Service: c.service.Name, Depth: plainDepth, Urgency: min(maxUrgency, c.route.Priority)}
+func (c *call) newQuery() pool.Query {
+	q := pool.Query{Service: c.service.Name, Depth: plainDepth, Urgency: min(maxUrgency, c.route.Priority)}
 	if c.customer != nil {
 		q.Urgency = min(maxUrgency, c.customer.Priority*urgencyPerPriority+min(c.route.Priority, urgencyPerPriority-1))
 	}
 	if c.service.Engine != nil {
 		q.Model, q.Adapter = c.req.Model, c.req.Adapter
-		q.Affinity = HashPrefix(q.Model, q.Adapter, c.req.Prefix)
+		q.Affinity = pool.HashPrefix(q.Model, q.Adapter, partIDs(c.req.Prefix))
 		q.Prompt, q.Held = c.engineTokens()
 	}
 	return q
 }
 
+func partIDs(parts []Part) []string {
+	out := make([]string, len(parts))
+	for i, p := range parts {
+		out[i] = p.ID
+	}
+	return out
+}
+
 // engineTokens returns the tokens that an engine has to read for the request,
 // and those that it holds until the end.
 func (c *call) engineTokens() (prompt, held int) {
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/radishloom/radishloom/internal/coordination/pool"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/catalog"
 )
@@ -32,9 +33,14 @@
 	// read again, and outputUse the part of the stated output that is generated.
 	sharedReads = 0.25
 	outputUse   = 0.7
-	// loadPoll is how often a waiting request looks at its case again and asks for
-	// a load that it needs.
-	loadPoll = 100 * time.Millisecond
+	// loadPoll is the pause between two calls for a load that requests wait for,
+	// loadPause that after a call that was not accepted, loadLimit bounds a call.
+	loadPoll  = 100 * time.Millisecond
+	loadPause = 600 * time.Millisecond
+	loadLimit = time.Second
+	// refusalReserve is how long after the end of a wait the refusal of a broker may
+	// arrive.
+	refusalReserve = 50 * time.Millisecond
 	// waitPart is the part of the time left for which a request may wait for a
 	// place before it is refused as not run.
 	waitPart = 0.5
@@ -64,13 +70,15 @@
 	cost     float64
 	// deadline is the earlier of the caller's and the route's.
 	deadline time.Duration
-	query    Query
+	query    pool.Query
 
 	sends   int
 	ran     int // endpoints that may have run it
 	relay   *relay
 	waited  time.Duration // for places
 	lastErr *resultcode.Error
+	// leaving: the endpoint of the present send said that it leaves.
+	leaving bool
 }
 
 func (c *call) serve(r *http.Request) {
@@ -88,31 +96,32 @@
 func (c *call) run() {
 	for {
 		started := c.server.now()
-		ticket, err := c.place()
+		t, err := c.place()
 		c.waited += c.server.now() - started
 		if err != nil {
 			c.finish(err)
 			return
 		}
-		result, err := c.send(ticket)
-		c.server.done(ticket, result, &c.query)
+		c.leaving = false
+		result, err := c.send(t)
+		c.server.done(t, result, c.leaving)
 		if err == nil {
-			c.served(ticket)
+			c.served(t)
 			return
 		}
 		c.lastErr = err
-		c.query.Exclude = append(c.query.Exclude, ticket.ID)
+		c.query.Exclude = append(c.query.Exclude, t.ID)
 		if !c.again(err) {
 			c.finish(err)
 			return
 		}
 		c.server.cfg.Metrics.Retry(err.Code.Info().Name)
-		c.server.log.Info("another endpoint is tried", "request", c.req.ID, "endpoint", ticket.ID, "code", err.Code, "error", err.Error(), "sends", c.sends)
+		c.server.log.Info("another endpoint is tried", "request", c.req.ID, "endpoint", t.ID, "code", err.Code, "error", err.Error(), "sends", c.sends)
 	}
 }
 
 // served records an answer, with a line for a stream that was late.
-func (c *call) served(t *Ticket) {
+func (c *call) served(t *target) {
 	took := c.server.now() - c.arrived
 	if c.relay == nil {
 		c.server.cfg.Metrics.Answered(took)
@@ -153,12 +162,3 @@
 	defer c.server.mu.Unlock()
 	return c.server.mu.budget.Spend(c.server.now(), c.service.Name)
 }
-
-// done gives a place back and lets waiting requests have it.
-func (s *Server) done(t *Ticket, r Result, q *Query) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	s.mu.table.Done(now, t, r, q)
-	s.dispatchLocked()
-}
--- a/internal/coordination/forward/doc.go
+++ b/internal/coordination/forward/doc.go
@@ -9,9 +9,9 @@
 // shares of rates come from the leading control VM through Watcher; without it
 // an entry goes on with what it knows.
 //
-// Table (endpoints, queue), Buckets (rates) and Budget (further attempts) decide.
-// They do no I/O and read no clock. Server drives them and does the I/O.
+// pool.Entry (places at endpoints), Buckets (rates) and Budget (further attempts)
+// decide. They do no I/O and read no clock. Server drives them and does the I/O.
 //
-// Lock order: Server.mu before nothing else; Table, Buckets and Budget are
+// Lock order: Server.mu before nothing else; pool.Entry, Buckets and Budget are
 // guarded by Server.mu and have no lock of their own.
 package forward
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/radishloom/radishloom/internal/coordination/pool"
 )
 
 // Request is one request of a caller, decoded.
@@ -65,13 +67,10 @@
 	// Leaving says that the endpoint closes connections because it leaves.
 	Leaving bool
 	// Load is valid if HasLoad.
-	Load    Load
+	Load    pool.Load
 	HasLoad bool
 }
 
-// Load is an endpoint's own count of its requests.
-type Load struct{ Running, Waiting, Slots int }
-
 // Codec translates between HTTP messages and this package's types.
 type Codec interface {
 	// Decode reads everything but the body.
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -8,17 +8,18 @@
 	"time"
 
 	"github.com/radishloom/radishloom/internal/coordination/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/pool"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/catalog"
 )
 
 // send makes one exchange with an endpoint. A nil error means that the request
 // has its answer.
-func (c *call) send(t *Ticket) (Result, *resultcode.Error) {
+func (c *call) send(t *target) (pool.Result, *resultcode.Error) {
 	s := c.server
 	left := c.deadline - s.now()
 	if left < minimumLeft {
-		return Unknown, resultcode.New(resultcode.DeadlineTooClose, "%d ms are left", left.Milliseconds())
+		return pool.Unknown, resultcode.New(resultcode.DeadlineTooClose, "%d ms are left", left.Milliseconds())
 	}
 	c.sends++
 	a := Attempt{EndpointID: t.ID, Left: left, ResumeAfter: c.req.LastEvent}
@@ -49,49 +50,49 @@
 }
 
 // failed turns an error of the exchange into a result for the endpoint.
-func (c *call) failed(err error) (Result, *resultcode.Error) {
+func (c *call) failed(err error) (pool.Result, *resultcode.Error) {
 	var coded *resultcode.Error
 	if !errors.As(err, &coded) {
 		coded = resultcode.Wrap(resultcode.EndpointLost, err, "the exchange failed")
 	}
 	if c.ctx.Err() != nil {
-		return Unknown, coded
+		return pool.Unknown, coded
 	}
-	return Failed, coded
+	return pool.Failed, coded
 }
 
 // answer passes an endpoint's answer on, or returns why it cannot.
-func (c *call) answer(t *Ticket, resp *exchange.Response) (Result, *resultcode.Error) {
+func (c *call) answer(t *target, resp *exchange.Response) (pool.Result, *resultcode.Error) {
 	s := c.server
 	a := s.cfg.Codec.Answer(resp.Status, resp.Header)
-	s.mu.Lock()
-	if a.HasLoad {
-		s.mu.table.Observe(s.now(), t, a.Load)
-	}
-	if !a.NotRun && !a.Wrong {
-		s.mu.table.Begun(t)
-		s.dispatchLocked()
-	}
-	if a.Leaving && a.NotRun {
-		s.mu.table.Leaves(t)
-	}
-	s.mu.Unlock()
+	c.leaving = a.Leaving && a.NotRun
+	s.step(func(now time.Duration, e *pool.Entry) {
+		if a.HasLoad {
+			e.Table.Observe(now, t.ID, a.Load)
+		}
+		if c.leaving {
+			e.Table.Leaves(t.ID)
+		}
+		if t.place != nil && !a.NotRun && !a.Wrong {
+			e.Begun(now, t.place)
+		}
+	})
 	switch {
 	case a.Wrong:
 		c.drop(resp)
-		return Absent, resultcode.New(resultcode.EndpointRefused, "endpoint %s has another incarnation or lacks the model", t.ID)
+		return pool.Absent, resultcode.New(resultcode.EndpointRefused, "endpoint %s has another incarnation or lacks the model", t.ID)
 	case a.NotRun:
 		c.drop(resp)
-		return Refused, resultcode.New(resultcode.EndpointRefused, "endpoint %s did not run the request", t.ID)
+		return pool.Refused, resultcode.New(resultcode.EndpointRefused, "endpoint %s did not run the request", t.ID)
 	case resp.Status < 300 && !a.Sealed, !c.idempotent() && claimsNotRun(resp.Status):
 		resp.Body.Discard()
-		return Failed, resultcode.New(resultcode.AnswerMismatch, "endpoint %s answered with status %d and no proof", t.ID, resp.Status)
+		return pool.Failed, resultcode.New(resultcode.AnswerMismatch, "endpoint %s answered with status %d and no proof", t.ID, resp.Status)
 	case c.relay != nil && resp.Status != http.StatusOK:
 		c.drop(resp)
-		return Worked, resultcode.New(resultcode.StreamBroken, "endpoint %s does not go on with the stream: status %d", t.ID, resp.Status)
+		return pool.Worked, resultcode.New(resultcode.StreamBroken, "endpoint %s does not go on with the stream: status %d", t.ID, resp.Status)
 	case resp.Status >= http.StatusInternalServerError && c.idempotent() && c.ran+1 < c.route.MaxAttempts && c.relay == nil && c.mayRetry():
 		c.drop(resp)
-		return Worked, resultcode.New(resultcode.EndpointLost, "endpoint %s failed with status %d", t.ID, resp.Status)
+		return pool.Worked, resultcode.New(resultcode.EndpointLost, "endpoint %s failed with status %d", t.ID, resp.Status)
 	}
 	return c.pass(t, resp)
 }
@@ -120,7 +121,7 @@
 }
 
 // pass passes an answer on to the caller.
-func (c *call) pass(t *Ticket, resp *exchange.Response) (Result, *resultcode.Error) {
+func (c *call) pass(t *target, resp *exchange.Response) (pool.Result, *resultcode.Error) {
 	if c.relay == nil {
 		if resp.Length >= 0 && resp.Length <= maxBuffered && c.route.Kind != catalog.Streaming {
 			return c.passWhole(resp)
@@ -130,11 +131,11 @@
 	if err := c.relay.copy(resp); err != nil {
 		return c.failed(err)
 	}
-	return Worked, nil
+	return pool.Worked, nil
 }
 
 // passWhole reads the answer before it writes the head.
-func (c *call) passWhole(resp *exchange.Response) (Result, *resultcode.Error) {
+func (c *call) passWhole(resp *exchange.Response) (pool.Result, *resultcode.Error) {
 	body := make([]byte, resp.Length)
 	if _, err := io.ReadFull(resp.Body, body); err != nil {
 		resp.Body.Discard()
@@ -147,5 +148,5 @@
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(resp.Status)
 	_, _ = c.w.Write(body) // the caller may be gone
-	return Worked, nil
+	return pool.Worked, nil
 }
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -3,17 +3,15 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	"github.com/radishloom/radishloom/internal/coordination/directory"
 	"github.com/radishloom/radishloom/internal/coordination/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/pool"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/catalog"
 )
@@ -41,17 +39,13 @@
 	Client  exchange.Client
 	Loader  Loader
 	Metrics Metrics
-	// Tell sends a datagram with an update to every other entry; it may be lost.
-	Tell func(u *peerv1.LoadUpdate)
-	// With more entries than AtOnceLimit they collect what they tell each other.
-	AtOnceLimit int
-	// DataCentre is where this entry is. With more entries than ExchangeLimit it
-	// hears the loads of its own data centre only.
-	DataCentre    string
-	ExchangeLimit int
-	// Name is this incarnation of the entry in updates.
-	Name string
-	Log  *slog.Logger
+	// Tell sends a datagram to another entry; it may be lost.
+	Tell func(to string, m *peerv1.PlaceMessage)
+	// Self is where this entry takes such datagrams, and names its incarnation.
+	Self pool.Sender
+	// DataCentre is where this entry is.
+	DataCentre string
+	Log        *slog.Logger
 	// RetryWindow, RetryRatio and RetrySlack bound further attempts for a service
 	// over all entries.
 	RetryWindow            time.Duration
@@ -70,19 +64,13 @@
 
 	mu struct {
 		sync.Mutex
-		table   *Table
+		entry   *pool.Entry
 		buckets *Buckets
 		budget  *Budget
-		queue   queue
+		queue   pool.Queue // requests for plain services
 		demand  map[string]*Demand
-		loading map[string]bool
-		// ready is when a model that is resident nowhere is expected.
-		ready map[string]time.Duration
-		known bool // a list of endpoints has arrived
-		// seq numbers updates; flushing and heard say that a timer is pending.
-		seq      uint64
-		flushing bool
-		heard    bool
+		loading map[pool.Need]bool
+		known   bool // a list of endpoints has arrived
 	}
 }
 
@@ -96,12 +84,11 @@
 // New returns a Server that refuses everything until it has a catalog.
 func New(c Config) *Server {
 	s := &Server{cfg: c, start: time.Now(), log: newLimitedLog(c.Log), leaving: make(chan struct{})}
-	s.mu.table = NewTable()
+	s.mu.entry = pool.NewEntry(c.Self, c.DataCentre)
 	s.mu.buckets = NewBuckets()
 	s.mu.budget = NewBudget(c.RetryWindow, c.RetryRatio, c.RetrySlack)
 	s.mu.demand = map[string]*Demand{}
-	s.mu.loading = map[string]bool{}
-	s.mu.ready = map[string]time.Duration{}
+	s.mu.loading = map[pool.Need]bool{}
 	return s
 }
 
@@ -144,25 +131,55 @@
 }
 
 // SetEndpoints takes over a list of endpoints.
-func (s *Server) SetEndpoints(list []Endpoint) {
+func (s *Server) SetEndpoints(list []pool.Endpoint) {
+	s.step(func(now time.Duration, e *pool.Entry) {
+		e.SetEndpoints(now, list)
+		s.mu.known = true
+		s.mu.queue.Dispatch(now, e.Table)
+	})
+}
+
+// SetEntries takes over the addresses of all entries.
+func (s *Server) SetEntries(addresses []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mu.table.Update(s.now(), list)
-	s.mu.known = true
-	s.dispatchLocked()
+	s.mu.entry.Owners.SetEntries(addresses)
 }
 
-// dispatchLocked gives places to waiting requests. Other entries wait for the
-// same engines, so they are told at once where a place was taken; other changes
-// are told within the usual delay.
-func (s *Server) dispatchLocked() {
-	waiting := len(s.mu.queue.list)
-	s.mu.queue.dispatch(s.now(), s.mu.table)
-	if len(s.mu.queue.list) < waiting && s.cfg.Tell != nil {
-		s.flushLoads()
-		return
+// step makes one step of the exchange of places and sends what it has to say, in
+// the order of the steps.
+func (s *Server) step(f func(now time.Duration, e *pool.Entry)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.now(), s.mu.entry)
+	for _, m := range s.mu.entry.Messages() {
+		s.cfg.Tell(m.To, m.Message)
+	}
+	for _, n := range s.mu.entry.TakeNeeds() {
+		s.loadLocked(n)
+	}
+}
+
+// Hear takes over a datagram of another entry.
+func (s *Server) Hear(m *peerv1.PlaceMessage) {
+	s.step(func(now time.Duration, e *pool.Entry) { e.Step(now, m) })
+}
+
+// Run does what time makes due, until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	tick := time.NewTicker(pool.TickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			s.step(func(now time.Duration, e *pool.Entry) {
+				e.Tick(now)
+				s.mu.queue.Dispatch(now, e.Table)
+			})
+		}
 	}
-	s.tellLoads(false)
 }
 
 // SetShares takes over this entry's parts of the customers' rates.
@@ -171,10 +188,6 @@
 	defer s.mu.Unlock()
 	s.mu.buckets.SetShares(s.now(), shares, entries)
 	s.mu.budget.SetEntries(entries)
-	t := s.mu.table
-	t.many, t.crowded = entries > s.cfg.AtOnceLimit, entries > s.cfg.ExchangeLimit
-	t.dataCentre = s.cfg.DataCentre
-	t.preference = xxhash.Sum64String(s.cfg.Name)
 }
 
 // TakeUsage returns and forgets what customers and models were asked for.
@@ -183,16 +196,12 @@
 	defer s.mu.Unlock()
 	usage, demand = s.mu.buckets.TakeUsage(), s.mu.demand
 	s.mu.demand = map[string]*Demand{}
-	for _, w := range s.mu.queue.list {
-		if w.query.Model == "" {
-			continue
-		}
-		d := demandOf(demand, w.query.Model, "")
-		d.Waiting++
-		if w.query.Adapter != "" {
-			demandOf(demand, w.query.Model, w.query.Adapter).Waiting++
+	s.mu.entry.Waiting(func(q *pool.Query) {
+		demandOf(demand, q.Model, "").Waiting++
+		if q.Adapter != "" {
+			demandOf(demand, q.Model, q.Adapter).Waiting++
 		}
-	}
+	})
 	return usage, demand
 }
 
@@ -209,88 +218,6 @@
 	return d
 }
 
-// tellLoads tells other entries what changed: at once when a request was sent,
-// since they would send theirs to the same engine, else within flushDelay. Where
-// many listen, nothing is told at once.
-// Callers hold the lock.
-func (s *Server) tellLoads(now bool) {
-	if len(s.mu.table.loads.changed) == 0 || s.cfg.Tell == nil {
-		return
-	}
-	if now && !s.mu.table.many {
-		s.flushLoads()
-		return
-	}
-	if s.mu.flushing {
-		return
-	}
-	s.mu.flushing = true
-	delay := flushDelay
-	if s.mu.table.many {
-		delay = flushDelayLarge
-	}
-	time.AfterFunc(delay, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.mu.flushing = false
-		s.flushLoads()
-	})
-}
-
-// flushLoads tells what changed. Callers hold the lock.
-func (s *Server) flushLoads() {
-	if len(s.mu.table.loads.changed) == 0 {
-		return
-	}
-	s.mu.seq++
-	s.cfg.Tell(s.mu.table.update(s.cfg.Name, s.mu.seq, false))
-}
-
-// HearLoads takes over an update of another entry. Waiting requests look for
-// places a moment later, so that entries do not all take the same one.
-func (s *Server) HearLoads(u *peerv1.LoadUpdate) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.mu.table.loads.Take(s.now(), u)
-	if len(s.mu.queue.list) == 0 || s.mu.heard {
-		return
-	}
-	s.mu.heard = true
-	spread := heardDelaySpread
-	if s.mu.table.many {
-		spread = heardDelaySpreadMany
-	}
-	time.AfterFunc(heardDelayMin+rand.N(spread), func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.mu.heard = false
-		s.dispatchLocked()
-	})
-}
-
-// heardDelayMin and heardDelaySpread delay the use of a place that another
-// entry gave back; that entry has waiting requests of its own. Where there are
-// many entries the first that takes the place has to be heard by the others,
-// which takes 2 to 3 ms, before most of them look.
-const (
-	heardDelayMin        = time.Millisecond
-	heardDelaySpread     = 5 * time.Millisecond
-	heardDelaySpreadMany = 40 * time.Millisecond
-)
-
-// RefreshLoads repeats the whole load now and then, until ctx ends: updates can
-// be lost, and new entries know nothing.
-func (s *Server) RefreshLoads(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, refreshInterval)
-		s.mu.Lock()
-		s.mu.seq++
-		u := s.mu.table.update(s.cfg.Name, s.mu.seq, true)
-		s.mu.Unlock()
-		s.cfg.Tell(u)
-	}
-}
-
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.cfg.Metrics.OpenRequests(int(s.open.Add(1)))
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -13,8 +13,10 @@
 	"testing"
 	"time"
 
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	"github.com/radishloom/radishloom/internal/coordination/directory"
 	"github.com/radishloom/radishloom/internal/coordination/exchange"
+	"github.com/radishloom/radishloom/internal/coordination/pool"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/catalog"
 )
@@ -153,11 +155,12 @@
 	w := &world{t: t, endpoints: &fakeEndpoints{replies: replies}, log: &bytes.Buffer{}}
 	w.server = New(Config{
 		Codec: testCodec{}, Client: w.endpoints, Loader: fakeLoader{ready: time.Minute}, Metrics: noMetrics{},
+		Self: pool.Sender{Address: "self"}, Tell: func(to string, _ *peerv1.PlaceMessage) { t.Errorf("a datagram to %q", to) },
 		Log: slog.New(slog.DiscardHandler), RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 100,
 	})
 	w.server.SetCatalog(catalog.NewIndex(testCatalog()))
 	models := []directory.Resident{{Model: "m"}}
-	w.server.SetEndpoints([]Endpoint{
+	w.server.SetEndpoints([]pool.Endpoint{
 		{Endpoint: directory.Endpoint{ID: "p1", Service: "plain", Address: "p1:1", Slots: 4}},
 		{Endpoint: directory.Endpoint{ID: "p2", Service: "plain", Address: "p2:1", Slots: 4}},
 		{Endpoint: directory.Endpoint{ID: "e1", Service: "models", Address: "e1:1", Slots: 4, Models: models}},
@@ -342,9 +345,8 @@
 		done <- status
 	}()
 	for {
-		w.server.mu.Lock()
-		waiting := len(w.server.mu.queue.list)
-		w.server.mu.Unlock()
+		waiting := 0
+		w.server.step(func(_ time.Duration, e *pool.Entry) { e.Waiting(func(*pool.Query) { waiting++ }) })
 		if waiting == 1 {
 			break
 		}
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -5,159 +5,204 @@
 	"errors"
 	"time"
 
+	"github.com/radishloom/radishloom/internal/coordination/pool"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/catalog"
 )
 
+// target is the endpoint to which a request is sent: a place at an engine, or a
+// ticket at an endpoint of a plain service.
+type target struct {
+	ID, Address string
+	place       *pool.Place
+	ticket      *pool.Ticket
+}
+
 // place waits for an endpoint that takes the request.
-func (c *call) place() (*Ticket, *resultcode.Error) {
-	s := c.server
-	s.mu.Lock()
-	ticket, absence := s.mu.table.Pick(s.now(), &c.query)
-	if ticket != nil {
-		s.tellLoads(true)
-		s.mu.Unlock()
-		return ticket, nil
+func (c *call) place() (*target, *resultcode.Error) {
+	if c.query.Model != "" {
+		return c.placeAtEngine()
 	}
-	if err := c.hopeless(absence); err != nil {
-		s.mu.Unlock()
-		return nil, err
-	}
-	wt := &waiter{query: &c.query, target: c.arrived + c.route.Target - firstEventReserve, deadline: c.waitUntil(s.now()), ready: make(chan *Ticket, 1)}
-	s.mu.queue.add(wt)
-	s.mu.Unlock()
-	return c.wait(wt, absence)
+	return c.placeAtService()
 }
 
-// waitUntil is how long the request may wait for a place: later, its caller
-// would leave before the first event, or get no whole answer.
-func (c *call) waitUntil(now time.Duration) time.Duration {
-	until := now + time.Duration(float64(c.deadline-now)*waitPart)
-	if c.route.Kind == catalog.Streaming {
-		patience := max(streamPatience, patienceTargets*c.route.Target, patiencePauses*c.route.MaxPause)
-		until = min(until, c.arrived+patience-firstEventTime)
+// placeAtEngine asks the broker of the model for a place.
+func (c *call) placeAtEngine() (*target, *resultcode.Error) {
+	if c.index.Model(c.query.Model) == nil {
+		return nil, resultcode.New(resultcode.ModelUnknown, "no model %q in version %d", c.query.Model, c.index.Version())
 	}
-	return until
+	for {
+		outcome, err := c.askBroker()
+		if err != nil {
+			return nil, err
+		}
+		if outcome.Place == nil {
+			return nil, c.refusedByBroker(outcome)
+		}
+		p := outcome.Place
+		if c.usable(p) {
+			return &target{ID: p.ID, Address: p.Address, place: p}, nil
+		}
+		c.query.Exclude = append(c.query.Exclude, p.ID)
+		c.server.step(func(now time.Duration, e *pool.Entry) { e.Done(now, p, pool.Unknown, true) })
+	}
+}
+
+// usable says whether this entry knows nothing against the endpoint of a place.
+// Its broker may have an older list.
+func (c *call) usable(p *pool.Place) bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.server.mu.entry.Table.Usable(p.ID)
 }
 
-// hopeless returns the refusal of a request that waiting does not help. Callers
-// hold the server's lock.
-func (c *call) hopeless(absence Absence) *resultcode.Error {
-	s, now := c.server, c.server.now()
-	if c.query.Model != "" && c.index.Model(c.query.Model) == nil {
-		return resultcode.New(resultcode.ModelUnknown, "no model %q in version %d", c.query.Model, c.index.Version())
+// askBroker makes one request for a place. An error says why there is no outcome.
+func (c *call) askBroker() (pool.Outcome, *resultcode.Error) {
+	s := c.server
+	expires := c.waitUntil(s.now())
+	outcome := make(chan pool.Outcome, 1)
+	var ask *pool.Ask
+	s.step(func(now time.Duration, e *pool.Entry) {
+		ask = e.Ask(now, &c.query, c.lastTarget(), expires, func(o pool.Outcome) { outcome <- o })
+	})
+	end := time.NewTimer(expires - s.now() + refusalReserve)
+	defer end.Stop()
+	select {
+	case o := <-outcome:
+		return o, nil
+	case <-end.C:
+	case <-s.leaving:
+	case <-c.ctx.Done():
 	}
-	if ready := s.mu.ready[c.query.Model] - now; absence == NoModel && ready > 0 && now+ready > c.waitUntil(now) {
-		err := resultcode.New(resultcode.ModelLoading, "model %q is resident in %d ms", c.query.Model, ready.Milliseconds())
-		err.RetryAfter = ready
-		return err
+	var open bool
+	s.step(func(now time.Duration, e *pool.Entry) { open = e.Cancel(now, ask) })
+	if !open {
+		return <-outcome, nil
 	}
-	if len(c.query.Exclude) > 0 && absence == NoEndpoints {
-		return resultcode.New(resultcode.NoEndpoint, "every endpoint of %q was tried", c.query.Service)
+	return pool.Outcome{}, c.noPlace(ask.Absence())
+}
+
+// lastTarget is until when a place leads to an answer in time.
+func (c *call) lastTarget() time.Duration { return c.arrived + c.route.Target - firstEventReserve }
+
+// refusedByBroker returns the refusal of a broker.
+func (c *call) refusedByBroker(o pool.Outcome) *resultcode.Error {
+	var err *resultcode.Error
+	switch o.Refusal {
+	case resultcode.ModelLoading:
+		err = resultcode.New(o.Refusal, "model %q is resident in %d ms", c.query.Model, o.RetryAfter.Milliseconds())
+	case resultcode.NoEndpoint:
+		err = resultcode.New(o.Refusal, "every endpoint of %q was tried", c.query.Service)
+	default:
+		err = resultcode.New(o.Refusal, "no place at service %q in time", c.query.Service)
 	}
-	return nil
+	err.RetryAfter = o.RetryAfter
+	return err
 }
 
-func (c *call) wait(wt *waiter, absence Absence) (*Ticket, *resultcode.Error) {
+// placeAtService waits for a place at an endpoint of a plain service. This entry
+// gives it out by the endpoints' own counts.
+func (c *call) placeAtService() (*target, *resultcode.Error) {
 	s := c.server
-	poll := time.NewTicker(loadPoll)
-	defer poll.Stop()
-	end := time.NewTimer(wt.deadline - s.now())
-	defer end.Stop()
-	for {
-		c.askLoad(absence)
-		select {
-		case t := <-wt.ready:
-			return t, nil
-		case <-poll.C:
-			var err *resultcode.Error
-			if absence, err = c.reconsider(wt); err != nil {
-				return nil, err
-			}
-			continue
-		case <-end.C:
-		case <-s.leaving:
-		case <-c.ctx.Done():
+	granted := make(chan *pool.Ticket, 1)
+	w := &pool.Waiter{Query: &c.query, Target: c.lastTarget(), Deadline: c.waitUntil(s.now()), Granted: func(t *pool.Ticket) { granted <- t }}
+	var absence pool.Absence
+	s.step(func(now time.Duration, e *pool.Entry) {
+		s.mu.queue.Add(w)
+		s.mu.queue.Dispatch(now, e.Table)
+		absence = w.Absence()
+		if absence == pool.NoEndpoints && len(c.query.Exclude) > 0 {
+			s.mu.queue.Remove(w)
 		}
-		s.mu.Lock()
-		waiting := s.mu.queue.remove(wt)
-		s.mu.Unlock()
-		if !waiting {
-			return <-wt.ready, nil
-		}
-		return nil, c.noPlace(absence)
+	})
+	if absence == pool.NoEndpoints && len(c.query.Exclude) > 0 {
+		return nil, resultcode.New(resultcode.NoEndpoint, "every endpoint of %q was tried", c.query.Service)
+	}
+	end := time.NewTimer(w.Deadline - s.now())
+	defer end.Stop()
+	select {
+	case t := <-granted:
+		return &target{ID: t.ID, Address: t.Address, ticket: t}, nil
+	case <-end.C:
+	case <-s.leaving:
+	case <-c.ctx.Done():
+	}
+	s.mu.Lock()
+	waiting := s.mu.queue.Remove(w)
+	s.mu.Unlock()
+	if !waiting {
+		t := <-granted
+		return &target{ID: t.ID, Address: t.Address, ticket: t}, nil
 	}
+	return nil, c.noPlace(w.Absence())
 }
 
-// reconsider gives out places and says why the request still has none. An error
-// ends the wait.
-func (c *call) reconsider(wt *waiter) (Absence, *resultcode.Error) {
-	s := c.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.dispatchLocked()
-	_, absence := s.mu.table.peek(s.now(), &c.query)
-	err := c.hopeless(absence)
-	if err != nil && !s.mu.queue.remove(wt) {
-		return absence, nil // it has just got a place
+// waitUntil is how long the request may wait for a place: later, its caller
+// would leave before the first event, or get no whole answer.
+func (c *call) waitUntil(now time.Duration) time.Duration {
+	until := now + time.Duration(float64(c.deadline-now)*waitPart)
+	if c.route.Kind == catalog.Streaming {
+		patience := max(streamPatience, patienceTargets*c.route.Target, patiencePauses*c.route.MaxPause)
+		until = min(until, c.arrived+patience-firstEventTime)
 	}
-	return absence, err
+	return until
 }
 
-func (c *call) noPlace(absence Absence) *resultcode.Error {
+func (c *call) noPlace(absence pool.Absence) *resultcode.Error {
 	switch {
 	case errors.Is(c.ctx.Err(), context.Canceled):
 		return resultcode.New(resultcode.CallerGone, "the caller left while the request waited for %s", absence)
 	case c.server.isLeaving():
 		return resultcode.New(resultcode.Draining, "this VM stops before the request has a place")
-	case absence == NoModel || absence == NoAdapter:
+	case absence == pool.NoModel || absence == pool.NoAdapter:
 		return resultcode.New(resultcode.ModelLoading, "model %q with adapter %q was not resident in time", c.query.Model, c.query.Adapter)
-	case absence == NoEndpoints:
+	case absence == pool.NoEndpoints:
 		return resultcode.New(resultcode.NoEndpoint, "service %q has no endpoint that can be reached", c.query.Service)
 	default:
 		return resultcode.New(resultcode.DeadlineTooClose, "no place at service %q in time", c.query.Service)
 	}
 }
 
-// loadPause follows a call for a load that was not accepted: many entries wait
-// for the same adapters, and the leader answers each call.
-const loadPause = 600 * time.Millisecond
+// done gives a place back and lets waiting requests have it.
+func (s *Server) done(t *target, r pool.Result, leaving bool) {
+	s.step(func(now time.Duration, e *pool.Entry) {
+		if t.place != nil {
+			e.Done(now, t.place, r, leaving)
+			return
+		}
+		e.Table.Done(now, t.ticket, r, "", "")
+		s.mu.queue.Dispatch(now, e.Table)
+	})
+}
 
-// askLoad asks the leader for what is resident nowhere, one call at a time for
+// loadLocked asks the leader for what is resident nowhere, one call at a time for
 // each model and adapter.
-func (c *call) askLoad(absence Absence) {
-	if absence != NoModel && absence != NoAdapter {
-		return
-	}
-	model, adapter := c.query.Model, c.query.Adapter
-	if absence == NoModel {
-		adapter = ""
-	}
-	s, key := c.server, missingKey(model, adapter)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.mu.loading[key] {
+func (s *Server) loadLocked(n pool.Need) {
+	if s.mu.loading[n] {
 		return
 	}
-	s.mu.loading[key] = true
-	again := loadPoll
+	s.mu.loading[n] = true
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		ready, err := s.cfg.Loader.Load(ctx, model, adapter)
-		if err != nil {
-			again = loadPause
-			s.log.Info("load not accepted", "model", model, "adapter", adapter, "error", err.Error())
-		}
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if err == nil && adapter == "" {
-			s.mu.ready[model] = s.now() + ready
-		}
-		time.AfterFunc(again, func() {
+		pause := s.load(n)
+		time.AfterFunc(pause, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			delete(s.mu.loading, key)
+			delete(s.mu.loading, n)
 		})
 	}()
 }
+
+// load makes one call and returns the pause before the next.
+func (s *Server) load(n pool.Need) time.Duration {
+	ctx, cancel := context.WithTimeout(context.Background(), loadLimit)
+	defer cancel()
+	ready, err := s.cfg.Loader.Load(ctx, n.Model, n.Adapter)
+	if err != nil {
+		s.log.Info("load not accepted", "model", n.Model, "adapter", n.Adapter, "error", err.Error())
+		return loadPause
+	}
+	if n.Adapter == "" {
+		s.step(func(now time.Duration, e *pool.Entry) { e.SetReady(now, n.Service, n.Model, now+ready) })
+	}
+	return loadPoll
+}
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -13,6 +13,7 @@
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/coordination/directory"
+	"github.com/radishloom/radishloom/internal/coordination/pool"
 	"github.com/radishloom/radishloom/internal/state/catalog"
 )
 
@@ -42,10 +43,8 @@
 	// Decode decodes a catalog's document.
 	Decode func(document []byte) (*catalog.Catalog, error)
 	Log    *slog.Logger
-	// LoadAddress is where this entry takes the load of others; SetPeers is told
-	// where they take its own.
+	// LoadAddress is where this entry takes datagrams of others.
 	LoadAddress string
-	SetPeers    func(addresses []string)
 
 	mu struct {
 		sync.Mutex
@@ -55,7 +54,7 @@
 	}
 	epoch, version uint64
 	peersVersion   uint64
-	endpoints      map[string]Endpoint // the list as of version
+	endpoints      map[string]pool.Endpoint // the list as of version
 	lastAnswer     time.Time
 	lost           bool
 }
@@ -212,7 +211,7 @@
 	s.SetShares(decodeShares(resp.GetShares()), int(resp.GetLiveEntries()))
 	if v := resp.GetPeersVersion(); v != 0 && v != w.peersVersion {
 		w.peersVersion = v
-		w.SetPeers(slices.DeleteFunc(resp.GetPeers(), func(a string) bool { return a == w.LoadAddress }))
+		s.SetEntries(resp.GetPeers())
 	}
 	if resp.GetEpoch() == 0 {
 		return nil // a new leader that has no list yet
@@ -225,9 +224,9 @@
 }
 
 // merge takes over the endpoints of an answer and returns the whole list.
-func (w *Watcher) merge(resp *peerv1.WatchResponse) []Endpoint {
+func (w *Watcher) merge(resp *peerv1.WatchResponse) []pool.Endpoint {
 	if !resp.GetPartial() || w.endpoints == nil {
-		w.endpoints = map[string]Endpoint{}
+		w.endpoints = map[string]pool.Endpoint{}
 	}
 	for _, e := range decodeEndpoints(resp.GetEndpoints()) {
 		w.endpoints[e.ID] = e
@@ -243,16 +242,16 @@
 	return out
 }
 
-func decodeEndpoints(in []*peerv1.DirectoryEndpoint) []Endpoint {
-	out := make([]Endpoint, 0, len(in))
+func decodeEndpoints(in []*peerv1.DirectoryEndpoint) []pool.Endpoint {
+	out := make([]pool.Endpoint, 0, len(in))
 	for _, e := range in {
-		one := Endpoint{
+		one := pool.Endpoint{
 			Endpoint: directory.Endpoint{
 				ID: e.GetId(), Service: e.GetService(), Address: e.GetAddress(), DataCentre: e.GetDataCentre(),
 				Slots: int(e.GetSlots()), Leaving: e.GetLeaving(),
 			},
 			Closing: map[string]bool{},
-			Running: int(e.GetRunning()), Waiting: int(e.GetWaiting()), KVTotal: int(e.GetKvTotal()),
+			KVTotal: int(e.GetKvTotal()),
 		}
 		for _, m := range e.GetModels() {
 			one.Models = append(one.Models, directory.Resident{Model: m.GetModel(), Adapters: m.GetAdapters()})
--- a/internal/coordination/forward/table.go
+++ b/internal/coordination/pool/table.go
@@ -1,4 +1,4 @@
-package forward
+package pool
 
 import (
 	"cmp"
@@ -18,6 +18,8 @@
 	failuresToEject = 2
 	ejectTime       = 500 * time.Millisecond
 	maxEject        = 4 * time.Second
+	// fullTime is how long an endpoint that refused a request gets none.
+	fullTime = 100 * time.Millisecond
 	// loadAge is how long an endpoint's count of other entries' requests is used.
 	loadAge = 3 * time.Second
 	// missingTime is how long a model counts as absent after the endpoint said
@@ -41,14 +43,10 @@
 	heldCost = 0.03
 	// tokensPerRequest makes tokens comparable with requests.
 	tokensPerRequest = 1000.0
-	// elsewhere is what an engine in another data centre costs, in requests, where
-	// there are many entries; elsewhereUnknown is the same if the loads of its
-	// entries are not known.
-	elsewhere        = 0.1
-	elsewhereUnknown = 0.7
-	// preferred is what an entry's own order of endpoints counts, in requests,
-	// where there are many entries: each then uses few endpoints, on connections
-	// that it has.
+	// elsewhere is what an engine in another data centre costs, in requests.
+	elsewhere = 0.1
+	// preferred is what an entry's own order of endpoints counts, in requests: each
+	// then uses few endpoints, on connections that it has.
 	preferred = 0.3
 	// randomPart keeps entries with equal knowledge from choosing alike.
 	randomPart = 0.1
@@ -58,31 +56,32 @@
 type Endpoint struct {
 	directory.Endpoint
 	// Closing holds models that take no new requests.
-	Closing          map[string]bool
-	Running, Waiting int
+	Closing map[string]bool
 	// KVTotal is the memory for tokens; zero if it is not known.
 	KVTotal int
 }
 
-// endpoint is the entry's own record of an endpoint.
+// endpoint is the record of an endpoint at one entry.
 type endpoint struct {
 	Endpoint
 	models map[string]map[string]bool // model -> adapters
-	// own are the requests of this entry.
-	own work
+	// own are the places that this entry gave out: to its own requests, and as a
+	// broker to those of all entries.
+	own Work
 	// others is the last known number of requests of other entries, from the
 	// endpoint's own count. Only plain services need it.
 	others   int
 	othersAt time.Duration
 
 	failures int
+	// failedBy is the entry whose request failed last; a broker sets it.
+	failedBy string
 	// ejectedUntil is when a request may be tried again; full is the same after
 	// the endpoint refused one.
 	ejectedUntil time.Duration
 	fullUntil    time.Duration
 	// missing holds until when a model or model/adapter counts as absent.
 	missing map[string]time.Duration
-	gone    bool
 }
 
 // Query describes what a request needs.
@@ -98,16 +97,21 @@
 	// Prompt and Held are the tokens that an engine has to read, and to keep
 	// until the end. They are zero for plain services.
 	Prompt, Held int
-	// Exclude holds endpoints that this request already went to.
-	Exclude []string
+	// Exclude holds endpoints that this request already went to, Avoid those that
+	// its entry cannot reach now.
+	Exclude, Avoid []string
+	// Preference orders the engines for the entry that sends the request, and
+	// DataCentre is where that entry is.
+	Preference uint64
+	DataCentre string
 }
 
 // Ticket is a place at an endpoint; it goes back with Table.Done.
 type Ticket struct {
 	ID, Address string
 	target      *endpoint
-	// prompt and held are counted at the endpoint; prompt until the first event.
-	prompt, held int
+	// work is counted at the endpoint; its prompt until the first event.
+	work Work
 }
 
 // Absence says why there is no ticket.
@@ -127,48 +131,68 @@
 	Full
 )
 
-// Table holds the endpoints that an entry knows. It is not safe for concurrent
-// use.
+// String returns the name used in logs.
+func (a Absence) String() string {
+	return [...]string{"nothing", "an endpoint", "a model", "an adapter", "a place"}[a]
+}
+
+// Result is what a send says of its endpoint.
+type Result int
+
+// Results.
+const (
+	// Unknown says nothing: the caller left, or the request was never sent.
+	Unknown Result = iota
+	// Worked: the endpoint answered.
+	Worked
+	// Failed: the endpoint could not be reached, broke off or was silent.
+	Failed
+	// Refused: the endpoint did not take the request.
+	Refused
+	// Absent: the endpoint has another incarnation or lacks the model.
+	Absent
+)
+
+// Load is an endpoint's own count of its requests.
+type Load struct{ Running, Waiting, Slots int }
+
+// modelKey names a model of a service.
+type modelKey struct{ service, model string }
+
+// Table holds the endpoints that an entry knows.
 type Table struct {
 	endpoints map[string]*endpoint
 	services  map[string][]*endpoint
+	byModel   map[modelKey][]*endpoint
 	loads     *Loads
-	// many says that entries tell their loads now and then; crowded, that they do
-	// so in their own data centre only.
-	many, crowded bool
-	// dataCentre is where this entry is. Where there are many entries, its
-	// endpoints come first, in an order by preference.
-	dataCentre string
-	preference uint64
-	rand       func() float64
+	// changed are engines whose own work has to be told to other brokers.
+	changed map[string]bool
+	rand    func() float64
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, loads: NewLoads(), rand: rand.Float64}
+	return &Table{endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, loads: NewLoads(), changed: map[string]bool{}, rand: rand.Float64}
 }
 
 // Update replaces the list. What this entry learned of an incarnation stays.
-func (t *Table) Update(now time.Duration, list []Endpoint) {
+func (t *Table) Update(list []Endpoint) {
 	old := t.endpoints
 	t.endpoints = make(map[string]*endpoint, len(list))
 	t.services = make(map[string][]*endpoint)
+	t.byModel = make(map[modelKey][]*endpoint)
 	for _, in := range list {
 		e := old[in.ID]
 		if e == nil || e.Address != in.Address {
 			e = &endpoint{missing: map[string]time.Duration{}}
 		}
-		if in.Running != e.Running || in.Waiting != e.Waiting {
-			e.observe(now, in.Running+in.Waiting)
-		}
 		e.Endpoint = in
 		e.setModels(in.Models)
 		t.endpoints[in.ID] = e
 		t.services[in.Service] = append(t.services[in.Service], e)
-	}
-	for id, e := range old {
-		if t.endpoints[id] != e {
-			e.gone = true
+		for _, m := range in.Models {
+			key := modelKey{in.Service, m.Model}
+			t.byModel[key] = append(t.byModel[key], e)
 		}
 	}
 }
@@ -185,15 +209,15 @@
 }
 
 func (e *endpoint) observe(now time.Duration, total int) {
-	e.others = max(0, total-e.own.requests)
+	e.others = max(0, total-e.own.Requests)
 	e.othersAt = now
 }
 
 func (e *endpoint) load(now time.Duration) int {
 	if now-e.othersAt > loadAge {
-		return e.own.requests
+		return e.own.Requests
 	}
-	return e.own.requests + e.others
+	return e.own.Requests + e.others
 }
 
 func missingKey(model, adapter string) string { return model + "/" + adapter }
@@ -208,11 +232,42 @@
 
 // Pick chooses the endpoint with the least load and counts the request in.
 func (t *Table) Pick(now time.Duration, q *Query) (*Ticket, Absence) {
+	best, why := t.choose(now, q)
+	if best == nil {
+		return nil, why
+	}
+	return t.give(best, Work{1, q.Prompt, q.Held}), why
+}
+
+func (t *Table) give(e *endpoint, w Work) *Ticket {
+	e.own.add(w)
+	t.changed[e.ID] = true
+	return &Ticket{ID: e.ID, Address: e.Address, target: e, work: w}
+}
+
+// Adopt counts a place in that another broker gave out before. It returns nil if
+// the endpoint is not known.
+func (t *Table) Adopt(id string, w Work) *Ticket {
+	e := t.endpoints[id]
+	if e == nil {
+		return nil
+	}
+	return t.give(e, w)
+}
+
+func (t *Table) choose(now time.Duration, q *Query) (*endpoint, Absence) {
+	candidates := t.services[q.Service]
+	absence := NoEndpoints
+	if q.Model != "" {
+		if len(candidates) > 0 {
+			absence = NoModel
+		}
+		candidates = t.byModel[modelKey{q.Service, q.Model}]
+	}
 	var best *endpoint
 	var bestCost float64
-	absence := NoEndpoints
-	for _, e := range t.services[q.Service] {
-		if e.Leaving || now < e.ejectedUntil || slices.Contains(q.Exclude, e.ID) {
+	for _, e := range candidates {
+		if e.Leaving || now < e.ejectedUntil || slices.Contains(q.Exclude, e.ID) || slices.Contains(q.Avoid, e.ID) {
 			continue
 		}
 		if why := t.obstacle(now, e, q); why != None {
@@ -224,12 +279,10 @@
 			best, bestCost = e, cost
 		}
 	}
-	if best == nil {
-		return nil, absence
+	if best != nil {
+		return best, None
 	}
-	best.own.add(work{1, q.Prompt, q.Held})
-	t.loads.changed[best.ID] = true
-	return &Ticket{ID: best.ID, Address: best.Address, target: best, prompt: q.Prompt, held: q.Held}, None
+	return nil, absence
 }
 
 func (t *Table) obstacle(now time.Duration, e *endpoint, q *Query) Absence {
@@ -254,13 +307,22 @@
 // only up to a window.
 func (t *Table) engineFull(now time.Duration, e *endpoint, q *Query) bool {
 	w := t.work(now, e)
-	if w.prompt > 0 && w.prompt+q.Prompt > promptWindow(e.Slots) {
+	free := max(1, e.Slots) - w.Requests
+	if free <= 0 || (w.Prompt > 0 && w.Prompt+q.Prompt > promptWindow(e.Slots)) {
 		return true
 	}
-	if w.requests >= max(1, e.Slots) || (t.crowded && e.load(now) >= max(1, e.Slots)) {
+	if (free == 1 || w.Prompt > 0) && t.yields(now, e) {
 		return true
 	}
-	return w.requests > 0 && e.KVTotal > 0 && float64(w.held+q.Held) > kvPart*float64(e.KVTotal)
+	return w.Requests > 0 && e.KVTotal > 0 && float64(w.Held+q.Held) > kvPart*float64(e.KVTotal)
+}
+
+// yields says whether the next place at an engine belongs to another broker:
+// requests for its models wait, and this broker has given out more places there.
+// Without it a busy model's broker, which knows of each free place first, would
+// leave none to the other models of the engine.
+func (t *Table) yields(now time.Duration, e *endpoint) bool {
+	return t.loads.Waiting(now, e.ID) && e.own.Requests > t.loads.At(now, e.ID).Requests
 }
 
 // promptWindow is how many prompt tokens may wait at an engine.
@@ -268,8 +330,8 @@
 	return min(mostWindow, max(leastWindow, slotWindow/max(1, slots)))
 }
 
-// work is what all entries have at an engine.
-func (t *Table) work(now time.Duration, e *endpoint) work {
+// work is what all brokers have given out at an engine.
+func (t *Table) work(now time.Duration, e *endpoint) Work {
 	w := t.loads.At(now, e.ID)
 	w.add(e.own)
 	return w
@@ -278,19 +340,13 @@
 // cost is the load with a small random part, so that entries with equal
 // knowledge do not all choose the same endpoint.
 func (t *Table) cost(now time.Duration, e *endpoint, q *Query) float64 {
-	cost := float64(e.load(now)) + t.rand()
-	if q.Model != "" {
-		w := t.work(now, e)
-		cost = (float64(w.prompt)+heldCost*float64(w.held))/tokensPerRequest + t.rand()*randomPart
-	}
-	if t.many {
-		cost += preferred * rendezvous(t.preference, e.ID)
+	if q.Model == "" {
+		return float64(e.load(now)) + t.rand()
 	}
-	switch {
-	case e.DataCentre == t.dataCentre || !t.many:
-	case t.crowded:
-		cost += elsewhereUnknown
-	default:
+	w := t.work(now, e)
+	cost := (float64(w.Prompt)+heldCost*float64(w.Held))/tokensPerRequest + t.rand()*randomPart
+	cost += preferred * rendezvous(q.Preference, e.ID)
+	if e.DataCentre != q.DataCentre {
 		cost += elsewhere
 	}
 	if q.Affinity != 0 {
@@ -299,31 +355,13 @@
 	return cost
 }
 
-// Result is what a send says of its endpoint.
-type Result int
-
-// Results.
-const (
-	// Unknown says nothing: the caller left, or the request was never sent.
-	Unknown Result = iota
-	// Worked: the endpoint answered.
-	Worked
-	// Failed: the endpoint could not be reached, broke off or was silent.
-	Failed
-	// Refused: the endpoint did not take the request.
-	Refused
-	// Absent: the endpoint has another incarnation or lacks the model.
-	Absent
-)
-
-// fullTime is how long an endpoint that refused a request gets none.
-const fullTime = 100 * time.Millisecond
-
-// Done gives a place back.
-func (t *Table) Done(now time.Duration, ticket *Ticket, r Result, q *Query) {
+// Done gives a place back. The model and adapter are those that the endpoint
+// lacks if the result is Absent.
+func (t *Table) Done(now time.Duration, ticket *Ticket, r Result, model, adapter string) {
 	e := ticket.target
-	e.own.add(work{-1, -ticket.prompt, -ticket.held})
-	t.loads.changed[e.ID] = true
+	e.own.remove(ticket.work)
+	ticket.work = Work{}
+	t.changed[e.ID] = true
 	switch r {
 	case Worked:
 		e.failures, e.ejectedUntil = 0, 0
@@ -336,42 +374,50 @@
 	case Refused:
 		e.fullUntil = now + fullTime
 	case Absent:
-		e.missing[missingKey(q.Model, "")] = 0
-		e.missing[missingKey(q.Model, q.Adapter)] = now + missingTime
+		e.missing[missingKey(model, adapter)] = now + missingTime
 	case Unknown:
 	}
 }
 
 // Observe takes over an endpoint's own count.
-func (t *Table) Observe(now time.Duration, ticket *Ticket, l Load) {
-	ticket.target.observe(now, l.Running+l.Waiting)
+func (t *Table) Observe(now time.Duration, id string, l Load) {
+	e := t.endpoints[id]
+	if e == nil {
+		return
+	}
+	e.observe(now, l.Running+l.Waiting)
 	if l.Slots > 0 {
-		ticket.target.Slots = l.Slots
+		e.Slots = l.Slots
 	}
 }
 
 // Begun records that the first event of a request has come: its prompt is read.
 func (t *Table) Begun(ticket *Ticket) {
-	if ticket.prompt == 0 {
+	if ticket.work.Prompt == 0 {
 		return
 	}
-	ticket.target.own.prompt -= ticket.prompt
-	ticket.prompt = 0
-	t.loads.changed[ticket.ID] = true
+	ticket.target.own.Prompt -= ticket.work.Prompt
+	ticket.work.Prompt = 0
+	t.changed[ticket.ID] = true
 }
 
 // Leaves marks an endpoint that said that it leaves.
-func (t *Table) Leaves(ticket *Ticket) { ticket.target.Leaving = true }
+func (t *Table) Leaves(id string) {
+	if e := t.endpoints[id]; e != nil {
+		e.Leaving = true
+	}
+}
 
-// Present says whether an endpoint is in the present list and not leaving.
-func (t *Table) Present(id string) bool {
+// Usable says whether nothing is known against sending to an endpoint. One that
+// is not in the list yet may have been listed elsewhere already.
+func (t *Table) Usable(id string) bool {
 	e := t.endpoints[id]
-	return e != nil && !e.Leaving
+	return e == nil || !e.Leaving
 }
 
 // rendezvous returns a number in [0, 1) that is the same at every entry.
-func rendezvous(affinity uint64, id string) float64 {
-	h := (xxhash.Sum64String(id) ^ affinity) * 0x9e3779b97f4a7c15
+func rendezvous(key uint64, id string) float64 {
+	h := (xxhash.Sum64String(id) ^ key) * 0x9e3779b97f4a7c15
 	return float64(h>>11) / (1 << 53)
 }
 
@@ -379,24 +425,9 @@
 // last part of its prompt that others share, or zero without one. The last part
 // of a prompt is the request's own. Parts before the last shared one are few, and
 // every endpoint keeps them soon.
-func HashPrefix(model, adapter string, prefix []Part) uint64 {
-	if len(prefix) < 2 {
+func HashPrefix(model, adapter string, parts []string) uint64 {
+	if len(parts) < 2 {
 		return 0
 	}
-	return cmp.Or(xxhash.Sum64String(model+"/"+adapter+"/"+prefix[len(prefix)-2].ID), 1)
-}
-
-// peek is Pick without taking the place.
-func (t *Table) peek(now time.Duration, q *Query) (bool, Absence) {
-	ticket, why := t.Pick(now, q)
-	if ticket == nil {
-		return false, why
-	}
-	ticket.target.own.add(work{-1, -ticket.prompt, -ticket.held})
-	return true, None
-}
-
-// String returns the name used in logs.
-func (a Absence) String() string {
-	return [...]string{"nothing", "an endpoint", "a model", "an adapter", "a place"}[a]
+	return cmp.Or(xxhash.Sum64String(model+"/"+adapter+"/"+parts[len(parts)-2]), 1)
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
@@ -11,8 +12,8 @@
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
-	"github.com/radishloom/radishloom/internal/coordination/directory"
 	"github.com/radishloom/radishloom/internal/coordination/forward"
+	"github.com/radishloom/radishloom/internal/coordination/pool"
 	"github.com/radishloom/radishloom/internal/telemetry"
 	"github.com/radishloom/radishloom/internal/transport/datagram"
 	"github.com/radishloom/radishloom/internal/transport/httpserver"
@@ -37,29 +38,24 @@
 	client := newClient()
 	defer client.Close()
 	loadAddress := s.PeerAddress(s.IP)
-	loads, err := datagram.Listen(loadAddress)
+	socket, err := datagram.Listen(loadAddress)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = loads.Close() }() // the process ends
+	defer func() { _ = socket.Close() }() // the process ends
 	session := &statev1.Session{Vm: s.VM, Incarnation: uuid.NewString(), DataCentre: s.DataCentre}
 	watcher := &forward.Watcher{
 		LoadAddress: loadAddress,
-		SetPeers: func(addresses []string) {
-			if bad := loads.SetPeers(addresses); len(bad) > 0 {
-				log.Warn("addresses of entries cannot be read", "addresses", bad)
-			}
-		},
-		Calls: transport, Decode: decodeStored, Log: log,
+		Calls:       transport, Decode: decodeStored, Log: log,
 		Session: session,
 	}
 	watcher.SetSeeds(seedAddresses(s))
 	server := forward.New(forward.Config{
-		Codec: platform.Codec{}, Client: client, Loader: watcher, Metrics: metrics, Log: log, Name: session.Incarnation,
-		DataCentre: s.DataCentre, AtOnceLimit: directory.AtOnceLimit, ExchangeLimit: directory.ExchangeLimit,
-		Tell: func(u *peerv1.LoadUpdate) {
-			if err := loads.Send(u); err != nil {
-				log.Warn("load not told", "error", err)
+		Codec: platform.Codec{}, Client: client, Loader: watcher, Metrics: metrics, Log: log,
+		Self: pool.Sender{Address: loadAddress, Incarnation: rand.Uint64()}, DataCentre: s.DataCentre,
+		Tell: func(to string, m *peerv1.PlaceMessage) {
+			if err := socket.Send(to, m); err != nil {
+				log.Warn("datagram not sent", "error", err)
 			}
 		},
 		RetryWindow: s.Bounds.RetryWindow, RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
@@ -87,8 +83,8 @@
 		serve(running, part, failed)
 	}
 	go watcher.Run(running, server)
-	go server.RefreshLoads(running)
-	go func() { failed <- receiveLoads(loads, server, log) }()
+	go server.Run(running)
+	go func() { failed <- receive(socket, server, log) }()
 	go watchSettings(running, s, log, func(next *platform.Settings) { watcher.SetSeeds(seedAddresses(next)) })
 	select {
 	case err := <-failed:
@@ -98,15 +94,15 @@
 	return stopEntry(server, callers, log)
 }
 
-// receiveLoads hands updates of other entries on until the socket is closed.
-func receiveLoads(loads *datagram.Socket, server *forward.Server, log *slog.Logger) error {
-	return loads.Receive(func(data []byte) {
-		u := &peerv1.LoadUpdate{}
-		if err := proto.Unmarshal(data, u); err != nil {
-			log.Warn("load update cannot be decoded", "bytes", len(data), "error", err)
+// receive hands datagrams of other entries on until the socket is closed.
+func receive(socket *datagram.Socket, server *forward.Server, log *slog.Logger) error {
+	return socket.Receive(func(data []byte) {
+		m := &peerv1.PlaceMessage{}
+		if err := proto.Unmarshal(data, m); err != nil {
+			log.Warn("datagram cannot be decoded", "bytes", len(data), "error", err)
 			return
 		}
-		server.HearLoads(u)
+		server.Hear(m)
 	})
 }
 
--- a/internal/transport/datagram/datagram.go
+++ b/internal/transport/datagram/datagram.go
@@ -12,16 +12,20 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// maxBytes bounds one message.
-const maxBytes = 32 << 10
+const (
+	// maxBytes bounds one message.
+	maxBytes = 32 << 10
+	// maxDecoded bounds the decoded addresses that are kept.
+	maxDecoded = 4096
+)
 
 // Socket sends to and receives from other daemons. It is safe for concurrent
 // use.
 type Socket struct {
 	conn *net.UDPConn
 
-	mu    sync.Mutex
-	peers []netip.AddrPort
+	mu      sync.Mutex
+	decoded map[string]netip.AddrPort
 	// failed counts messages that could not be sent since the last one that was.
 	failed int
 }
@@ -36,30 +40,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for datagrams: %w", err)
 	}
-	return &Socket{conn: conn}, nil
-}
-
-// SetPeers replaces the receivers. Addresses that cannot be read are left out
-// and returned.
-func (s *Socket) SetPeers(addresses []string) (malformed []string) {
-	var peers []netip.AddrPort
-	for _, a := range addresses {
-		at, err := netip.ParseAddrPort(a)
-		if err != nil {
-			malformed = append(malformed, a)
-			continue
-		}
-		peers = append(peers, at)
-	}
-	s.mu.Lock()
-	s.peers = peers
-	s.mu.Unlock()
-	return malformed
+	return &Socket{conn: conn, decoded: map[string]netip.AddrPort{}}, nil
 }
 
-// Send sends a message to every peer. Messages that the network does not take
-// are counted and lost.
-func (s *Socket) Send(m proto.Message) error {
+// Send sends a message to IP:PORT. A message that the network does not take is
+// counted and lost.
+func (s *Socket) Send(to string, m proto.Message) error {
 	data, err := proto.Marshal(m)
 	if err != nil {
 		return fmt.Errorf("encode a datagram: %w", err)
@@ -67,21 +53,36 @@
 	if len(data) > maxBytes {
 		return fmt.Errorf("datagram of %d bytes is larger than %d", len(data), maxBytes)
 	}
-	s.mu.Lock()
-	peers := s.peers
-	s.mu.Unlock()
-	failed := 0
-	for _, p := range peers {
-		if _, err := s.conn.WriteToUDPAddrPort(data, p); err != nil {
-			failed++
-		}
+	at, err := s.resolve(to)
+	if err != nil {
+		return err
+	}
+	if _, err := s.conn.WriteToUDPAddrPort(data, at); err != nil {
+		s.mu.Lock()
+		s.failed++
+		s.mu.Unlock()
 	}
-	s.mu.Lock()
-	s.failed += failed
-	s.mu.Unlock()
 	return nil
 }
 
+// resolve decodes an address, each one once.
+func (s *Socket) resolve(to string) (netip.AddrPort, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at, ok := s.decoded[to]; ok {
+		return at, nil
+	}
+	at, err := netip.ParseAddrPort(to)
+	if err != nil {
+		return at, fmt.Errorf("datagram to %q: %w", to, err)
+	}
+	if len(s.decoded) >= maxDecoded {
+		clear(s.decoded)
+	}
+	s.decoded[to] = at
+	return at, nil
+}
+
 // Failed returns how many sends failed since the last call.
 func (s *Socket) Failed() int {
 	s.mu.Lock()
--- a/internal/transport/datagram/datagram_test.go
+++ b/internal/transport/datagram/datagram_test.go
@@ -29,11 +29,13 @@
 			}
 		}()
 	}
-	if bad := sender.SetPeers(append(addresses, "nowhere")); len(bad) != 1 || bad[0] != "nowhere" {
-		t.Fatalf("malformed: %v", bad)
+	if err := sender.Send("nowhere", wrapperspb.String("hello")); err == nil {
+		t.Fatal("an address that cannot be read is no error")
 	}
-	if err := sender.Send(wrapperspb.String("hello")); err != nil {
-		t.Fatal(err)
+	for _, a := range addresses {
+		if err := sender.Send(a, wrapperspb.String("hello")); err != nil {
+			t.Fatal(err)
+		}
 	}
 	for range 2 {
 		if n := <-got; n == 0 {
