directory: the leader's work is bounded, whatever the number of engines and entries

Each endpoint that left the list sent the whole list to every entry. Ruled out: the platform's list (its calls were answered within 10 ms), the entries (5 % of a core). Versions of what entries are told at most each millisecond for each entry; calls held open for 5 ms for each entry. Endpoints that are gone are told as differences; whole lists are packed once and brought up to date afterwards. Demands of entries are summed when they change. Rounds of the planner take a tenth of the time at most.

--- a/internal/coordination/directory/adapter.go
+++ b/internal/coordination/directory/adapter.go
@@ -20,7 +20,7 @@
 		if slices.Contains(e.adaptersOf(model), adapter) {
 			return nil, e.ID
 		}
-		if !e.takesAdapter(now) || !p.hasAdapterPlace(now, s, e) {
+		if !p.takesAdapter(now, e) || !p.hasAdapterPlace(now, s, e) {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(e.adapterCost(s), best.adapterCost(s)), cmp.Compare(e.ID, best.ID)) < 0 {
@@ -43,8 +43,8 @@
 const incomingLimit = 4
 
 // takesAdapter says whether what is known of the engine is enough for an order.
-func (e *engine) takesAdapter(now time.Duration) bool {
-	return !e.ordering && !e.stale && e.reported != 0 && now-e.reported < ReportAge && len(e.report.Incoming) < incomingLimit
+func (p *Planner) takesAdapter(now time.Duration, e *engine) bool {
+	return !e.ordering && !e.stale && e.reported != 0 && now-e.reported < p.reportAge && len(e.report.Incoming) < incomingLimit
 }
 
 // hasAdapterPlace says whether an engine has a place for an adapter, or one that
--- a/internal/coordination/directory/observe.go
+++ b/internal/coordination/directory/observe.go
@@ -25,6 +25,7 @@
 			delete(p.engines, id)
 		}
 	}
+	p.reportAge = reportAge(len(p.engines))
 }
 
 // Reported takes over a report that was asked for at the time.
--- a/internal/coordination/directory/orders.go
+++ b/internal/coordination/directory/orders.go
@@ -22,9 +22,14 @@
 func (s *Server) plan() []Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.mayOrderLocked() {
+	if !s.mayOrderLocked() || s.now() < s.mu.nextPlan {
 		return nil
 	}
+	started := s.now()
+	defer func() {
+		took := s.now() - started
+		s.mu.nextPlan = s.now() + time.Duration(float64(took)/planPart) - workInterval
+	}()
 	var out []Decision
 	for i := range s.mu.index.Catalog().Services {
 		service := &s.mu.index.Catalog().Services[i]
--- a/internal/coordination/directory/plan.go
+++ b/internal/coordination/directory/plan.go
@@ -48,15 +48,17 @@
 	engines map[string]*engine
 	demand  map[string]*modelDemand
 	// stuck is until when a model that found no engine is passed over.
-	stuck   map[string]time.Duration
-	moves   []Move
-	store   float64 // loads that may start now
-	storeAt time.Duration
+	stuck map[string]time.Duration
+	// reportAge is the age from which a report is too old for an order.
+	reportAge time.Duration
+	moves     []Move
+	store     float64 // loads that may start now
+	storeAt   time.Duration
 }
 
 // NewPlanner returns a planner without engines that may start no load at once.
 func NewPlanner(now time.Duration) *Planner {
-	return &Planner{engines: map[string]*engine{}, demand: map[string]*modelDemand{}, stuck: map[string]time.Duration{}, storeAt: now}
+	return &Planner{engines: map[string]*engine{}, demand: map[string]*modelDemand{}, stuck: map[string]time.Duration{}, reportAge: leastReportAge, storeAt: now}
 }
 
 // Decision is an order for one engine.
@@ -177,7 +179,7 @@
 // idle says whether an engine can take an order now.
 func (r *plan) idle(e *engine) bool {
 	return !e.Leaving && !e.ordering && !e.stale && e.reported != 0 && !e.report.Busy && !e.report.Leaving &&
-		e.loading == "" && r.now-e.reported < ReportAge
+		e.loading == "" && r.now-e.reported < r.reportAge
 }
 
 // free is idle without a move under way.
--- a/internal/coordination/directory/poll.go
+++ b/internal/coordination/directory/poll.go
@@ -22,7 +22,7 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, callLimit)
+		ctx, cancel := context.WithTimeout(ctx, listLimit)
 		defer cancel()
 		list, err := s.cfg.Platform.List(ctx)
 		if err != nil {
@@ -52,14 +52,28 @@
 	s.mu.listed = true
 	s.noteChanges(list)
 	s.mu.list = list
+	s.mu.reports.forgetOthers(identifiers(list))
 	s.mu.planner.SetEndpoints(list)
 	if changed {
 		s.bumpLocked()
 	}
 }
 
-// noteChanges logs endpoints that came, leave or went.
+func identifiers(list []Endpoint) map[string]bool {
+	out := make(map[string]bool, len(list))
+	for _, e := range list {
+		out[e.ID] = true
+	}
+	return out
+}
+
+// noteChanges logs endpoints that came, leave or went, and the number of those in
+// the first list of a term.
 func (s *Server) noteChanges(list []Endpoint) {
+	if s.mu.list == nil {
+		s.cfg.Log.Info("endpoints listed", "endpoints", len(list), "term", s.mu.term)
+		return
+	}
 	old := map[string]Endpoint{}
 	for _, e := range s.mu.list {
 		old[e.ID] = e
@@ -83,29 +97,23 @@
 	return a.ID == b.ID && a.Address == b.Address && a.Leaving == b.Leaving && a.Service == b.Service && a.Slots == b.Slots
 }
 
-// startReports asks each engine whose report is due.
+// startReports asks the engines whose reports are due.
 func (s *Server) startReports(ctx context.Context) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
 	if s.mu.index == nil {
 		return
 	}
-	for i, e := range s.mu.list {
+	now := s.now()
+	var engines []Endpoint
+	for _, e := range s.mu.list {
 		service := s.mu.index.Service(e.Service)
-		if service == nil || service.Engine == nil || e.Leaving {
-			continue
+		if service != nil && service.Engine != nil && !e.Leaving {
+			engines = append(engines, e)
 		}
-		asked, known := s.mu.asked[e.ID]
-		if !known {
-			// Spread the first reports, so that they do not all come at once.
-			asked = now + time.Duration(i%4)*workInterval - reportInterval
-			s.mu.asked[e.ID] = asked
-		}
-		if now-asked < s.mu.planner.ReportInterval(now, e.ID) {
-			continue
-		}
-		s.mu.asked[e.ID] = now
+	}
+	interval := func(id string) time.Duration { return s.mu.planner.ReportInterval(now, id) }
+	for _, e := range s.mu.reports.due(now, engines, interval) {
 		go s.ask(ctx, s.mu.term, e, now)
 	}
 }
@@ -119,6 +127,7 @@
 	if s.mu.term != term {
 		return
 	}
+	s.mu.reports.answered()
 	if err != nil {
 		s.cfg.Log.Info("report not read", "endpoint", e.ID, "error", err)
 		return
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -21,8 +21,16 @@
 	reportInterval = time.Second
 	// movingReportInterval is the same for an engine that carries out an order.
 	movingReportInterval = 250 * time.Millisecond
-	// callLimit bounds one call to the platform or an engine.
+	// callLimit bounds one call to an engine, listLimit the calls for all pages of
+	// the platform's list.
 	callLimit = time.Second
+	listLimit = 3 * time.Second
+	// planPart is the part of the time that rounds of the planner may take: with
+	// thousands of engines a round takes longer than workInterval allows.
+	planPart = 0.1
+	// publishPerEntry is the time between two versions of what entries are told, for
+	// each entry: every version is an answer to each of them.
+	publishPerEntry = time.Millisecond
 	// peersInterval bounds how often entries are told of other entries: after a
 	// restart of all of them each one that comes back would be news to the others.
 	peersInterval = 300 * time.Millisecond
@@ -84,10 +92,17 @@
 		// entry older than complete gets the whole list.
 		published map[string]*published
 		complete  uint64
+		gone      []gone // by version
+		packed    packedList
 		index     *catalog.Index
 		nextList  time.Duration
 		listing   bool
-		asked     map[string]time.Duration // engine -> when its report was last asked for
+		reports   *reportCalls
+		// publishedAt is when the last version was made; publishing says that a timer
+		// for the next one runs.
+		publishedAt time.Duration
+		publishing  bool
+		nextPlan    time.Duration
 	}
 }
 
@@ -145,9 +160,11 @@
 	s.mu.shares = NewShares()
 	s.mu.list, s.mu.listed = nil, false
 	s.mu.nextList, s.mu.listing = 0, false
-	s.mu.asked = map[string]time.Duration{}
-	s.bumpLocked()
+	s.mu.reports = newReportCalls(s.now())
+	s.mu.nextPlan = 0
+	s.publishLocked()
 	s.mu.complete = s.mu.version
+	s.mu.gone, s.mu.packed = nil, packedList{}
 }
 
 func (s *Server) updateCatalog(ctx context.Context) {
--- a/internal/coordination/directory/share.go
+++ b/internal/coordination/directory/share.go
@@ -34,6 +34,8 @@
 type Shares struct {
 	entries map[string]*entryUsage
 	levels  map[string]*level
+	// totals are the sums of the entries' demands by customer.
+	totals map[string]float64
 	// version grows when an entry comes, goes or has another address. listed is the
 	// list of addresses as of listedVersion.
 	version, listedVersion uint64
@@ -67,7 +69,7 @@
 
 // NewShares returns Shares without entries.
 func NewShares() *Shares {
-	return &Shares{entries: map[string]*entryUsage{}, levels: map[string]*level{}}
+	return &Shares{entries: map[string]*entryUsage{}, levels: map[string]*level{}, totals: map[string]float64{}}
 }
 
 // Report adds what an entry was asked for and spent since its last report.
@@ -80,26 +82,40 @@
 	e.seen = now
 	decay := math.Exp(-(now - e.at).Seconds() / demandMemory.Seconds())
 	e.at = now
-	for name := range e.demand {
-		e.demand[name] *= decay
-		if e.demand[name] < 1 {
-			delete(e.demand, name)
+	for name, demand := range e.demand {
+		if kept := demand * decay; kept >= 1 {
+			s.set(e, name, kept)
+		} else {
+			s.set(e, name, 0)
 		}
 	}
 	for name, u := range usage {
-		e.demand[name] += u.Asked
+		s.set(e, name, e.demand[name]+u.Asked)
 		if l := s.levels[name]; l != nil {
 			l.tokens -= u.Spent
 		}
 	}
 	for name, other := range s.entries {
 		if now-other.seen > entryTimeout {
+			for customer := range other.demand {
+				s.set(other, customer, 0)
+			}
 			delete(s.entries, name)
 			s.version++
 		}
 	}
 }
 
+// set replaces an entry's demand for a customer.
+func (s *Shares) set(e *entryUsage, customer string, demand float64) {
+	s.totals[customer] += demand - e.demand[customer]
+	if demand == 0 {
+		delete(e.demand, customer)
+		return
+	}
+	e.demand[customer] = demand
+}
+
 // SetAddress records where an entry takes datagrams of others.
 func (s *Shares) SetAddress(entry, address string) {
 	if e := s.entries[entry]; e != nil && e.address != address {
@@ -153,11 +169,8 @@
 
 func (s *Shares) part(own *entryUsage, name string) float64 {
 	even := 1 / float64(s.Entries())
-	total := 0.0
-	for _, e := range s.entries {
-		total += e.demand[name]
-	}
-	if total <= 0 {
+	total := s.totals[name]
+	if total < 1 { // demands below one token are forgotten
 		return even
 	}
 	return evenPart*even + (1-evenPart)*own.demand[name]/total
--- a/internal/coordination/directory/types.go
+++ b/internal/coordination/directory/types.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 )
 
 // Endpoint is one incarnation of an endpoint in the platform's list.
@@ -115,6 +114,3 @@
 	// Order sends an order. After an error it may still be carried out.
 	Order(ctx context.Context, e Endpoint, o Order) (Outcome, error)
 }
-
-// ReportAge is the age from which a report says nothing of the present load.
-const ReportAge = 3 * time.Second
--- a/internal/coordination/directory/watch.go
+++ b/internal/coordination/directory/watch.go
@@ -107,10 +107,21 @@
 	if !s.mu.listed {
 		return out, nil
 	}
+	return out, s.addEndpointsLocked(out, r)
+}
+
+// addEndpointsLocked adds what an entry does not know of the list.
+func (s *Server) addEndpointsLocked(out *peerv1.WatchResponse, r *peerv1.WatchRequest) error {
 	out.Epoch, out.EndpointsVersion = s.mu.term, s.mu.version
-	if r.GetEpoch() != s.mu.term || r.GetEndpointsVersion() != s.mu.version {
-		out.Partial = r.GetEpoch() == s.mu.term && r.GetEndpointsVersion() >= s.mu.complete
-		out.Endpoints = s.sinceLocked(r.GetEndpointsVersion(), out.GetPartial())
+	known := r.GetEndpointsVersion()
+	if r.GetEpoch() == s.mu.term && known >= s.mu.complete {
+		out.Partial = true
+		if known != s.mu.version {
+			out.Endpoints, out.Gone = s.sinceLocked(known), s.goneSinceLocked(known)
+		}
+		return nil
 	}
-	return out, nil
+	p, err := s.packLocked()
+	out.EndpointsVersion, out.Packed = p.version, p.data
+	return err
 }
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/coordination/directory"
@@ -19,8 +21,12 @@
 
 // Constants of the watch.
 const (
-	// watchHold is how long a call may be held open.
-	watchHold = 400 * time.Millisecond
+	// leastHold is how long a call may be held open, with few entries. holdPerEntry
+	// is the same for each entry where there are many, up to mostHold: calls that
+	// bring nothing cost the leader as much as others.
+	leastHold    = 400 * time.Millisecond
+	holdPerEntry = 5 * time.Millisecond
+	mostHold     = 1500 * time.Millisecond
 	// watchPause follows a failed round over all control VMs.
 	watchPause = 150 * time.Millisecond
 	// watchGap is the least time between two calls, which bounds their cost when
@@ -55,10 +61,16 @@
 	epoch, version uint64
 	peersVersion   uint64
 	endpoints      map[string]pool.Endpoint // the list as of version
+	entries        int                      // as of the last answer
 	lastAnswer     time.Time
 	lost           bool
 }
 
+// hold is how long a call may be held open.
+func (w *Watcher) hold() time.Duration {
+	return max(leastHold, min(mostHold, time.Duration(w.entries)*holdPerEntry))
+}
+
 // SetSeeds replaces the control VMs that the settings name.
 func (w *Watcher) SetSeeds(addresses []string) {
 	w.mu.Lock()
@@ -141,7 +153,7 @@
 
 func (w *Watcher) once(ctx context.Context, s *Server, address string) error {
 	r := &peerv1.WatchRequest{
-		Entry: w.Session, Epoch: w.epoch, EndpointsVersion: w.version, HoldMs: uint32(watchHold.Milliseconds()),
+		Entry: w.Session, Epoch: w.epoch, EndpointsVersion: w.version, HoldMs: uint32(w.hold().Milliseconds()),
 		LoadAddress: w.LoadAddress, PeersVersion: w.peersVersion,
 	}
 	if x := s.Index(); x != nil {
@@ -208,6 +220,7 @@
 		s.SetCatalog(catalog.NewIndex(decoded))
 	}
 	w.setMembers(resp.GetMembers(), address)
+	w.entries = int(resp.GetLiveEntries())
 	s.SetShares(decodeShares(resp.GetShares()), int(resp.GetLiveEntries()))
 	if v := resp.GetPeersVersion(); v != 0 && v != w.peersVersion {
 		w.peersVersion = v
@@ -216,22 +229,38 @@
 	if resp.GetEpoch() == 0 {
 		return nil // a new leader that has no list yet
 	}
-	if resp.GetEpoch() != w.epoch || resp.GetEndpointsVersion() != w.version {
-		s.SetEndpoints(w.merge(resp))
-		w.epoch, w.version = resp.GetEpoch(), resp.GetEndpointsVersion()
+	if resp.GetEpoch() == w.epoch && resp.GetEndpointsVersion() == w.version {
+		return nil
+	}
+	if err := w.merge(resp); err != nil {
+		return err
 	}
+	s.SetEndpoints(slices.Collect(maps.Values(w.endpoints)))
+	w.epoch, w.version = resp.GetEpoch(), resp.GetEndpointsVersion()
 	return nil
 }
 
-// merge takes over the endpoints of an answer and returns the whole list.
-func (w *Watcher) merge(resp *peerv1.WatchResponse) []pool.Endpoint {
-	if !resp.GetPartial() || w.endpoints == nil {
-		w.endpoints = map[string]pool.Endpoint{}
+// merge takes over the endpoints of an answer.
+func (w *Watcher) merge(resp *peerv1.WatchResponse) error {
+	changed := resp.GetEndpoints()
+	if !resp.GetPartial() {
+		data, err := catalog.Unpack(resp.GetPacked())
+		if err != nil {
+			return fmt.Errorf("unpack the list of endpoints: %w", err)
+		}
+		list := &peerv1.EndpointList{}
+		if err := proto.Unmarshal(data, list); err != nil {
+			return fmt.Errorf("decode the list of endpoints: %w", err)
+		}
+		w.endpoints, changed = map[string]pool.Endpoint{}, list.GetEndpoints()
 	}
-	for _, e := range decodeEndpoints(resp.GetEndpoints()) {
+	for _, id := range resp.GetGone() {
+		delete(w.endpoints, id)
+	}
+	for _, e := range decodeEndpoints(changed) {
 		w.endpoints[e.ID] = e
 	}
-	return slices.Collect(maps.Values(w.endpoints))
+	return nil
 }
 
 func decodeShares(in []*peerv1.CustomerShare) map[string]directory.Share {
