directory: copies by targets, trends beyond chance, loads reserved when they begin

Chance moved copies of middling models to and fro, each move took a copy that was needed, and the model whose demand really rose waited for the store with one copy: moves that waited for others to make way were begun without a reservation and used up its rate. Change: each model gets a wish in copies from its load, all wishes fit into the places of the fleet; copies make way only if nobody asks for them or their model has more than its wish. A trend counts if the two means differ by two standard deviations, and both are corrected for the time since measurement began; copies move after 2 s of it. Loads that wait for others to make way reserve the store's rate. A model counts as asked for until 12 s after its last request. The cost of a candidate is its load and the time until it serves, with that of making way.

--- a/internal/coordination/directory/demand_test.go
+++ b/internal/coordination/directory/demand_test.go
@@ -7,6 +7,9 @@
 	"pgregory.net/rapid"
 )
 
+// requestTokens is the work of one request.
+const requestTokens = 4000
+
 // playRound lets 100 ms pass: loads end, engines report each second, entries
 // report the work that models are asked for in engines, and orders are obeyed.
 func (f *simFleet) playRound(work map[string]float64) {
@@ -24,7 +27,7 @@
 	}
 	for _, m := range f.service.Engine.Models {
 		tokens := int(work[m.Name] * EngineTokenRate * round.Seconds())
-		f.planner.Asked(f.now, "entry", m.Name, min(1, tokens), tokens, 0)
+		f.planner.Asked(f.now, "entry", m.Name, (tokens+requestTokens-1)/requestTokens, tokens, 0)
 	}
 	for _, d := range f.planner.Plan(f.now, f.service) {
 		f.planner.Answered(f.now, d, f.execute(f.engine(d.Engine.ID), d.Order), true, f.service)
@@ -78,7 +81,7 @@
 	r := p.newPlan(now, s)
 	present, expected := 0.0, 0.0
 	for name, load := range r.load {
-		present += p.demand[name].fast
+		present += p.demand[name].fast / measuredPart(now-p.measuredFrom, fastMemory)
 		expected += load
 	}
 	if expected > totalRise*present+1e-9 {
@@ -86,23 +89,72 @@
 	}
 }
 
+// Guards against a start of traffic that passes for a rise of all models: each of
+// them would get copies at the cost of others, while nothing moves.
+func TestStartOfTrafficIsNoRise(t *testing.T) {
+	const demand = 1.2 // engines
+	s := testService(1)
+	p, now := newPlanned(s, []string{"m0"})
+	for step := range 40 {
+		now += 100 * time.Millisecond
+		p.Asked(now, "entry", "m0", 1, int(demand*EngineTokenRate/10), 0)
+		if got := p.newPlan(now, s).load["m0"]; step >= 10 && (got < 0.75*demand || got > 1.25*demand) {
+			t.Fatalf("after %d ms the forecast is %.2f engines, the demand %.2f", 100*(step+1), got, demand)
+		}
+	}
+}
+
+// Guards against copies that move to and fro: on a fleet whose memory is full,
+// demands that only change by chance must move nothing, since each load from the
+// store takes a copy out of service for its whole time.
+func TestChanceMovesNoCopies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newSimFleet(t, 12, 24)
+		f.service.Engine.LoadsPerSecond = 10
+		for i, m := range f.service.Engine.Models {
+			f.engines[i/2].models[m.Name] = map[string]bool{}
+		}
+		random := rapid.IntRange(0, 1000).Draw(t, "seed")
+		moves := 0
+		for f.now < 30*time.Second {
+			work := map[string]float64{}
+			for i, m := range f.service.Engine.Models {
+				random = random*1103515245 + 12345
+				chance := 0.4 + 1.2*float64(random>>16&1023)/1023
+				work[m.Name] = 0.3 * chance
+				if i%2 == 1 {
+					work[m.Name] = 0.05 * chance
+				}
+			}
+			f.playRound(work)
+			moves += len(f.planner.TakeMoves())
+		}
+		if moves > 0 {
+			t.Fatalf("%d copies moved", moves)
+		}
+	})
+}
+
 // Guards against a leader that spends its processor on planning: under overload
-// every model wants a copy and no engine can give one. Each round looks at a
+// most models want a copy and no engine can take one. Each round looks at a
 // bounded number of models, and later rounds at the others.
 func TestRoundIsBoundedUnderOverload(t *testing.T) {
 	const models = 40
 	s := testService(models)
 	p, now := newPlanned(s)
 	var list []Endpoint
-	for i := range models / 2 {
+	for i := range models {
 		list = append(list, Endpoint{ID: string(rune('A' + i)), Service: "s", Address: "a", Slots: 8})
 	}
 	p.SetEndpoints(list)
 	for i, e := range list {
-		p.Reported(now, now, e.ID, Report{Models: []Resident{{Model: s.Engine.Models[2*i].Name}, {Model: s.Engine.Models[2*i+1].Name}}})
+		p.Reported(now, now, e.ID, Report{Models: []Resident{{Model: s.Engine.Models[i].Name}}, Busy: true})
 	}
-	for _, m := range s.Engine.Models {
-		p.Asked(now, "entry", m.Name, 1, 2*EngineTokenRate, 0)
+	for range 2 {
+		for _, m := range s.Engine.Models {
+			p.Asked(now, "entry", m.Name, 120, 20*EngineTokenRate, 0)
+		}
+		now += settleTime
 	}
 	for round := 1; round <= 3; round++ {
 		p.Plan(now, s)
--- a/internal/coordination/directory/observe.go
+++ b/internal/coordination/directory/observe.go
@@ -69,7 +69,10 @@
 // with their work in prompt tokens, and how many wait now.
 func (p *Planner) Asked(now time.Duration, entry, name string, requests, work, waiting int) {
 	d := p.demandOf(now, name)
-	d.add(float64(work))
+	if work > 0 && p.measuredFrom == 0 {
+		p.measuredFrom = now
+	}
+	d.add(requests, float64(work))
 	if requests > 0 {
 		d.used = now
 	}
--- a/internal/coordination/directory/place.go
+++ b/internal/coordination/directory/place.go
@@ -94,7 +94,8 @@
 	if d == nil {
 		return false
 	}
-	return d.slow >= leastAsked || d.waits() > 0 || (d.wanted != 0 && r.now-d.wanted < time.Second)
+	recent := d.used != 0 && r.now-d.used < askedFor
+	return recent || d.slow >= leastAsked || d.waits() > 0 || (d.wanted != 0 && r.now-d.wanted < time.Second)
 }
 
 // leastAsked is the load of a model from which it is kept reachable.
@@ -134,6 +135,9 @@
 // spread begins copies of the models whose pools have the most load. It looks at
 // all pools again after each. Orders that can be sent at once go to take.
 func (r *plan) spread(take func(d Decision, ok bool)) {
+	if r.measured() < settleTime {
+		return
+	}
 	for range triesPerRound {
 		model := r.mostLoaded()
 		if model == "" {
@@ -153,7 +157,7 @@
 	best, most := "", leastLoad
 	for name, load := range r.load {
 		copies := len(r.pools[name])
-		if r.now < r.stuck[name] || copies == 0 || copies >= len(r.engines) || load < leastLoad/2 {
+		if r.now < r.stuck[name] || copies == 0 || copies >= len(r.engines) || load < leastLoad/2 || !r.lacks(name) {
 			continue
 		}
 		if l := r.poolLoad(name); l > most || (l == most && name < best) {
@@ -181,18 +185,18 @@
 	}
 	var best *candidate
 	for _, e := range r.engines {
-		if !r.free(e) || r.plans(e, model) {
+		if !r.free(e) || r.plans(e, model) || !r.mayBegin(e, m) {
 			continue
 		}
-		evict, ok := r.evictFor(e, m, needed, limit)
+		evict, ok := r.evictFor(e, m, needed)
 		if !ok {
 			continue
 		}
-		c := &candidate{engine: e, evict: evict, cost: r.otherLoad(e, model, evict)}
-		c.cost += loadCost*e.loadTime(m).Seconds() + r.evictCost(evict)
-		if c.cost > limit {
+		shared := r.otherLoad(e, model, evict)
+		if shared > limit {
 			continue
 		}
+		c := &candidate{engine: e, evict: evict, cost: shared + loadCost*(e.loadTime(m).Seconds()+r.drainTime(evict).Seconds())}
 		if best == nil || c.cost < best.cost {
 			best = c
 		}
@@ -203,34 +207,48 @@
 	return r.begin(best, m)
 }
 
-// evictCost is what the copies that have to go count, in load: each delays the
-// new one, and a model without any other copy will be missed.
-func (r *plan) evictCost(evict []string) float64 {
-	total := 0.0
+// drainTime is how long the copies that have to go delay a load. An engine unloads
+// a model once its runs have ended.
+func (r *plan) drainTime(evict []string) time.Duration {
+	longest := time.Duration(0)
 	for _, gone := range evict {
-		total += evictEach
-		if r.ready[gone] <= 1 {
-			total += evictLast
-		}
+		runs := min(1, r.perCopy(gone)/busyCopy)
+		longest = max(longest, closeTime+time.Duration(runs*float64(longRun)))
 	}
-	return total
+	return longest
 }
 
 const (
-	evictEach = 0.03
-	evictLast = 0.3
+	// drainAhead is the time in which models make way. What the store allows in it is
+	// there for the loads that wait for them.
+	drainAhead = 2 * time.Second
+	// longRun is how long the longest run of a busy copy lasts, and busyCopy the load
+	// of a copy that has runs at any time.
+	longRun  = 4 * time.Second
+	busyCopy = 0.2
+	// loadCost is what a second until a copy serves counts, in load: until then the
+	// engine has lost a copy and gained none, and demand may have moved on.
+	loadCost = 0.05
 )
 
-// loadCost is what a second of loading counts, in load: until it is over the
-// engine has lost a copy and gained none, and demand may have moved on.
-const loadCost = 0.08
+// mayBegin says whether the store's rate allows a further load beside those that
+// were begun and wait for models to make way. Loads of engines that have their own
+// copy of the weights do not count.
+func (r *plan) mayBegin(e *engine, m *catalog.Model) bool {
+	ahead := drainAhead.Seconds() * r.service.Engine.LoadsPerSecond * storePart
+	return e.local(m.Name) || (r.store >= 1 && r.store+ahead-float64(r.reserved) >= 1)
+}
+
+// takeStore counts a load that starts now.
+func (r *plan) takeStore(e *engine, m *catalog.Model) {
+	if !e.local(m.Name) {
+		r.store--
+	}
+}
 
 // begin orders a load, or closes the models that have to go first.
 func (r *plan) begin(c *candidate, m *catalog.Model) (d Decision, begun, now bool) {
 	e := c.engine
-	if !e.local(m.Name) && r.store < 1 {
-		return Decision{}, false, false
-	}
 	for _, gone := range c.evict {
 		e.closing[gone] = r.now
 		r.ready[gone]--
@@ -245,16 +263,19 @@
 	r.held[e] = append(r.held[e], m.Name)
 	if len(c.evict) > 0 {
 		e.replacement = m.Name
+		if !e.local(m.Name) {
+			r.reserved++
+		}
 		return Decision{}, true, false
 	}
-	r.mayLoad(e, m)
+	r.takeStore(e, m)
 	return e.order(Order{Operation: Load, Model: m.Name}), true, true
 }
 
 // evictFor returns the models whose memory a new one needs on an engine, the
-// least loaded first. A model keeps a copy elsewhere unless nobody asks for it,
-// and its other copies must not get more than limit.
-func (r *plan) evictFor(e *engine, m *catalog.Model, needed bool, limit float64) ([]string, bool) {
+// least loaded first. Copies that are not spare stay, unless a model is reachable
+// nowhere: then any copy but the last one of a model that is asked for may go.
+func (r *plan) evictFor(e *engine, m *catalog.Model, needed bool) ([]string, bool) {
 	var evict []string
 	if r.fits(e, m, evict) {
 		return nil, true
@@ -264,14 +285,11 @@
 		return cmp.Or(cmp.Compare(r.perCopy(a.Model), r.perCopy(b.Model)), cmp.Compare(a.Model, b.Model))
 	})
 	for _, h := range held {
-		if since, ordered := e.since[h.Model]; !needed && ordered && r.now-since < findModel(r.service, h.Model).LoadTime+leastUse {
-			continue
-		}
-		last := r.ready[h.Model] <= 1
-		if last && r.asked(h.Model) {
+		if since, ordered := e.since[h.Model]; !needed && ordered && r.now-since < r.loadTimeOf(h.Model)+leastUse {
 			continue
 		}
-		if !last && r.load[h.Model]/float64(max(1, r.ready[h.Model]-1)) > limit {
+		last := r.ready[h.Model] <= 1 && r.asked(h.Model)
+		if last || (!needed && !r.spares(h.Model)) {
 			continue
 		}
 		evict = append(evict, h.Model)
@@ -282,6 +300,13 @@
 	return nil, false
 }
 
+func (r *plan) loadTimeOf(model string) time.Duration {
+	if m := r.models[model]; m != nil {
+		return m.LoadTime
+	}
+	return 0
+}
+
 // needed leaves out what need not go, the most loaded first.
 func (r *plan) needed(e *engine, m *catalog.Model, evict []string) []string {
 	for i := len(evict) - 2; i >= 0; i-- {
--- a/internal/coordination/directory/plan.go
+++ b/internal/coordination/directory/plan.go
@@ -16,12 +16,13 @@
 	// that every entry has heard of it.
 	closeTime = 400 * time.Millisecond
 	// gainToMove is the part of a pool's load below which the load of an engine
-	// must be before the engine joins the pool, and below which the load of an
-	// evicted model's copies must stay.
+	// must be before the engine joins the pool.
 	gainToMove = 0.75
 	// leastLoad is the mean load of a pool's engines, in engines, below which it
 	// gets no further one.
 	leastLoad = 0.4
+	// settleTime is how long demand is measured before copies move by it.
+	settleTime = 2 * time.Second
 	// leastUse is how long a copy stays beyond the time of its load, unless another
 	// model is reachable nowhere.
 	leastUse = 4 * time.Second
@@ -52,8 +53,10 @@
 	// reportAge is the age from which a report is too old for an order.
 	reportAge time.Duration
 	moves     []Move
-	store     float64 // loads that may start now
-	storeAt   time.Duration
+	// measuredFrom is when the first work was reported.
+	measuredFrom time.Duration
+	store        float64 // loads that may start now
+	storeAt      time.Duration
 }
 
 // NewPlanner returns a planner without engines that may start no load at once.
@@ -105,6 +108,10 @@
 	held map[*engine][]string
 	// load is the demand expected for each model, in engines.
 	load map[string]float64
+	// want is how many copies each model should have, in parts of a copy.
+	want map[string]float64
+	// reserved counts loads from the store that wait for models to make way.
+	reserved int
 	// adapterMB is the memory of the largest adapter.
 	adapterMB float64
 }
@@ -150,7 +157,11 @@
 		}
 		r.engines = append(r.engines, e)
 		r.addToPools(e)
+		if e.replacement != "" && !e.local(e.replacement) {
+			r.reserved++
+		}
 	}
+	r.want = r.copiesWanted()
 	p.refillStore(now, s.Engine.LoadsPerSecond)
 	return r
 }
@@ -206,9 +217,13 @@
 		e.replacement = ""
 		return Decision{}, false
 	}
-	if !r.mayLoad(e, m) {
-		return Decision{}, false
+	if !e.local(m.Name) {
+		if r.store < 1 {
+			return Decision{}, false
+		}
+		r.reserved--
 	}
+	r.takeStore(e, m)
 	e.replacement = ""
 	return e.order(Order{Operation: Load, Model: m.Name}), true
 }
@@ -219,18 +234,6 @@
 	return Decision{Engine: e.Endpoint, Order: o}
 }
 
-// mayLoad takes a load from the store's rate if the weights come from there.
-func (r *plan) mayLoad(e *engine, m *catalog.Model) bool {
-	if e.local(m.Name) {
-		return true
-	}
-	if r.store < 1 {
-		return false
-	}
-	r.store--
-	return true
-}
-
 // ReadyIn estimates how long it takes until a model is resident somewhere.
 func (p *Planner) ReadyIn(now time.Duration, s *catalog.Service, model string) time.Duration {
 	m := findModel(s, model)
