directory: models on crowded engines get further ones

Ruled out: prompts read too densely. Change: a model whose engines have a mean load above 0.85 gets a further one, and gives a copy away only if its engines stay below 0.7.

--- a/internal/coordination/directory/demand_test.go
+++ b/internal/coordination/directory/demand_test.go
@@ -135,6 +135,31 @@
 	})
 }
 
+// Guards against busy models that have all the copies that their load asks for,
+// but on engines that they share with each other, while engines beside them hold
+// models that nobody asks for.
+func TestCrowdedModelsGetOtherEngines(t *testing.T) {
+	f := newSimFleet(&rapid.T{}, 8, 16)
+	f.service.Engine.LoadsPerSecond = 4
+	work := map[string]float64{}
+	for i, m := range f.service.Engine.Models {
+		f.engines[i/2].models[m.Name] = map[string]bool{}
+		if i < 8 {
+			work[m.Name] = 0.02
+		}
+	}
+	work["m0"], work["m1"] = 0.6, 0.6 // both on the first engine
+	for f.now < 15*time.Second {
+		f.playRound(work)
+	}
+	r := f.planner.newPlan(f.now, f.service)
+	for _, m := range []string{"m0", "m1"} {
+		if load := r.poolLoad(m); load > crowded {
+			t.Errorf("the engines of %s have a load of %.2f", m, load)
+		}
+	}
+}
+
 // Guards against a leader that spends its processor on planning: under overload
 // most models want a copy and no engine can take one. Each round looks at a
 // bounded number of models, and later rounds at the others.
--- a/internal/coordination/directory/target.go
+++ b/internal/coordination/directory/target.go
@@ -10,6 +10,10 @@
 	// copies from moving to and fro with chance.
 	lackOf  = 0.5
 	surplus = 1.15
+	// crowded is the mean load of a model's engines from which it gets a further one,
+	// and roomy that below which it can give one away.
+	crowded = 0.85
+	roomy   = 0.7
 	// searchSteps halve the interval in which the scale of all wishes is looked for.
 	searchSteps = 12
 )
@@ -65,16 +69,18 @@
 	return n
 }
 
-// lacks says whether a model should get a further copy.
+// lacks says whether a model should get a further copy: it has fewer than it
+// should, or its copies share their engines with other busy models.
 func (r *plan) lacks(model string) bool {
-	return r.want[model]-float64(len(r.pools[model])) >= lackOf
+	return r.want[model]-float64(len(r.pools[model])) >= lackOf || r.poolLoad(model) >= crowded
 }
 
 // spares says whether a model can give a copy away: nobody asks for it, or it
-// keeps more than it should have.
+// keeps more than it should have, on engines that are not crowded by then.
 func (r *plan) spares(model string) bool {
 	if !r.asked(model) {
 		return true
 	}
-	return r.ready[model] > 1 && float64(len(r.pools[model])-1) >= r.want[model]*surplus
+	n := float64(len(r.pools[model]))
+	return r.ready[model] > 1 && n-1 >= r.want[model]*surplus && r.poolLoad(model)*n/(n-1) < roomy
 }
