pool: late requests are refused while others can be in time

Under lasting overload a late request gets no place before those that can still be in time, so the wait was in vain, and its refusal could be told 2 s earlier. A quarter of the streams that were late after a wait had their place in time, but a long prompt to be read. Change: once requests that can be in time have waited for a place without a break for 1.5 s, late ones are refused with 3 to 5 s to come back in. The reserve for the first event is 100 ms and the reading of the prompt. A refusal names what the request waited for.

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -50,8 +50,10 @@
 	patienceTargets = 4
 	patiencePauses  = 8
 	// firstEventReserve is the time from a place to the first event that an answer
-	// in time leaves.
-	firstEventReserve = 150 * time.Millisecond
+	// in time leaves beside the reading of its prompt, of which an engine reads
+	// readRate tokens in a millisecond by the platform's page.
+	firstEventReserve = 100 * time.Millisecond
+	readRate          = 25.8
 	// firstEventTime is kept from that for the endpoint's own work.
 	firstEventTime = 600 * time.Millisecond
 )
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -82,8 +82,12 @@
 	return pool.Outcome{}, c.noPlace(ask.Absence())
 }
 
-// lastTarget is until when a place leads to an answer in time.
-func (c *call) lastTarget() time.Duration { return c.arrived + c.route.Target - firstEventReserve }
+// lastTarget is until when a place leads to an answer in time: the endpoint has to
+// read the prompt first.
+func (c *call) lastTarget() time.Duration {
+	read := time.Duration(float64(c.query.Prompt) / readRate * float64(time.Millisecond))
+	return c.arrived + c.route.Target - firstEventReserve - read
+}
 
 // refusedByBroker returns the refusal of a broker.
 func (c *call) refusedByBroker(o pool.Outcome) *resultcode.Error {
@@ -94,7 +98,7 @@
 	case resultcode.NoEndpoint:
 		err = resultcode.New(o.Refusal, "every endpoint of %q was tried", c.query.Service)
 	default:
-		err = resultcode.New(o.Refusal, "no place at service %q in time", c.query.Service)
+		err = resultcode.New(o.Refusal, "no place at service %q in time: it waited for %s", c.query.Service, o.Absence)
 	}
 	err.RetryAfter = o.RetryAfter
 	return err
--- a/internal/coordination/pool/broker.go
+++ b/internal/coordination/pool/broker.go
@@ -20,6 +20,14 @@
 	// unlistedAge is the age from which a place must be in its entry's list: a list
 	// may have been made before the entry knew of the place.
 	unlistedAge = 500 * time.Millisecond
+	// overloadTime is how long requests that can be in time must have waited without
+	// a break before late ones are refused: until then a burst may pass.
+	overloadTime = 1500 * time.Millisecond
+	// comeBackMin and comeBackSpread advise a request that was refused under overload
+	// when to come back. New copies of a model take seconds, and those that return at
+	// once only wait again.
+	comeBackMin    = 3 * time.Second
+	comeBackSpread = 2 * time.Second
 )
 
 // askKey names a request over all entries.
@@ -68,6 +76,9 @@
 	out   *outbox
 	// waiting are the models with requests that found every engine full.
 	waiting map[modelKey]bool
+	// room is when requests for a model were last without one that could be in time
+	// and waited for a place.
+	room map[modelKey]time.Duration
 	// refreshed is when other brokers were last told everything; seq numbers
 	// updates.
 	refreshed time.Duration
@@ -78,7 +89,7 @@
 func newBroker(t *Table, o *Owners, out *outbox) *Broker {
 	return &Broker{
 		table: t, owners: o, out: out, queues: map[modelKey]*Queue{}, asking: map[askKey]*asking{}, places: map[askKey]*place{},
-		holders: map[string]*holder{}, ready: map[modelKey]time.Duration{}, needs: map[Need]bool{}, waiting: map[modelKey]bool{},
+		holders: map[string]*holder{}, ready: map[modelKey]time.Duration{}, needs: map[Need]bool{}, waiting: map[modelKey]bool{}, room: map[modelKey]time.Duration{},
 	}
 }
 
@@ -198,6 +209,8 @@
 		b.refuse(key, a, resultcode.NoEndpoint, 0)
 	case b.now >= w.Deadline:
 		b.refuse(key, a, resultcode.DeadlineTooClose, 0)
+	case w.absence == Full && b.now > w.Target && b.overloaded(a.key):
+		b.refuse(key, a, resultcode.DeadlineTooClose, comeBackMin+time.Duration(b.table.rand()*float64(comeBackSpread)))
 	default:
 		return false
 	}
@@ -214,6 +227,13 @@
 	}
 }
 
+// overloaded says whether the places of a model do not suffice for the requests
+// that can be in time. Then late ones never get any.
+func (b *Broker) overloaded(key modelKey) bool {
+	room, waits := b.room[key]
+	return waits && b.now-room > overloadTime
+}
+
 // report takes over what became of a place.
 func (b *Broker) report(from Sender, r *peerv1.PlaceReport) {
 	key := askKey{from, r.GetId()}
@@ -274,9 +294,13 @@
 	q := b.queues[key]
 	if q == nil || q.Len() == 0 {
 		b.setWaiting(key, false)
+		delete(b.room, key)
 		return
 	}
 	q.Dispatch(b.now, b.table)
+	if _, known := b.room[key]; !known || !q.inTime(b.now) {
+		b.room[key] = b.now
+	}
 	full := false
 	for _, w := range q.list {
 		switch w.absence {
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -37,6 +37,8 @@
 	// may have more success, if it is known.
 	Refusal    resultcode.Code
 	RetryAfter time.Duration
+	// Absence is what a refused request lacked.
+	Absence Absence
 }
 
 // Place is a place at an endpoint that this entry holds.
@@ -149,7 +151,7 @@
 		a.outcome(Outcome{Place: p})
 	case r.GetRefusal() != 0:
 		delete(c.asks, a.id)
-		a.outcome(Outcome{Refusal: resultcode.Code(r.GetRefusal()), RetryAfter: milliseconds(int64(r.GetRetryAfterMs()))})
+		a.outcome(Outcome{Refusal: resultcode.Code(r.GetRefusal()), RetryAfter: milliseconds(int64(r.GetRetryAfterMs())), Absence: a.absence})
 	}
 }
 
--- a/internal/coordination/pool/entry_test.go
+++ b/internal/coordination/pool/entry_test.go
@@ -159,12 +159,16 @@
 // load is a stream of requests of one model, with what became of them.
 type load struct {
 	model         string
+	ends          time.Duration // of the requests; zero for none
 	every         time.Duration // between two requests
 	runs          time.Duration // of a request at its engine
 	target, wait  time.Duration
 	asked, inTime int
 	late, refused int
 	worstWait     time.Duration
+	// refusedAfter is the longest time until a refusal, comeBack the shortest advice
+	// to come back.
+	refusedAfter, comeBack time.Duration
 }
 
 // play sends loads from all entries in turn.
@@ -177,7 +181,7 @@
 	var open []running
 	for end := f.now + d; f.now < end; {
 		for _, l := range loads {
-			if f.now%l.every != 0 {
+			if f.now%l.every != 0 || (l.ends != 0 && f.now >= l.ends) {
 				continue
 			}
 			name := f.names[l.asked%len(f.names)]
@@ -189,6 +193,10 @@
 				switch {
 				case o.Place == nil:
 					l.refused++
+					l.refusedAfter = max(l.refusedAfter, waited)
+					if l.comeBack == 0 || o.RetryAfter < l.comeBack {
+						l.comeBack = o.RetryAfter
+					}
 					return
 				case waited <= l.target:
 					l.inTime++
@@ -223,6 +231,31 @@
 	}
 }
 
+// Under lasting overload a request that can no longer be in time gets no place
+// before others that can. It is refused then, and not at the end of its caller's
+// patience, and does not come back before new copies may have come.
+func TestOverloadRefusesLateRequestsAtOnce(t *testing.T) {
+	f := newFleet(9, []Endpoint{engineWith("e1", 4, "m")})
+	l := &load{model: "m", every: 25 * time.Millisecond, runs: 200 * time.Millisecond, target: 400 * time.Millisecond, wait: 5 * time.Second}
+	f.play(20*time.Second, l)
+	if l.refused == 0 || l.refusedAfter > l.target+overloadTime+2*TickInterval || l.comeBack < comeBackMin {
+		t.Fatalf("%d refused after up to %v, to come back in %v", l.refused, l.refusedAfter, l.comeBack)
+	}
+}
+
+// A burst that the places can take in late, but whole, must not be refused.
+func TestBurstIsServedLate(t *testing.T) {
+	f := newFleet(9, []Endpoint{engineWith("e1", 4, "m")})
+	burst := &load{
+		model: "m", ends: 400 * time.Millisecond, every: 10 * time.Millisecond, runs: 200 * time.Millisecond,
+		target: 400 * time.Millisecond, wait: 5 * time.Second,
+	}
+	f.play(4*time.Second, burst)
+	if burst.refused != 0 || burst.late == 0 {
+		t.Fatalf("%d in time, %d late, %d refused", burst.inTime, burst.late, burst.refused)
+	}
+}
+
 // A busy model must not keep the other models of its engines from being served,
 // though its broker learns of each free place first.
 func TestSharedEngineServesTheRareModel(t *testing.T) {
--- a/internal/coordination/pool/queue.go
+++ b/internal/coordination/pool/queue.go
@@ -64,6 +64,11 @@
 // memory, but most of them meet the same engines.
 const triesPerDispatch = 6
 
+// inTime says whether a request that found no place can still be in time.
+func (q *Queue) inTime(now time.Duration) bool {
+	return slices.ContainsFunc(q.list, func(w *Waiter) bool { return w.absence == Full && now <= w.Target })
+}
+
 // Dispatch gives places to waiters in their order: first to those that can still
 // be in time, then to the others. Under more load than there are places the
 // order of arrival alone would make every answer late.
@@ -78,7 +83,12 @@
 	full := 0
 	kept := q.list[:0]
 	for _, w := range q.list {
-		if full >= triesPerDispatch || !eligible(w) {
+		if !eligible(w) {
+			kept = append(kept, w)
+			continue
+		}
+		if full >= triesPerDispatch {
+			w.absence = Full
 			kept = append(kept, w)
 			continue
 		}
