forward, directory: a request that crashes endpoints is not sent again

A request that crashes each endpoint that runs it comes again with the same path, caller and body at any entry; only the bound on further attempts contained it. Ruled out: the product's quarantine (replicated counts, endpoints kept alone): an entry here cannot give an endpoint to one request, and the leader's memory is enough for a minute. Change: entries report the fingerprint of each request that lost its endpoint's connection while it ran; two different endpoints make it suspect at the leader, and entries refuse suspects with code 4008 for a minute. Tests fail without the change.

--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -80,14 +80,15 @@
 
 	mu struct {
 		sync.Mutex
-		term    uint64 // zero while another VM leads
-		since   time.Duration
-		planner *Planner
-		shares  *Shares
-		list    []Endpoint
-		listed  bool
-		version uint64
-		changed chan struct{} // closed and replaced with each version
+		term     uint64 // zero while another VM leads
+		since    time.Duration
+		planner  *Planner
+		shares   *Shares
+		suspects *Suspects
+		list     []Endpoint
+		listed   bool
+		version  uint64
+		changed  chan struct{} // closed and replaced with each version
 		// published is what entries are told, with the version of each change; an
 		// entry older than complete gets the whole list.
 		published map[string]*published
@@ -158,6 +159,7 @@
 	s.mu.since = s.now()
 	s.mu.planner = NewPlanner(s.now())
 	s.mu.shares = NewShares()
+	s.mu.suspects = NewSuspects()
 	s.mu.list, s.mu.listed = nil, false
 	s.mu.nextList, s.mu.listing = 0, false
 	s.mu.reports = newReportCalls(s.now())
--- a/internal/coordination/directory/watch.go
+++ b/internal/coordination/directory/watch.go
@@ -77,6 +77,9 @@
 		s.mu.planner.Asked(now, entry, d.GetModel(), int(d.GetRequests()), int(d.GetTokens()), int(d.GetWaiting()))
 	}
 	s.mu.planner.Silent(entry, named)
+	for _, l := range r.GetLost() {
+		s.mu.suspects.Lost(now, l.GetFingerprint(), l.GetEndpoint())
+	}
 	return true
 }
 
@@ -94,6 +97,7 @@
 	if s.mu.term == 0 {
 		return nil, notLeading()
 	}
+	out.Suspects = s.mu.suspects.List(s.now())
 	out.LiveEntries = uint32(s.mu.shares.Entries())
 	if peers, version := s.mu.shares.Addresses(s.now()); version+s.mu.term<<32 != r.GetPeersVersion() {
 		out.Peers, out.PeersVersion = peers, version+s.mu.term<<32
--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -31,6 +31,9 @@
 	}
 	c.service = c.index.Service(c.route.Choose(rand.Float64()))
 	c.query = c.newQuery()
+	if err := c.checkSuspects(); err != nil {
+		return err
+	}
 	return c.charge()
 }
 
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -111,6 +111,9 @@
 			c.served(t)
 			return
 		}
+		if result == pool.Failed {
+			c.noteLoss(t.ID, err)
+		}
 		c.lastErr = err
 		c.query.Exclude = append(c.query.Exclude, t.ID)
 		if !c.again(err) {
--- a/internal/coordination/forward/refuse.go
+++ b/internal/coordination/forward/refuse.go
@@ -37,6 +37,14 @@
 	c.refuse(err)
 }
 
+// customerName returns the name of the request's customer, or "".
+func (c *call) customerName() string {
+	if c.customer == nil {
+		return ""
+	}
+	return c.customer.Name
+}
+
 // retryAfter bounds the advice to come back when the time is not known.
 const (
 	retryAfterMin    = 300 * time.Millisecond
@@ -46,15 +54,11 @@
 // refuse writes the final answer of a request that no endpoint answered.
 func (c *call) refuse(err *resultcode.Error) {
 	c.server.cfg.Metrics.Refusal(err.Code)
-	customer := ""
-	if c.customer != nil {
-		customer = c.customer.Name
-	}
 	var version uint64
 	if c.index != nil {
 		version = c.index.Version()
 	}
-	c.server.log.Info("refused", "request", c.req.ID, "code", err.Code, "customer", customer, "model", c.req.Model,
+	c.server.log.Info("refused", "request", c.req.ID, "code", err.Code, "customer", c.customerName(), "model", c.req.Model,
 		"catalog", version, "sends", c.sends, "ms", (c.server.now() - c.arrived).Milliseconds(), "error", err.Error())
 	info := err.Code.Info()
 	if err.Code == resultcode.CallerGone {
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -22,10 +22,7 @@
 		return pool.Unknown, resultcode.New(resultcode.DeadlineTooClose, "%d ms are left", left.Milliseconds())
 	}
 	c.sends++
-	a := Attempt{EndpointID: t.ID, Left: left, ResumeAfter: c.req.LastEvent}
-	if c.customer != nil {
-		a.Customer = c.customer.Name
-	}
+	a := Attempt{EndpointID: t.ID, Customer: c.customerName(), Left: left, ResumeAfter: c.req.LastEvent}
 	if c.relay != nil && c.relay.lastID != "" {
 		a.ResumeAfter = c.relay.lastID
 	}
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -64,13 +64,14 @@
 
 	mu struct {
 		sync.Mutex
-		entry   *pool.Entry
-		buckets *Buckets
-		budget  *Budget
-		queue   pool.Queue // requests for plain services
-		demand  map[string]*Demand
-		loading map[pool.Need]bool
-		known   bool // a list of endpoints has arrived
+		entry    *pool.Entry
+		buckets  *Buckets
+		budget   *Budget
+		queue    pool.Queue // requests for plain services
+		demand   map[string]*Demand
+		loading  map[pool.Need]bool
+		known    bool // a list of endpoints has arrived
+		suspects suspects
 	}
 }
 
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -313,6 +313,38 @@
 	}
 }
 
+// A request that crashes its endpoints comes again and again. Each loss of an
+// endpoint is reported with the same fingerprint, a failure that is none is not,
+// and once the leader knows the request it is sent nowhere.
+func TestSuspectRequestIsNotSent(t *testing.T) {
+	w := newWorld(t, reply{err: errMayHaveRun}, reply{status: 500, header: sealed(), body: "x", length: 1},
+		reply{status: 200, header: sealed(), body: "ok", length: 2}, reply{status: 200, header: sealed(), body: "ok", length: 2})
+	if status, _, _, err := w.do("/once/x", nil); err != nil || status != http.StatusBadGateway {
+		t.Fatalf("status %d, error %v", status, err)
+	}
+	lost := w.server.takeLost()
+	if len(lost) != 1 || lost[0].endpoint == "" {
+		t.Fatalf("losses: %+v", lost)
+	}
+	if status, _, _, err := w.do("/often/x", nil); err != nil || status != 200 {
+		t.Fatalf("status %d, error %v", status, err)
+	}
+	if other := w.server.takeLost(); len(other) != 0 {
+		t.Fatalf("an answer counts as a loss: %+v", other)
+	}
+	w.server.setSuspects([]uint64{lost[0].fingerprint})
+	before := len(w.endpoints.sends())
+	if status, h, _, err := w.do("/once/x", nil); err != nil || status != http.StatusBadGateway || h.Get(resultcode.Header) != "4008" {
+		t.Fatalf("status %d, code %s, error %v", status, h.Get(resultcode.Header), err)
+	}
+	if status, _, _, err := w.do("/often/x", nil); err != nil || status != 200 {
+		t.Fatalf("another request: status %d, error %v", status, err)
+	}
+	if sent := len(w.endpoints.sends()) - before; sent != 1 {
+		t.Fatalf("%d sends", sent)
+	}
+}
+
 // Requests without a valid key, route or catalog get their own status.
 func TestOwnRefusals(t *testing.T) {
 	w := newWorld(t)
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -169,6 +169,9 @@
 	for name, d := range demand {
 		r.Demand = append(r.Demand, &peerv1.ModelDemand{Model: name, Requests: uint32(d.Requests), Waiting: uint32(d.Waiting), Tokens: d.Work})
 	}
+	for _, l := range s.takeLost() {
+		r.Lost = append(r.Lost, &peerv1.LostRequest{Fingerprint: l.fingerprint, Endpoint: l.endpoint})
+	}
 	resp, err := w.Calls.Watch(ctx, address, r)
 	if err != nil {
 		return err
@@ -220,6 +223,7 @@
 		s.SetCatalog(catalog.NewIndex(decoded))
 	}
 	w.setMembers(resp.GetMembers(), address)
+	s.setSuspects(resp.GetSuspects())
 	w.entries = int(resp.GetLiveEntries())
 	s.SetShares(decodeShares(resp.GetShares()), int(resp.GetLiveEntries()))
 	if v := resp.GetPeersVersion(); v != 0 && v != w.peersVersion {
