--- a/internal/coordination/directory/plan_test.go
+++ b/internal/coordination/directory/plan_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -367,20 +368,29 @@
 }
 
 // Guards against a division of a rate that gives out more than the rate, while
-// entries are added and time out.
+// entries of two control VMs are added and time out.
 func TestFractionsAddUpToAtMostOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := NewShares()
+		levels := NewLevels()
+		controls := []*Shares{NewShares(), NewShares()}
 		customers := []catalog.Customer{{Name: "c", Rate: 100, Burst: 100}}
 		names := []string{"1", "2", "3", "4"}
 		now := time.Duration(0)
 		for range rapid.IntRange(1, 50).Draw(t, "reports") {
 			now += time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond
 			requested := float64(rapid.IntRange(0, 500).Draw(t, "asked"))
-			s.RecordUsage(now, rapid.SampledFrom(names).Draw(t, "entry"), map[string]Usage{"c": {Requested: requested}})
+			i := rapid.IntRange(0, len(names)-1).Draw(t, "entry")
+			controls[i%2].RecordUsage(now, names[i], map[string]Usage{"c": {Requested: requested}})
+			for vm, s := range controls {
+				demand, spent := s.TakeReport()
+				levels.RecordReport(now, fmt.Sprint(vm), demand, spent)
+			}
 			total := 0.0
-			for _, n := range names {
-				total += s.ForEntry(now, n, customers)["c"].Fraction
+			for _, s := range controls {
+				s.SetLevels(now, len(controls[0].entries)+len(controls[1].entries), levels.List(now, customers))
+			}
+			for i, n := range names {
+				total += controls[i%2].ForEntry(now, n)["c"].Fraction
 			}
 			if total > 1.000001 {
 				t.Fatalf("fractions add up to %v, want at most 1", total)
--- a/internal/coordination/directory/poll.go
+++ b/internal/coordination/directory/poll.go
@@ -55,7 +55,7 @@
 	s.mu.reports.removeUnlisted(endpointIDs(list))
 	s.mu.planner.SetEndpoints(list)
 	if changed {
-		s.schedulePublishLocked()
+		s.publishLocked() // at once: a leaving endpoint must not get new requests
 	}
 }
 
--- a/internal/coordination/directory/publish_test.go
+++ b/internal/coordination/directory/publish_test.go
@@ -6,59 +6,66 @@
 	"slices"
 	"testing"
 
-	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
-
-	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
-	"github.com/radishloom/radishloom/internal/state/catalog"
 )
 
-// listReader applies the responses of a directory like an entry.
+// listReader applies the list of a control VM like an entry.
 type listReader struct {
 	epoch, version uint64
 	endpoints      map[string]bool // identifier -> leaving
 }
 
-func (l *listReader) read(t *rapid.T, s *Server) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := &peerv1.WatchResponse{}
-	if err := s.addEndpointsLocked(out, &peerv1.WatchRequest{Epoch: l.epoch, EndpointsVersion: l.version}); err != nil {
+func (l *listReader) read(t *rapid.T, from *endpointList) {
+	if from.olderThan(l.epoch, l.version) {
+		return
+	}
+	u, err := from.since(l.epoch, l.version)
+	if err != nil {
 		t.Fatal(err)
 	}
-	changed := out.GetEndpoints()
-	if !out.GetPartial() {
-		data, err := catalog.Unpack(out.GetPacked())
-		if err != nil {
+	changed := u.changed
+	if !u.partial {
+		if changed, err = UnpackEndpoints(u.packed); err != nil {
 			t.Fatal(err)
 		}
-		list := &peerv1.EndpointList{}
-		if err := proto.Unmarshal(data, list); err != nil {
-			t.Fatal(err)
-		}
-		l.endpoints, changed = map[string]bool{}, list.GetEndpoints()
+		l.endpoints = map[string]bool{}
 	}
-	for _, id := range out.GetGone() {
+	for _, id := range u.gone {
 		delete(l.endpoints, id)
 	}
 	for _, e := range changed {
 		l.endpoints[e.GetId()] = e.GetLeaving()
 	}
-	l.epoch, l.version = out.GetEpoch(), out.GetEndpointsVersion()
+	l.epoch, l.version = u.epoch, u.version
+}
+
+// follow brings the copy of a control VM up to date with the leader's list.
+func follow(t *rapid.T, list *endpointList, s *Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, err := s.mu.published.since(list.epoch, list.version)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := list.apply(u); err != nil {
+		t.Fatal(err)
+	}
 }
 
 // Guards against entries whose list differs from the leader's: an endpoint that an
-// entry keeps too long gets requests while it leaves. Entries get deltas, and a new
-// entry gets a list that may be some versions old. Whenever an entry asks, and
-// however much it missed, it must have exactly the leader's list after two
-// responses.
+// entry keeps too long gets requests while it leaves. Entries get deltas from a copy
+// that a control VM holds, change from one control VM to another, which may be behind
+// the first, and a new entry gets a list that may be some versions old. Whenever an
+// entry asks, and however much it missed, it must have exactly the leader's list
+// after two responses of a control VM that follows the leader.
 func TestEntriesFollowTheList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := New(Config{Log: slog.New(slog.DiscardHandler)})
 		s.setTerm(1)
+		copies := []*endpointList{newEndpointList(), newEndpointList(), s.mu.published}
 		readers := []*listReader{{}, {}, {}}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			switch rapid.IntRange(0, 12).Draw(t, "action") {
 			case 0:
 				s.setTerm(s.mu.term + uint64(rapid.IntRange(0, 1).Draw(t, "terms")))
 			case 1, 2, 3, 4:
@@ -70,17 +77,26 @@
 				s.mu.Lock()
 				s.publishLocked()
 				s.mu.Unlock()
+			case 5, 6, 7:
+				n := rapid.IntRange(0, 1).Draw(t, "control VM")
+				if rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
+					*copies[n] = *newEndpointList()
+				}
+				follow(t, copies[n], s)
 			default:
 				r := rapid.SampledFrom(readers).Draw(t, "reader")
 				if rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
 					*r = listReader{}
 				}
-				r.read(t, s)
+				r.read(t, rapid.SampledFrom(copies).Draw(t, "copy"))
 			}
 		}
 		for i, r := range readers {
-			r.read(t, s)
-			r.read(t, s)
+			from := copies[i]
+			follow(t, from, s)
+			follow(t, from, s)
+			r.read(t, from)
+			r.read(t, from)
 			var got, want []string
 			for id, leaving := range r.endpoints {
 				got = append(got, fmt.Sprint(id, leaving))
--- /dev/null
+++ b/internal/coordination/directory/relay_test.go
@@ -0,0 +1,208 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// fakeLeadership is the control role of a follower. applied is the version of its
+// catalog.
+type fakeLeadership struct{ applied uint64 }
+
+func (f *fakeLeadership) Leading(context.Context) (uint64, bool) { return 0, false }
+
+func (f *fakeLeadership) ConfirmOwnership(context.Context) (uint64, error) { return 0, notLeading() }
+
+func (f *fakeLeadership) Catalog(context.Context) (*statev1.Catalog, []*statev1.Member, error) {
+	return &statev1.Catalog{Version: f.applied}, nil, nil
+}
+
+func (f *fakeLeadership) Leader(context.Context) (string, []*statev1.Member, error) {
+	return "leader", nil, nil
+}
+
+func (f *fakeLeadership) CatalogChanged(version uint64) <-chan struct{} {
+	c := make(chan struct{})
+	if f.applied > version {
+		close(c)
+	}
+	return c
+}
+
+// fakeLeader answers Follow calls at once, or not at all while it is silent.
+type fakeLeader struct {
+	silent   bool
+	response *peerv1.FollowResponse
+	requests []*peerv1.FollowRequest
+}
+
+func (f *fakeLeader) Follow(_ context.Context, _ string, r *peerv1.FollowRequest) (*peerv1.FollowResponse, error) {
+	f.requests = append(f.requests, r)
+	if f.silent {
+		return nil, resultcode.New(resultcode.NoLeader, "timed out")
+	}
+	return f.response, nil
+}
+
+func newTestRelay(l *fakeLeadership, f *fakeLeader) *Relay {
+	return NewRelay(RelayConfig{Leadership: l, Follower: f, VM: "control", Address: "here", Log: slog.New(slog.DiscardHandler)}, nil)
+}
+
+func watchRequest(entry string) *peerv1.WatchRequest {
+	return &peerv1.WatchRequest{Entry: &statev1.Session{Vm: entry}, HoldMs: 100, LoadAddress: entry + ":1"}
+}
+
+func watch(t *testing.T, r *Relay, in *peerv1.WatchRequest) *peerv1.WatchResponse {
+	t.Helper()
+	out, err := r.Watch(t.Context(), in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// Guards against a control VM that serves entries from an old copy while it is cut
+// off from the leader: its entries would not learn of leaving endpoints and
+// withdrawn keys, although other control VMs know them.
+func TestRelayWithoutLeaderSendsEntriesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leader := &fakeLeader{response: &peerv1.FollowResponse{Epoch: 3, EndpointsVersion: 1, LiveEntries: 1, Packed: packed(t, "a")}}
+		r := newTestRelay(&fakeLeadership{}, leader)
+		if out := watch(t, r, watchRequest("e")); !out.GetNotLeading() {
+			t.Fatal("a control VM that never reached the leader answered an entry")
+		}
+		r.follow(t.Context())
+		if out := watch(t, r, watchRequest("e")); out.GetNotLeading() || out.GetEpoch() != 3 || out.GetLeader() != "leader" {
+			t.Fatalf("response right after the leader's: %v", out)
+		}
+		leader.silent = true
+		time.Sleep(maxRelayAge + time.Millisecond)
+		r.follow(t.Context())
+		if out := watch(t, r, watchRequest("e")); !out.GetNotLeading() || out.GetEpoch() != 0 {
+			t.Fatalf("response %v after the leader fell silent: %v", maxRelayAge, out)
+		}
+		leader.silent = false
+		r.follow(t.Context())
+		if out := watch(t, r, watchRequest("e")); out.GetNotLeading() {
+			t.Fatal("the control VM reached the leader again, but refused the entry")
+		}
+	})
+}
+
+// Guards against a control VM with a stalled disk: it hears from the leader, but
+// does not apply the catalog in which a key was withdrawn.
+func TestRelayWithOldCatalogSendsEntriesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leadership := &fakeLeadership{applied: 6}
+		leader := &fakeLeader{response: &peerv1.FollowResponse{Epoch: 3, EndpointsVersion: 1, CatalogVersion: 7, Packed: packed(t)}}
+		r := newTestRelay(leadership, leader)
+		in := watchRequest("e")
+		in.CatalogVersion = 6
+		r.follow(t.Context())
+		if out := watch(t, r, in); out.GetNotLeading() {
+			t.Fatal("refused at once, though the catalog may just be on its way")
+		}
+		time.Sleep(maxCatalogLag + time.Millisecond)
+		r.follow(t.Context())
+		if out := watch(t, r, in); !out.GetNotLeading() {
+			t.Fatalf("an entry is still served from an old catalog after %v", maxCatalogLag)
+		}
+		leadership.applied = 7
+		r.follow(t.Context())
+		if out := watch(t, r, in); out.GetCatalog().GetVersion() != 7 {
+			t.Fatalf("response after the catalog was applied: %v", out)
+		}
+	})
+}
+
+func packed(t *testing.T, ids ...string) []byte {
+	t.Helper()
+	l := newEndpointList()
+	for _, id := range ids {
+		l.set(&peerv1.DirectoryEndpoint{Id: id})
+	}
+	p, err := l.pack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p.data
+}
+
+// Guards against an endpoint that left and comes back to an entry, which changes from
+// a control VM that knows of it to one that does not know yet.
+func TestEntryNeverGetsOlderList(t *testing.T) {
+	r := newRelayState()
+	if _, err := r.apply(0, 0, &peerv1.FollowResponse{Epoch: 3, EndpointsVersion: 5, Packed: packed(t, "gone")}); err != nil {
+		t.Fatal(err)
+	}
+	for _, has := range []*peerv1.WatchRequest{{Epoch: 3, EndpointsVersion: 6}, {Epoch: 4, EndpointsVersion: 1}} {
+		out, err := r.respond(0, has)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !out.GetBehind() || out.GetEpoch() != 0 || out.GetPacked() != nil || len(out.GetEndpoints()) > 0 {
+			t.Fatalf("an entry with epoch %d version %d got %v", has.GetEpoch(), has.GetEndpointsVersion(), out)
+		}
+	}
+	// The answer of a former leader arrives after that of its successor.
+	if _, err := r.apply(0, 0, &peerv1.FollowResponse{Epoch: 2, EndpointsVersion: 9, Packed: packed(t, "older")}); err != nil {
+		t.Fatal(err)
+	}
+	if r.list.epoch != 3 || r.list.endpoints["older"] != nil {
+		t.Fatalf("the list of an earlier leader replaced that of epoch 3: epoch %d", r.list.epoch)
+	}
+}
+
+// Guards against reports of entries that are lost with a call to the leader: tokens
+// that were spent would not be charged, and a request that crashes endpoints would
+// not be counted.
+func TestReportsOutliveFailedCalls(t *testing.T) {
+	leader := &fakeLeader{silent: true, response: &peerv1.FollowResponse{}}
+	r := newTestRelay(&fakeLeadership{}, leader)
+	in := watchRequest("e")
+	in.Usage = []*peerv1.CustomerUsage{{Customer: "c", Tokens: 50, Spent: 40}}
+	in.Demand = []*peerv1.ModelDemand{{Model: "m", Requests: 2, Tokens: 70, Waiting: 1}}
+	in.Lost = []*peerv1.LostRequest{{Fingerprint: 9, Endpoint: "a"}}
+	r.mu.state.record(0, in)
+	r.follow(t.Context())
+	leader.silent = false
+	r.follow(t.Context())
+	got := leader.requests[1]
+	if len(got.GetCustomers()) != 1 || got.GetCustomers()[0].GetSpent() != 40 || got.GetCustomers()[0].GetDemand() != 50 {
+		t.Errorf("usage in the second call: %v", got.GetCustomers())
+	}
+	if len(got.GetDemand()) != 1 || got.GetDemand()[0].GetRequests() != 2 || got.GetDemand()[0].GetWaiting() != 1 {
+		t.Errorf("demand in the second call: %v", got.GetDemand())
+	}
+	if len(got.GetLost()) != 1 || len(got.GetEntries().GetEntries()) != 1 {
+		t.Errorf("lost requests and entries in the second call: %v, %v", got.GetLost(), got.GetEntries())
+	}
+	r.follow(t.Context())
+	if next := leader.requests[2]; next.GetLost() != nil || next.GetCustomers()[0].GetSpent() != 0 {
+		t.Errorf("the third call repeats what was reported: %v", next)
+	}
+}
+
+// Guards against a broker list and shares that count an entry twice, or drop it, when
+// it changes from one control VM to another.
+func TestEntryOfTwoControlVMsCountsOnce(t *testing.T) {
+	w := newWatchers()
+	w.set("c1", 1, map[string]string{"e1": "e1:1", "e2": "e2:1"})
+	w.set("c2", 1, map[string]string{"e2": "e2:1", "e3": "e3:1"})
+	if list, _ := w.list(time.Second); w.count != 3 || fmt.Sprint(list) != "[e1:1 e2:1 e3:1]" {
+		t.Fatalf("%d entries at %v", w.count, list)
+	}
+	w.set("c1", 2, map[string]string{"e1": "e1:1"}) // c1 noticed that e2 no longer calls
+	w.remove("c1")
+	if list, _ := w.list(2 * time.Second); w.count != 2 || fmt.Sprint(list) != "[e2:1 e3:1]" {
+		t.Fatalf("%d entries at %v after a control VM was lost", w.count, list)
+	}
+}
--- /dev/null
+++ b/internal/coordination/directory/relaystate.go
@@ -0,0 +1,212 @@
+package directory
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+)
+
+const (
+	// maxRelayAge is the age from which a control VM's copy of the leader's state is
+	// too old for entries. It covers two calls of followHold and a lost packet.
+	maxRelayAge = 1200 * time.Millisecond
+	// maxRelayedLosses bounds the lost requests that wait for the next report.
+	maxRelayedLosses = 1024
+)
+
+// relayState is what a control VM holds for the entries that watch it: a copy of the
+// leader's list, and what the entries reported since the last report to the leader.
+// It performs no I/O and reads no clock.
+type relayState struct {
+	list         *endpointList
+	shares       *Shares
+	peers        []string
+	peersVersion uint64
+	suspects     []uint64
+	// catalogVersion is the leader's, which this VM may not have applied yet.
+	catalogVersion uint64
+	// confirmedAt is when the call was sent that the leader answered last.
+	confirmedAt time.Duration
+	confirmed   bool
+
+	entries map[string]*watchingEntry
+	// entriesVersion grows with each change of the set of entries; it starts at a
+	// random number, since the leader may know versions of a former process.
+	// leaderEntriesVersion is the version that the leader has.
+	entriesVersion, leaderEntriesVersion uint64
+	demand                               map[string]*relayedDemand
+	lost                                 []*peerv1.LostRequest
+}
+
+// watchingEntry is an entry that watches this control VM.
+type watchingEntry struct {
+	address string
+	waiting map[string]uint32 // requests that wait now, by model or MODEL/ADAPTER
+}
+
+// relayedDemand is the demand for a model or MODEL/ADAPTER since the last report.
+type relayedDemand struct {
+	requests uint32
+	tokens   uint64
+}
+
+func newRelayState() *relayState {
+	return &relayState{
+		list: newEndpointList(), shares: NewShares(), entries: map[string]*watchingEntry{}, demand: map[string]*relayedDemand{},
+		entriesVersion: rand.Uint64N(1<<62) + 1,
+	}
+}
+
+// fresh reports whether the copy is recent enough for entries.
+func (r *relayState) fresh(now time.Duration) bool {
+	return r.confirmed && now-r.confirmedAt <= maxRelayAge
+}
+
+// record records the report of an entry.
+func (r *relayState) record(now time.Duration, in *peerv1.WatchRequest) {
+	name := in.GetEntry().GetVm()
+	for _, removed := range r.shares.RecordUsage(now, name, decodeUsage(in.GetUsage())) {
+		delete(r.entries, removed)
+		r.entriesVersion++
+	}
+	e := r.entries[name]
+	if e == nil || e.address != in.GetLoadAddress() {
+		e = &watchingEntry{address: in.GetLoadAddress()}
+		r.entries[name] = e
+		r.entriesVersion++
+	}
+	e.waiting = map[string]uint32{}
+	for _, d := range in.GetDemand() {
+		if d.GetWaiting() > 0 {
+			e.waiting[d.GetModel()] = d.GetWaiting()
+		}
+		r.addDemand(d.GetModel(), d.GetRequests(), d.GetTokens())
+	}
+	r.lost = append(r.lost, in.GetLost()...)
+	r.lost = r.lost[max(0, len(r.lost)-maxRelayedLosses):]
+}
+
+func (r *relayState) addDemand(model string, requests uint32, tokens uint64) {
+	d := r.demand[model]
+	if d == nil {
+		d = &relayedDemand{}
+		r.demand[model] = d
+	}
+	d.requests += requests
+	d.tokens += tokens
+}
+
+// takeReport returns the report to the leader and begins the next one.
+func (r *relayState) takeReport(vm string, hold time.Duration) *peerv1.FollowRequest {
+	out := &peerv1.FollowRequest{
+		Vm: vm, Epoch: r.list.epoch, EndpointsVersion: r.list.version, PeersVersion: r.peersVersion, HoldMs: uint32(hold.Milliseconds()), Lost: r.lost,
+	}
+	demand, spent := r.shares.TakeReport()
+	for name, tokens := range demand {
+		if tokens >= 1 || spent[name] != 0 {
+			out.Customers = append(out.Customers, &peerv1.CustomerDemand{Customer: name, Demand: float32(tokens), Spent: int64(spent[name])})
+		}
+	}
+	waiting := map[string]uint32{}
+	for _, e := range r.entries {
+		for model, n := range e.waiting {
+			waiting[model] += n
+			r.addDemand(model, 0, 0)
+		}
+	}
+	for model, d := range r.demand {
+		out.Demand = append(out.Demand, &peerv1.ModelDemand{Model: model, Requests: d.requests, Waiting: waiting[model], Tokens: d.tokens})
+	}
+	if r.leaderEntriesVersion != r.entriesVersion {
+		out.Entries = r.watchingEntries()
+	}
+	r.demand, r.lost = map[string]*relayedDemand{}, nil
+	return out
+}
+
+func (r *relayState) watchingEntries() *peerv1.WatchingEntries {
+	out := &peerv1.WatchingEntries{Version: r.entriesVersion}
+	for _, name := range slices.Sorted(maps.Keys(r.entries)) {
+		out.Entries = append(out.Entries, &peerv1.WatchingEntry{Vm: name, LoadAddress: r.entries[name].address})
+	}
+	return out
+}
+
+// returnReport adds a report that was not answered to the next one. If the leader
+// did receive it, the usage counts twice, which errs on the side of spending less.
+func (r *relayState) returnReport(report *peerv1.FollowRequest) {
+	_, spent := decodeDemand(report.GetCustomers())
+	r.shares.ReturnSpent(spent)
+	for _, d := range report.GetDemand() {
+		r.addDemand(d.GetModel(), d.GetRequests(), d.GetTokens())
+	}
+	r.lost = append(report.GetLost(), r.lost...)
+	r.lost = r.lost[max(0, len(r.lost)-maxRelayedLosses):]
+	r.leaderEntriesVersion = 0
+}
+
+// apply applies the leader's answer to a call that was sent at sentAt. It reports
+// whether the list of endpoints changed.
+func (r *relayState) apply(now, sentAt time.Duration, in *peerv1.FollowResponse) (changed bool, err error) {
+	r.confirmed, r.confirmedAt = true, sentAt
+	r.catalogVersion = in.GetCatalogVersion()
+	r.suspects = in.GetSuspects()
+	r.leaderEntriesVersion = in.GetEntriesVersion()
+	if v := in.GetPeersVersion(); v != 0 {
+		r.peers, r.peersVersion = in.GetPeers(), v
+	}
+	levels := make([]Level, 0, len(in.GetLevels()))
+	for _, l := range in.GetLevels() {
+		levels = append(levels, Level{
+			Customer: l.GetCustomer(), Rate: float64(l.GetRate()), Burst: float64(l.GetBurst()), Demand: float64(l.GetDemand()), Tokens: float64(l.GetLevel()),
+		})
+	}
+	r.shares.SetLevels(now, int(in.GetLiveEntries()), levels)
+	if in.GetEpoch() == 0 {
+		return false, nil // a new leader that has no list of endpoints yet
+	}
+	epoch, version := r.list.epoch, r.list.version
+	err = r.list.apply(listUpdate{
+		epoch: in.GetEpoch(), version: in.GetEndpointsVersion(), partial: in.GetPartial(),
+		changed: in.GetEndpoints(), gone: in.GetGone(), packed: in.GetPacked(),
+	})
+	return epoch != r.list.epoch || version != r.list.version, err
+}
+
+// hasChanges reports whether there is a newer list than the one that an entry has.
+func (r *relayState) hasChanges(epoch, version uint64) bool {
+	return r.list.epoch != 0 && (epoch != r.list.epoch || version != r.list.version) && !r.list.olderThan(epoch, version)
+}
+
+// respond returns the response for an entry, without the catalog and the members.
+func (r *relayState) respond(now time.Duration, in *peerv1.WatchRequest) (*peerv1.WatchResponse, error) {
+	out := &peerv1.WatchResponse{Suspects: r.suspects, LiveEntries: uint32(r.shares.EntryCount())}
+	if r.peersVersion != in.GetPeersVersion() {
+		out.Peers, out.PeersVersion = r.peers, r.peersVersion
+	}
+	for name, share := range r.shares.ForEntry(now, in.GetEntry().GetVm()) {
+		out.Shares = append(out.Shares, &peerv1.CustomerShare{Customer: name, Millionths: uint32(share.Fraction * 1e6), Level: int64(share.Level)})
+	}
+	if r.list.epoch == 0 {
+		return out, nil
+	}
+	if r.list.olderThan(in.GetEpoch(), in.GetEndpointsVersion()) {
+		out.Behind = true
+		return out, nil
+	}
+	u, err := r.list.since(in.GetEpoch(), in.GetEndpointsVersion())
+	out.Epoch, out.EndpointsVersion, out.Partial = u.epoch, u.version, u.partial
+	out.Endpoints, out.Gone, out.Packed = u.changed, u.gone, u.packed
+	return out, err
+}
+
+func decodeUsage(in []*peerv1.CustomerUsage) map[string]Usage {
+	out := make(map[string]Usage, len(in))
+	for _, u := range in {
+		out[u.GetCustomer()] = Usage{Requested: float64(u.GetTokens()), Spent: float64(u.GetSpent())}
+	}
+	return out
+}
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -29,7 +29,8 @@
 	// thousands of engines a round takes longer than workInterval.
 	planTimeFraction = 0.1
 	// publishIntervalPerEntry, times the number of entries, is the least time between
-	// two published versions: each version is sent to every entry.
+	// two published versions that change only models or loads: each version is sent to
+	// every entry.
 	publishIntervalPerEntry = time.Millisecond
 	// peersInterval is the least time between two versions of the list of entries:
 	// after a restart of all entries, each one that reconnects would cause a new
@@ -85,22 +86,18 @@
 		term      uint64 // zero while another VM leads
 		termStart time.Duration
 		planner   *Planner
-		shares    *Shares
+		levels    *Levels
+		watchers  *watchers
 		suspects  *Suspects
-		list      []Endpoint
+		list      []Endpoint // as the platform lists them
 		listed    bool
-		version   uint64
-		changed   chan struct{} // closed and replaced with each version
-		// published holds each endpoint as sent to entries, with the version of its last
-		// change. An entry whose version is older than minDeltaVersion gets the whole list.
-		published       map[string]*published
-		minDeltaVersion uint64
-		removed         []removedEndpoint // ordered by version
-		packed          packedList
-		index           *catalog.Index
-		nextList        time.Duration
-		listInFlight    bool
-		reports         *reportScheduler
+		published *endpointList // as sent to the control VMs
+		changed   chan struct{} // closed and replaced with each published version
+		index     *catalog.Index
+		nextList  time.Duration
+		// listInFlight is set during a call of the platform's list.
+		listInFlight bool
+		reports      *reportScheduler
 		// publishedAt is when the last version was published; publishScheduled is set while
 		// a timer for the next one runs.
 		publishedAt      time.Duration
@@ -113,7 +110,7 @@
 func New(c Config) *Server {
 	s := &Server{cfg: c, start: time.Now()}
 	s.mu.changed = make(chan struct{})
-	s.mu.published = map[string]*published{}
+	s.mu.published = newEndpointList()
 	return s
 }
 
@@ -160,15 +157,15 @@
 	s.mu.term = term
 	s.mu.termStart = s.now()
 	s.mu.planner = NewPlanner(s.now())
-	s.mu.shares = NewShares()
+	s.mu.levels = NewLevels()
+	s.mu.watchers = newWatchers()
 	s.mu.suspects = NewSuspects()
 	s.mu.list, s.mu.listed = nil, false
 	s.mu.nextList, s.mu.listInFlight = 0, false
 	s.mu.reports = newReportScheduler(s.now())
 	s.mu.nextPlan = 0
+	s.mu.published.begin(term, 0)
 	s.publishLocked()
-	s.mu.minDeltaVersion = s.mu.version
-	s.mu.removed, s.mu.packed = nil, packedList{}
 }
 
 func (s *Server) updateCatalog(ctx context.Context) {
--- a/internal/coordination/directory/share.go
+++ b/internal/coordination/directory/share.go
@@ -1,8 +1,8 @@
 package directory
 
 import (
+	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/radishloom/radishloom/internal/state/catalog"
@@ -29,36 +29,7 @@
 	initialLevel = 0.3
 )
 
-// Shares divides the customers' rates between entries: the rate by recent demand,
-// the burst by a token bucket for each customer from which all entries spend.
-type Shares struct {
-	entries map[string]*entryUsage
-	buckets map[string]*bucket
-	// totals holds the sum of all entries' demands by customer.
-	totals map[string]float64
-	// version grows when an entry is added, removed or has another address. addresses
-	// is the list of addresses at addressesVersion.
-	version, addressesVersion uint64
-	addresses                 []string
-	addressesAt               time.Duration
-}
-
-type entryUsage struct {
-	address   string
-	lastSeen  time.Duration
-	demand    map[string]float64
-	updatedAt time.Duration
-}
-
-// bucket holds the remaining tokens of a customer's burst; it is negative after
-// overspending.
-type bucket struct {
-	tokens     float64
-	refilledAt time.Duration
-}
-
-// Usage is what a customer requested and spent at an entry since its last report,
-// in tokens.
+// Usage is what a customer requested and spent since the last report, in tokens.
 type Usage struct{ Requested, Spent float64 }
 
 // Share is an entry's share of a customer's rate.
@@ -69,126 +40,254 @@
 	Level float64
 }
 
-// NewShares returns Shares without entries.
-func NewShares() *Shares {
-	return &Shares{entries: map[string]*entryUsage{}, buckets: map[string]*bucket{}, totals: map[string]float64{}}
+// demandMeter measures the recent demand for each customer by entry.
+type demandMeter struct {
+	entries map[string]*entryUsage
+	totals  map[string]float64 // sum over all entries, by customer
 }
 
-// RecordUsage adds the usage of an entry since its last report, and removes the
-// entries that have timed out.
-func (s *Shares) RecordUsage(now time.Duration, entry string, usage map[string]Usage) {
-	e := s.entries[entry]
-	if e == nil {
-		e = &entryUsage{demand: map[string]float64{}, updatedAt: now}
-		s.entries[entry] = e
-	}
-	e.lastSeen = now
-	decay := math.Exp(-(now - e.updatedAt).Seconds() / demandTimeConstant.Seconds())
-	e.updatedAt = now
-	for name, demand := range e.demand {
+type entryUsage struct {
+	lastSeen  time.Duration
+	demand    map[string]float64
+	updatedAt time.Duration
+}
+
+func newDemandMeter() demandMeter {
+	return demandMeter{entries: map[string]*entryUsage{}, totals: map[string]float64{}}
+}
+
+// record adds a report, and returns the entries that timed out and were removed.
+func (m *demandMeter) record(now time.Duration, from string, usage map[string]Usage) (removed []string) {
+	r := m.entries[from]
+	if r == nil {
+		r = &entryUsage{demand: map[string]float64{}, updatedAt: now}
+		m.entries[from] = r
+	}
+	r.lastSeen = now
+	decay := math.Exp(-(now - r.updatedAt).Seconds() / demandTimeConstant.Seconds())
+	r.updatedAt = now
+	for name, demand := range r.demand {
 		if kept := demand * decay; kept >= 1 {
-			s.setDemand(e, name, kept)
+			m.set(r, name, kept)
 		} else {
-			s.setDemand(e, name, 0)
+			m.set(r, name, 0)
 		}
 	}
 	for name, u := range usage {
-		s.setDemand(e, name, e.demand[name]+u.Requested)
-		if b := s.buckets[name]; b != nil {
-			b.tokens -= u.Spent
-		}
+		m.set(r, name, r.demand[name]+u.Requested)
 	}
-	for name, other := range s.entries {
+	for name, other := range m.entries {
 		if now-other.lastSeen > entryTimeout {
-			for customer := range other.demand {
-				s.setDemand(other, customer, 0)
-			}
-			delete(s.entries, name)
-			s.version++
+			m.remove(name)
+			removed = append(removed, name)
 		}
 	}
+	return removed
 }
 
-// setDemand replaces an entry's demand for a customer.
-func (s *Shares) setDemand(e *entryUsage, customer string, demand float64) {
-	s.totals[customer] += demand - e.demand[customer]
+// set replaces an entry's demand for a customer.
+func (m *demandMeter) set(r *entryUsage, customer string, demand float64) {
+	m.totals[customer] += demand - r.demand[customer]
 	if demand == 0 {
-		delete(e.demand, customer)
+		delete(r.demand, customer)
 		return
 	}
-	e.demand[customer] = demand
+	r.demand[customer] = demand
 }
 
-// SetAddress records the address at which an entry receives datagrams from others.
-func (s *Shares) SetAddress(entry, address string) {
-	if e := s.entries[entry]; e != nil && e.address != address {
-		e.address = address
-		s.version++
+func (m *demandMeter) remove(name string) {
+	r := m.entries[name]
+	for customer := range r.demand {
+		m.set(r, customer, 0)
 	}
+	delete(m.entries, name)
+}
+
+// Level is the state of a customer's rate over all entries.
+type Level struct {
+	Customer    string
+	Rate, Burst float64
+	// Demand is the recent demand of all entries, in tokens.
+	Demand float64
+	// Tokens may be spent at once; negative after overspending.
+	Tokens float64
+}
+
+// Levels is the leader's account of the customers' rates: a token bucket for each
+// customer from which all entries spend, and the demand of all entries.
+type Levels struct {
+	buckets map[string]*bucket
+	reports map[string]*levelReport // by control VM
+	totals  map[string]float64      // sum of the demands of all reports, by customer
+}
+
+// levelReport is the last report of a control VM.
+type levelReport struct {
+	at     time.Duration
+	demand map[string]float64 // by customer
 }
 
-// Addresses returns the addresses at which entries receive datagrams from others,
-// and the version of that list. A list is kept for peersInterval.
-func (s *Shares) Addresses(now time.Duration) (list []string, version uint64) {
-	if s.addressesVersion == s.version || (s.addresses != nil && now-s.addressesAt < peersInterval) {
-		return s.addresses, s.addressesVersion
+// bucket holds the remaining tokens of a customer's burst; it is negative after
+// overspending.
+type bucket struct {
+	tokens     float64
+	refilledAt time.Duration
+}
+
+// NewLevels returns Levels without reports.
+func NewLevels() *Levels {
+	return &Levels{buckets: map[string]*bucket{}, reports: map[string]*levelReport{}, totals: map[string]float64{}}
+}
+
+// RecordReport records the demand at the entries of a control VM, which replaces the
+// one of its last report, and what they spent since. It returns the control VMs that
+// have timed out.
+func (l *Levels) RecordReport(now time.Duration, vm string, demand, spent map[string]float64) (removed []string) {
+	for name, tokens := range spent {
+		if b := l.buckets[name]; b != nil {
+			b.tokens -= tokens
+		}
 	}
-	s.addresses, s.addressesVersion, s.addressesAt = nil, s.version, now
-	for _, e := range s.entries {
-		if e.address != "" {
-			s.addresses = append(s.addresses, e.address)
+	l.removeReport(vm)
+	l.reports[vm] = &levelReport{at: now, demand: demand}
+	for name, tokens := range demand {
+		l.totals[name] += tokens
+	}
+	for name, other := range l.reports {
+		if now-other.at > entryTimeout {
+			l.removeReport(name)
+			removed = append(removed, name)
 		}
 	}
-	slices.Sort(s.addresses)
-	return s.addresses, s.addressesVersion
+	return removed
 }
 
-// EntryCount returns the number of entries, but at least 1.
-func (s *Shares) EntryCount() int { return max(1, len(s.entries)) }
-
-// ForEntry returns the entry's shares of the customers' rates.
-func (s *Shares) ForEntry(now time.Duration, entry string, customers []catalog.Customer) map[string]Share {
-	own := s.entries[entry]
-	if own == nil {
-		return nil
+func (l *Levels) removeReport(vm string) {
+	r := l.reports[vm]
+	if r == nil {
+		return
+	}
+	delete(l.reports, vm)
+	for name, tokens := range r.demand {
+		l.totals[name] -= tokens
 	}
-	out := make(map[string]Share, len(customers))
+}
+
+// List returns the levels of the customers that have a rate.
+func (l *Levels) List(now time.Duration, customers []catalog.Customer) []Level {
+	out := make([]Level, 0, len(customers))
 	for i := range customers {
 		c := &customers[i]
 		if c.Rate <= 0 {
 			continue
 		}
-		fraction := s.fraction(own, c.Name)
-		left := s.refill(now, c)
+		out = append(out, Level{Customer: c.Name, Rate: c.Rate, Burst: c.Burst, Demand: l.totals[c.Name], Tokens: l.refill(now, c)})
+	}
+	return out
+}
+
+// refill adds the tokens since the last refill to a customer's bucket and returns
+// its level.
+func (l *Levels) refill(now time.Duration, c *catalog.Customer) float64 {
+	burst := max(c.Burst, 1)
+	b := l.buckets[c.Name]
+	if b == nil {
+		b = &bucket{tokens: burst * initialLevel, refilledAt: now}
+		l.buckets[c.Name] = b
+	}
+	b.tokens = min(burst, b.tokens+c.Rate*(now-b.refilledAt).Seconds())
+	b.refilledAt = now
+	return b.tokens
+}
+
+// Shares divides the customers' levels between the entries of one control VM: the
+// rate by recent demand, the burst by what is left of it over all entries.
+type Shares struct {
+	demandMeter
+	// allEntries is the number of entries of all control VMs, as of the last levels.
+	allEntries int
+	levels     map[string]Level
+	levelsAt   time.Duration
+	// unreported is what was spent since the last report to the leader. The levels do
+	// not contain it yet.
+	unreported map[string]float64
+}
+
+// NewShares returns Shares without entries and levels.
+func NewShares() *Shares {
+	return &Shares{demandMeter: newDemandMeter(), levels: map[string]Level{}, unreported: map[string]float64{}}
+}
+
+// RecordUsage adds the usage of an entry since its last report, and returns the
+// entries that have timed out.
+func (s *Shares) RecordUsage(now time.Duration, entry string, usage map[string]Usage) (removed []string) {
+	for name, u := range usage {
+		s.unreported[name] += u.Spent
+	}
+	return s.record(now, entry, usage)
+}
+
+// TakeReport returns the recent demand at all entries, and what was spent since the
+// last call. If the report does not reach the leader, ReturnSpent adds that to the
+// next one.
+func (s *Shares) TakeReport() (demand, spent map[string]float64) {
+	spent = s.unreported
+	s.unreported = map[string]float64{}
+	return maps.Clone(s.totals), spent
+}
+
+// ReturnSpent adds what was not reported to the next report.
+func (s *Shares) ReturnSpent(spent map[string]float64) {
+	for name, tokens := range spent {
+		s.unreported[name] += tokens
+	}
+}
+
+// SetLevels replaces the levels by those of the leader, which contain all usage up
+// to the last TakeReport. entries is the number of entries of all control VMs.
+func (s *Shares) SetLevels(now time.Duration, entries int, levels []Level) {
+	s.allEntries, s.levelsAt = entries, now
+	s.levels = make(map[string]Level, len(levels))
+	for _, l := range levels {
+		s.levels[l.Customer] = l
+	}
+}
+
+// EntryCount returns the number of entries of all control VMs, but at least 1.
+func (s *Shares) EntryCount() int { return max(1, s.allEntries, len(s.entries)) }
+
+// ForEntry returns the entry's shares of the customers' rates.
+func (s *Shares) ForEntry(now time.Duration, entry string) map[string]Share {
+	own := s.entries[entry]
+	if own == nil {
+		return nil
+	}
+	out := make(map[string]Share, len(s.levels))
+	for name := range s.levels {
+		fraction := s.fraction(own, name)
+		left := s.tokens(now, name)
 		if left > 0 {
 			left *= max(fraction, min(minLevelFraction, maxLevelSum/float64(s.EntryCount())))
 		} else {
 			left *= fraction
 		}
-		out[c.Name] = Share{Fraction: fraction, Level: left}
+		out[name] = Share{Fraction: fraction, Level: left}
 	}
 	return out
 }
 
 func (s *Shares) fraction(own *entryUsage, name string) float64 {
 	even := 1 / float64(s.EntryCount())
-	total := s.totals[name]
+	total := max(s.levels[name].Demand, s.totals[name])
 	if total < 1 { // demands below one token are dropped
 		return even
 	}
 	return evenFraction*even + (1-evenFraction)*own.demand[name]/total
 }
 
-// refill adds the tokens since the last refill to a customer's bucket and returns
-// its level.
-func (s *Shares) refill(now time.Duration, c *catalog.Customer) float64 {
-	burst := max(c.Burst, 1)
-	b := s.buckets[c.Name]
-	if b == nil {
-		b = &bucket{tokens: burst * initialLevel, refilledAt: now}
-		s.buckets[c.Name] = b
-	}
-	b.tokens = min(burst, b.tokens+c.Rate*(now-b.refilledAt).Seconds())
-	b.refilledAt = now
-	return b.tokens
+// tokens returns what is left of a customer's burst, as far as this control VM knows.
+func (s *Shares) tokens(now time.Duration, name string) float64 {
+	l := s.levels[name]
+	refilled := min(max(l.Burst, 1), l.Tokens+l.Rate*(now-s.levelsAt).Seconds())
+	return refilled - s.unreported[name]
 }
--- a/internal/coordination/forward/limits_test.go
+++ b/internal/coordination/forward/limits_test.go
@@ -45,7 +45,12 @@
 		const seconds, tick = 8, 50 * time.Millisecond
 		customer := &catalog.Customer{Name: "c", Rate: 20_000, Burst: 20_000, ByTokens: true}
 		names := []string{"e1", "e2", "e3", "e4", "e5"}
-		shares := directory.NewShares()
+		// Each entry watches one of the control VMs, which report to the leader.
+		levels := directory.NewLevels()
+		relays := make([]*directory.Shares, rapid.IntRange(1, 3).Draw(t, "control VMs"))
+		for i := range relays {
+			relays[i] = directory.NewShares()
+		}
 		buckets := map[string]*Buckets{}
 		for _, n := range names {
 			buckets[n] = NewBuckets()
@@ -55,10 +60,18 @@
 		spent := 0.0
 		for step := range int(seconds * time.Second / tick) {
 			now := time.Duration(step) * tick
+			for i, r := range relays {
+				if (step+i)%6 == 0 { // each control VM every 300 ms, at a different time
+					demand, spent := r.TakeReport()
+					levels.RecordReport(now, names[i], demand, spent)
+					r.SetLevels(now, len(names), levels.List(now, []catalog.Customer{*customer}))
+				}
+			}
 			for i, n := range names {
 				if (step+i)%8 == 0 { // each entry every 400 ms, at a different time
+					shares := relays[i%len(relays)]
 					shares.RecordUsage(now, n, buckets[n].TakeUsage())
-					buckets[n].SetShares(now, shares.ForEntry(now, n, []catalog.Customer{*customer}), shares.EntryCount())
+					buckets[n].SetShares(now, shares.ForEntry(now, n), shares.EntryCount())
 				}
 				count := offered * 20 * int(tick/time.Millisecond) / 1000 / len(names)
 				if i == skew {
@@ -81,14 +94,15 @@
 // With nine entries, the share of a small customer's burst at each entry is smaller
 // than a single request. The request must not be refused for that.
 func TestRequestLargerThanBurstShareIsServed(t *testing.T) {
-	shares := directory.NewShares()
+	levels, shares := directory.NewLevels(), directory.NewShares()
 	customer := catalog.Customer{Name: "c", Rate: 2700, Burst: 2700, ByTokens: true}
 	for _, n := range []string{"1", "2", "3", "4", "5", "6", "7", "8", "9"} {
 		shares.RecordUsage(0, n, nil)
 	}
-	shares.ForEntry(0, "1", []catalog.Customer{customer})
+	levels.List(0, []catalog.Customer{customer})
+	shares.SetLevels(2*time.Second, 9, levels.List(2*time.Second, []catalog.Customer{customer}))
 	b := NewBuckets()
-	b.SetShares(2*time.Second, shares.ForEntry(2*time.Second, "1", []catalog.Customer{customer}), 9)
+	b.SetShares(2*time.Second, shares.ForEntry(2*time.Second, "1"), 9)
 	if ok, wait := b.Take(2*time.Second, &customer, 1500); !ok {
 		t.Fatalf("refused, with a retry after %v", wait)
 	}
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -7,11 +7,8 @@
 	"log/slog"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/coordination/directory"
@@ -20,21 +17,24 @@
 )
 
 const (
-	// The leader may hold a Watch call open for holdPerEntry times the number of
+	// A control VM may hold a Watch call open for holdPerEntry times the number of
 	// entries, but at least minHold and at most maxHold. The time grows with the
-	// number of entries because a call without news costs the leader as much as any
-	// other.
+	// number of entries because a call without news costs a control VM as much as any
+	// other. A control VM that stopped answering is noticed only after the hold time.
 	minHold      = 400 * time.Millisecond
 	holdPerEntry = 5 * time.Millisecond
-	maxHold      = 1500 * time.Millisecond
+	maxHold      = time.Second
 	// watchRetryDelay is the delay after calls to all control VMs have failed.
 	watchRetryDelay = 150 * time.Millisecond
 	// minWatchInterval is the shortest time between two calls. It bounds their cost
 	// while the list of endpoints changes all the time.
 	minWatchInterval = 60 * time.Millisecond
-	// controlLostAfter is the time without a response after which the loss of the
-	// leader is logged.
+	// controlLostAfter is the time without a response after which the loss of control
+	// is logged.
 	controlLostAfter = 2 * time.Second
+	// maxBehind is how long control VMs may have an older list of endpoints than this
+	// entry. After that they were founded anew, and their list counts.
+	maxBehind = 10 * time.Second
 )
 
 // DirectoryClient calls the directory of a control VM.
@@ -43,9 +43,8 @@
 	Load(ctx context.Context, address string, r *peerv1.LoadRequest) (*peerv1.LoadResponse, error)
 }
 
-// Watcher keeps a Server up to date with the state of the leading control VM, which
-// it fetches with long polls.
-type Watcher struct {
+// WatcherConfig configures a Watcher.
+type WatcherConfig struct {
 	Directory DirectoryClient
 	Session   *statev1.Session
 	// Decode decodes a catalog's document.
@@ -54,19 +53,29 @@
 	// DatagramAddress is the address at which this entry receives datagrams of
 	// other entries.
 	DatagramAddress string
+}
 
-	mu struct {
-		sync.Mutex
-		addresses []string
-		seeds     []string
-		current   int
-	}
+// Watcher keeps a Server up to date with the state of the leading control VM, which
+// it fetches with long polls from a control VM of its data centre, or from any other.
+type Watcher struct {
+	cfg            WatcherConfig
+	controls       controlVMs
 	epoch, version uint64
 	peersVersion   uint64
 	endpoints      map[string]pool.Endpoint // the list as of version
 	entries        int                      // number of live entries, as of the last response
 	lastResponse   time.Time
 	controlLost    bool
+	// behindSince is since when control VMs have an older list than this entry; zero if
+	// they do not.
+	behindSince time.Time
+}
+
+// NewWatcher returns a Watcher of an entry; Run starts it.
+func NewWatcher(c WatcherConfig) *Watcher {
+	w := &Watcher{cfg: c}
+	w.controls.vm, w.controls.dataCentre = c.Session.GetVm(), c.Session.GetDataCentre()
+	return w
 }
 
 // holdTime returns how long the leader may hold a call open.
@@ -75,62 +84,15 @@
 }
 
 // SetSeeds replaces the addresses of the control VMs from the settings.
-func (w *Watcher) SetSeeds(addresses []string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.mu.seeds = addresses
-	w.addLocked(addresses)
-}
-
-// addLocked appends the addresses that are not in the list yet.
-func (w *Watcher) addLocked(addresses []string) {
-	for _, a := range addresses {
-		if !slices.Contains(w.mu.addresses, a) {
-			w.mu.addresses = append(w.mu.addresses, a)
-		}
-	}
-}
+func (w *Watcher) SetSeeds(addresses []string) { w.controls.setSeeds(addresses) }
 
-// setMembers replaces the list of addresses. The new list begins with next, the
-// address to call next, followed by the other members and then by the seeds, which
-// remain as a fallback.
-func (w *Watcher) setMembers(members []*statev1.Member, next string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	list := []string{next}
-	for _, m := range members {
-		if !slices.Contains(list, m.GetAddress()) {
-			list = append(list, m.GetAddress())
-		}
-	}
-	for _, a := range w.mu.seeds {
-		if !slices.Contains(list, a) {
-			list = append(list, a)
-		}
-	}
-	w.mu.addresses, w.mu.current = list, 0
-}
-
-// address returns the address to call and the number of addresses in the list.
-func (w *Watcher) address() (address string, count int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.mu.addresses[w.mu.current], len(w.mu.addresses)
-}
-
-func (w *Watcher) nextAddress() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.mu.current = (w.mu.current + 1) % len(w.mu.addresses)
-}
-
-// Run polls the leader until ctx ends.
+// Run polls a control VM until ctx ends.
 func (w *Watcher) Run(ctx context.Context, s *Server) {
 	failures := 0
 	w.lastResponse = time.Now()
 	for ctx.Err() == nil {
 		started := time.Now()
-		address, count := w.address()
+		address, count := w.controls.address(started)
 		err := w.poll(ctx, s, address)
 		if err == nil {
 			failures = 0
@@ -139,7 +101,7 @@
 		}
 		w.logControlLost(address, err)
 		if !errors.Is(err, errNotLeader) {
-			w.nextAddress()
+			w.controls.next()
 		}
 		if failures++; failures >= count {
 			failures = 0
@@ -148,21 +110,21 @@
 	}
 }
 
-// logControlLost logs once that the leader has not responded for controlLostAfter.
+// logControlLost logs once that no control VM has responded for controlLostAfter.
 func (w *Watcher) logControlLost(address string, err error) {
 	if w.controlLost || time.Since(w.lastResponse) < controlLostAfter {
 		return
 	}
 	w.controlLost = true
-	w.Log.Warn("no leading control VM reachable", "address", address, "error", err, "silent_ms", time.Since(w.lastResponse).Milliseconds())
+	w.cfg.Log.Warn("no control VM reachable that is up to date", "address", address, "error", err, "silent_ms", time.Since(w.lastResponse).Milliseconds())
 }
 
 // poll makes one Watch call, which reports usage and demand, and applies the
 // response.
 func (w *Watcher) poll(ctx context.Context, s *Server, address string) error {
 	r := &peerv1.WatchRequest{
-		Entry: w.Session, Epoch: w.epoch, EndpointsVersion: w.version, HoldMs: uint32(w.holdTime().Milliseconds()),
-		LoadAddress: w.DatagramAddress, PeersVersion: w.peersVersion,
+		Entry: w.cfg.Session, Epoch: w.epoch, EndpointsVersion: w.version, HoldMs: uint32(w.holdTime().Milliseconds()),
+		LoadAddress: w.cfg.DatagramAddress, PeersVersion: w.peersVersion,
 	}
 	if x := s.Index(); x != nil {
 		r.CatalogVersion = x.Version()
@@ -180,7 +142,7 @@
 	for _, l := range s.takeLost() {
 		r.Lost = append(r.Lost, &peerv1.LostRequest{Fingerprint: l.fingerprint, Endpoint: l.endpoint})
 	}
-	resp, err := w.Directory.Watch(ctx, address, r)
+	resp, err := w.cfg.Directory.Watch(ctx, address, r)
 	if err != nil {
 		return err
 	}
@@ -190,8 +152,9 @@
 	w.lastResponse = time.Now()
 	if w.controlLost {
 		w.controlLost = false
-		w.Log.Info("leading control VM reachable again", "address", address, "epoch", resp.GetEpoch())
+		w.cfg.Log.Info("control VM reachable again", "address", address, "epoch", resp.GetEpoch())
 	}
+	w.controls.answered(resp.GetLeader())
 	return w.apply(s, address, resp)
 }
 
@@ -200,39 +163,27 @@
 	errNoLeader  = errors.New("the control VM does not know a leader")
 )
 
-// followRedirect handles the response of a control VM that is not the leader. The
+// followRedirect handles the response of a control VM that is not up to date. The
 // leader that it names is called next.
 func (w *Watcher) followRedirect(address string, resp *peerv1.WatchResponse) error {
 	if leader := resp.GetLeader(); leader != "" && leader != address {
-		w.setMembers(resp.GetMembers(), leader)
+		w.controls.set(resp.GetMembers(), leader)
 		return errNotLeader
 	}
-	w.addMembers(resp.GetMembers())
+	w.controls.add(resp.GetMembers())
 	return errNoLeader
 }
 
-// addMembers appends control VMs that are not in the list yet. It keeps the order of
-// the list, so that each control VM is called in its turn.
-func (w *Watcher) addMembers(members []*statev1.Member) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var addresses []string
-	for _, m := range members {
-		addresses = append(addresses, m.GetAddress())
-	}
-	w.addLocked(addresses)
-}
-
-// apply passes the state in a response of the leader to the Server.
+// apply passes the state in a response of a control VM to the Server.
 func (w *Watcher) apply(s *Server, address string, resp *peerv1.WatchResponse) error {
 	if c := resp.GetCatalog(); c != nil {
-		decoded, err := w.Decode(c.GetDocument())
+		decoded, err := w.cfg.Decode(c.GetDocument())
 		if err != nil {
 			return fmt.Errorf("decode catalog version %d: %w", c.GetVersion(), err)
 		}
 		s.SetCatalog(catalog.NewIndex(decoded))
 	}
-	w.setMembers(resp.GetMembers(), address)
+	w.controls.set(resp.GetMembers(), address)
 	s.setQuarantined(resp.GetSuspects())
 	w.entries = int(resp.GetLiveEntries())
 	s.SetShares(decodeShares(resp.GetShares()), int(resp.GetLiveEntries()))
@@ -240,8 +191,9 @@
 		w.peersVersion = v
 		s.SetEntries(resp.GetPeers())
 	}
+	w.checkBehind(resp.GetBehind())
 	if resp.GetEpoch() == 0 {
-		return nil // a new leader that has no list of endpoints yet
+		return nil // a control VM that has no list of endpoints yet, or an older one
 	}
 	if resp.GetEpoch() == w.epoch && resp.GetEndpointsVersion() == w.version {
 		return nil
@@ -254,20 +206,30 @@
 	return nil
 }
 
+// checkBehind gives up this entry's list of endpoints if control VMs have had an older
+// one for maxBehind, so that the next response has theirs.
+func (w *Watcher) checkBehind(behind bool) {
+	switch {
+	case !behind:
+		w.behindSince = time.Time{}
+	case w.behindSince.IsZero():
+		w.behindSince = time.Now()
+	case time.Since(w.behindSince) > maxBehind:
+		w.cfg.Log.Warn("control VMs have an older list of endpoints, taking it over", "epoch", w.epoch, "version", w.version)
+		w.epoch, w.version, w.behindSince = 0, 0, time.Time{}
+	}
+}
+
 // merge applies the endpoints of a response, which has the whole list or the changes
 // since the version that this entry has.
 func (w *Watcher) merge(resp *peerv1.WatchResponse) error {
 	changed := resp.GetEndpoints()
 	if !resp.GetPartial() {
-		data, err := catalog.Unpack(resp.GetPacked())
+		list, err := directory.UnpackEndpoints(resp.GetPacked())
 		if err != nil {
-			return fmt.Errorf("unpack the list of endpoints: %w", err)
-		}
-		list := &peerv1.EndpointList{}
-		if err := proto.Unmarshal(data, list); err != nil {
-			return fmt.Errorf("decode the list of endpoints: %w", err)
+			return err
 		}
-		w.endpoints, changed = map[string]pool.Endpoint{}, list.GetEndpoints()
+		w.endpoints, changed = map[string]pool.Endpoint{}, list
 	}
 	for _, id := range resp.GetGone() {
 		delete(w.endpoints, id)
@@ -310,8 +272,7 @@
 
 // Load implements Loader.
 func (w *Watcher) Load(ctx context.Context, model, adapter string) (time.Duration, error) {
-	address, _ := w.address()
-	resp, err := w.Directory.Load(ctx, address, &peerv1.LoadRequest{Model: model, Adapter: adapter})
+	resp, err := w.cfg.Directory.Load(ctx, w.controls.loadAddress(), &peerv1.LoadRequest{Model: model, Adapter: adapter})
 	return time.Duration(resp.GetReadyMs()) * time.Millisecond, err
 }
 
--- a/internal/coordination/forward/watch_test.go
+++ b/internal/coordination/forward/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"testing"
+	"time"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
@@ -33,15 +34,15 @@
 	for _, a := range []string{"a", "b", "c", "d", "e"} {
 		control.members = append(control.members, &statev1.Member{Address: a})
 	}
-	w := &Watcher{Directory: control, Session: &statev1.Session{}, Log: slog.New(slog.DiscardHandler)}
+	w := NewWatcher(WatcherConfig{Directory: control, Session: &statev1.Session{}, Log: slog.New(slog.DiscardHandler)})
 	w.SetSeeds([]string{"a", "b", "c"})
 	s := newFixture(t).server
 	for range 2 * len(control.members) {
-		address, _ := w.address()
+		address, _ := w.controls.address(time.Now())
 		if err := w.poll(context.Background(), s, address); err == nil {
 			return
 		}
-		w.nextAddress()
+		w.controls.next()
 	}
 	t.Fatalf("the leader was not called: %v", control.calls)
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -69,7 +69,11 @@
 		Leadership: server, Platform: endpoints, Decode: decodePackedCatalog,
 		Holder: s.VM, OrderLease: s.Bounds.OrderLease, Metrics: metrics, Log: log,
 	})
-	peerServer, err := newServer(s.PeerAddress(s.IP), peerrpc.NewDirectoryHandler(server, directoryServer), httpserver.Limits{}, log)
+	relay := directory.NewRelay(directory.RelayConfig{
+		Leadership: server, Follower: transport, VM: s.VM, Address: s.PeerAddress(s.IP), Log: log,
+	}, directoryServer)
+	service := directory.Service{Relay: relay, Leader: directoryServer}
+	peerServer, err := newServer(s.PeerAddress(s.IP), peerrpc.NewDirectoryHandler(server, service), httpserver.Limits{}, log)
 	if err != nil {
 		return err
 	}
@@ -88,6 +92,7 @@
 		serve(serveCtx, srv, serveErrs)
 	}
 	go directoryServer.Run(ctx)
+	go relay.Run(ctx)
 	go watchSettings(ctx, s, log, func(next *platform.Settings) { server.SetPeers(seedMembers(next)) })
 	controlDone := make(chan error, 1)
 	go func() { controlDone <- server.Run(ctx) }()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -46,11 +46,11 @@
 	}
 	defer func() { _ = socket.Close() }() // the process exits, so an error has no effect
 	session := &statev1.Session{Vm: s.VM, Incarnation: uuid.NewString(), DataCentre: s.DataCentre}
-	watcher := &forward.Watcher{
+	watcher := forward.NewWatcher(forward.WatcherConfig{
 		DatagramAddress: datagramAddress,
 		Directory:       transport, Decode: decodePackedCatalog, Log: log,
 		Session: session,
-	}
+	})
 	watcher.SetSeeds(seedAddresses(s))
 	server := forward.New(forward.Config{
 		Codec: platform.Codec{}, Client: client, Loader: watcher, Metrics: metrics, Log: log,
--- a/internal/protocol/peerrpc/directory.go
+++ b/internal/protocol/peerrpc/directory.go
@@ -13,10 +13,11 @@
 // hold time (the duration of a long poll).
 const directoryMargin = 600 * time.Millisecond
 
-// Directory is the server side of the calls that entries make to the leading
-// control VM.
+// Directory is the server side of the calls that entries make to control VMs, and
+// control VMs to the leader.
 type Directory interface {
 	Watch(ctx context.Context, r *peerv1.WatchRequest) (*peerv1.WatchResponse, error)
+	Follow(ctx context.Context, r *peerv1.FollowRequest) (*peerv1.FollowResponse, error)
 	Load(ctx context.Context, r *peerv1.LoadRequest) (*peerv1.LoadResponse, error)
 }
 
@@ -37,6 +38,11 @@
 	return resp, toTwirp(err)
 }
 
+func (s directoryServer) Follow(ctx context.Context, r *peerv1.FollowRequest) (*peerv1.FollowResponse, error) {
+	resp, err := s.directory.Follow(ctx, r)
+	return resp, toTwirp(err)
+}
+
 func (s directoryServer) Load(ctx context.Context, r *peerv1.LoadRequest) (*peerv1.LoadResponse, error) {
 	resp, err := s.directory.Load(ctx, r)
 	return resp, toTwirp(err)
@@ -53,6 +59,16 @@
 	return resp, t.callError(address, err, resultcode.NoLeader)
 }
 
+// Follow sends a long-poll request for changes to the leader at address. It times out
+// like Watch.
+func (t *Transport) Follow(ctx context.Context, address string, r *peerv1.FollowRequest) (*peerv1.FollowResponse, error) {
+	hold := time.Duration(r.GetHoldMs()) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, hold+directoryMargin)
+	defer cancel()
+	resp, err := t.directory(address).Follow(ctx, r)
+	return resp, t.callError(address, err, resultcode.NoLeader)
+}
+
 // Load calls Load of the directory at address.
 func (t *Transport) Load(ctx context.Context, address string, r *peerv1.LoadRequest) (*peerv1.LoadResponse, error) {
 	ctx, cancel := withDefaultTimeout(ctx, directoryMargin)
