httpserver: Stop answers requests that cross the close of an idle connection

Ruled out: closing only after a quiet time (the same race later), half-closing without a response (the caller learns nothing), 503 (clients treat unsolicited 408 on an idle connection as its close, RFC 9110 15.5.9).

Change: an idle connection gets 408 with result code 5006 (not run) before it is closed for writing, and stays half open for 300 ms. Either the handler or the refusal claims a connection, so the refusal is true. Connections with TLS are closed as before: a response would have to be written by the TLS layer. That part of the finding stays open.

--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -127,6 +127,8 @@
 	NoLeader     Code = 5003
 	DiskFull     Code = 5004
 	Internal     Code = 5005
+	// ConnectionClosing is sent on an idle connection just before it is closed.
+	ConnectionClosing Code = 5006
 
 	OperatorUnknown     Code = 6001
 	ConfigInvalid       Code = 6002
@@ -215,6 +217,7 @@
 		{NoLeader, "no_leader", http.StatusServiceUnavailable, NotRun, RetryLater, "No control VM could commit the change in time."},
 		{DiskFull, "disk_full", http.StatusInsufficientStorage, NotRun, RetryLater, "The disk of the control VM is full."},
 		{Internal, "internal", http.StatusInternalServerError, MayHaveRun, RetryNever, "An internal error in radishloom; the log entry has the request identifier."},
+		{ConnectionClosing, "connection_closing", http.StatusRequestTimeout, NotRun, RetryLater, "This VM is shutting down and closes an idle connection. A request that was on its way there has not run."},
 
 		{OperatorUnknown, "operator_unknown", http.StatusUnauthorized, NotRun, RetryNever, "The operator token is missing or not known."},
 		{ConfigInvalid, "config_invalid", http.StatusUnprocessableEntity, NotRun, RetryNever, "The configuration is invalid; every fault is listed."},
--- a/internal/transport/httpserver/guard.go
+++ b/internal/transport/httpserver/guard.go
@@ -16,6 +16,9 @@
 
 // serve applies the limits and calls the handler.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if !claimConn(r) {
+		panic(http.ErrAbortHandler) // net/http closes the connection without a response
+	}
 	control := http.NewResponseController(w)
 	s.extendWriteDeadline(control)
 	// net/http writes the end of the response after the handler has returned.
--- a/internal/transport/httpserver/listener.go
+++ b/internal/transport/httpserver/listener.go
@@ -36,17 +36,19 @@
 	count       atomic.Int64
 	refusing    atomic.Int64
 	refusal     []byte
+	idle        idleCloser
 }
 
 func newLimitListener(l net.Listener, limits Limits, plain bool) *limitListener {
 	return &limitListener{
-		Listener: l, limit: int64(limits.OpenConnections), userTimeout: limits.WriteTimeout, plaintext: plain, refusal: overloadedResponse(),
+		Listener: l, limit: int64(limits.OpenConnections), userTimeout: limits.WriteTimeout, plaintext: plain,
+		refusal: closingResponse(resultcode.New(resultcode.VMOverloaded, "this VM has too many open connections")),
 	}
 }
 
-// overloadedResponse returns the response for a connection beyond the bound.
-func overloadedResponse() []byte {
-	err := resultcode.New(resultcode.VMOverloaded, "this VM has too many open connections")
+// closingResponse returns a complete response for a connection that is closed after
+// it.
+func closingResponse(err *resultcode.Error) []byte {
 	info := err.Code.Info()
 	body := refusal.Body("", err)
 	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: %d\r\n%s: %d\r\nRetry-After: 1\r\n\r\n%s",
@@ -120,10 +122,15 @@
 	net.Conn
 	listener *limitListener
 	once     sync.Once
+	state    connState
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. While the server stops, an idle connection is refused
+// first and closed by idleCloser.
 func (c *countedConn) Close() error {
 	c.once.Do(func() { c.listener.count.Add(-1) })
+	if c.listener.idle.take(c) {
+		return nil
+	}
 	return c.Conn.Close()
 }
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -146,6 +146,8 @@
 	k.ReadHeaderTimeout = s.limits.HeaderTimeout
 	k.IdleTimeout = s.limits.IdleTimeout
 	k.ErrorLog = slog.NewLogLogger(s.config.Logger.Handler(), slog.LevelDebug)
+	k.ConnContext = withConn
+	k.ConnState = trackIdle
 	k.Protocols = new(http.Protocols)
 	k.Protocols.SetHTTP1(true)
 	return k
@@ -169,19 +171,23 @@
 
 // Stop implements transport.Server. It stops accepting connections, waits for
 // in-flight requests until the grace period or ctx ends, and then closes the
-// remaining connections. A kratos application needs a StopTimeout longer than the
+// remaining connections. Idle connections without TLS get a refusal before they are
+// closed, for a request that may be on its way. A kratos application needs a StopTimeout longer than the
 // grace period.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Drain()
 	ctx, cancel := context.WithTimeout(ctx, s.limits.Grace)
 	defer cancel()
+	s.listener.idle.begin()
 	err := s.kratos.Shutdown(ctx)
 	// Shutdown does not close the listener of a server that was never started.
 	_ = s.listener.Close()
 	if err == nil || errors.Is(err, net.ErrClosed) {
+		s.listener.idle.end(ctx)
 		return nil
 	}
 	closeErr := s.kratos.Close()
+	s.listener.idle.end(ctx)
 	return errors.Join(fmt.Errorf("requests still in flight after the grace period were aborted: %w", err), closeErr)
 }
 
