httpclient, forward: bytes without end are bounded in size and time

Change: all heads before a response share one size limit, skipped bodies have one; the rest of a response that is not passed on is awaited for 100 ms; an event of more than 256 KiB fails the endpoint and the stream is resumed elsewhere; a body announced over the limit is refused at its head.

--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -56,6 +56,11 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	tooLarge := resultcode.New(resultcode.BodyTooLarge, "the request body exceeds the limit of %d bytes", limit)
+	if r.ContentLength > limit {
+		c.w.Header().Set("Connection", "close") // the body is not read
+		return tooLarge
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, r.Body, limit))
 	var large *http.MaxBytesError
 	var coded *resultcode.Error
@@ -64,7 +69,7 @@
 		c.req.Body = body
 		return nil
 	case errors.As(err, &large):
-		return resultcode.New(resultcode.BodyTooLarge, "the request body exceeds the limit of %d bytes", limit)
+		return tooLarge
 	case errors.As(err, &coded):
 		return coded
 	default:
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -79,6 +79,8 @@
 	deadline time.Duration
 	query    pool.Query
 
+	// cancelSend ends the exchange of the current send.
+	cancelSend   context.CancelFunc
 	sends        int
 	possibleRuns int // number of endpoints that may have run the request
 	relay        *relay
--- a/internal/coordination/forward/relay.go
+++ b/internal/coordination/forward/relay.go
@@ -16,9 +16,10 @@
 // readSize is the buffer size for reads of a response body.
 const readSize = 16 << 10
 
-// maxEventBytes is the size of an incomplete event of a resumable stream beyond
-// which it is passed on in parts.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a resumable stream, which is held until it is
+// complete. An endpoint that sends more is in trouble, and another one resumes the
+// stream.
+const maxEventBytes = 256 << 10
 
 // relay passes a response on as it arrives. For a resumable stream it passes on
 // complete events only, so that another endpoint can resume the stream.
@@ -68,7 +69,7 @@
 		if n > 0 {
 			if werr := r.write(buf[:n]); werr != nil {
 				resp.Body.Discard()
-				return resultcode.Wrap(resultcode.CallerGone, werr, "writing to the caller failed")
+				return werr
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -90,15 +91,22 @@
 func (r *relay) write(p []byte) error {
 	if r.wholeEvents {
 		p = r.takeEvents(p)
+		if len(r.pending) > maxEventBytes {
+			return resultcode.New(resultcode.AnswerIncomplete, "an event of the stream exceeds %d bytes", maxEventBytes)
+		}
 	}
 	if len(p) == 0 {
 		return nil
 	}
 	r.observe(r.call.server.now() - r.call.arrived)
-	if _, err := r.call.w.Write(p); err != nil {
-		return err
+	_, err := r.call.w.Write(p)
+	if err == nil {
+		err = r.control.Flush()
+	}
+	if err != nil {
+		return resultcode.Wrap(resultcode.CallerGone, err, "writing to the caller failed")
 	}
-	return r.control.Flush()
+	return nil
 }
 
 // observe records the time of a write to the caller.
@@ -119,11 +127,7 @@
 	r.pending = append(r.pending, p...)
 	at := bytes.LastIndex(r.pending, eventEnd)
 	if at < 0 {
-		if len(r.pending) > maxEventBytes {
-			at = len(r.pending) - len(eventEnd)
-		} else {
-			return nil
-		}
+		return nil
 	}
 	out := bytes.Clone(r.pending[:at+len(eventEnd)])
 	r.pending = append(r.pending[:0], r.pending[at+len(eventEnd):]...)
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -26,7 +27,10 @@
 	if c.relay != nil && c.relay.lastID != "" {
 		a.ResumeAfter = c.relay.lastID
 	}
-	resp, err := s.cfg.Client.Do(c.ctx, &exchange.Request{
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	c.cancelSend = cancel
+	resp, err := s.cfg.Client.Do(ctx, &exchange.Request{
 		Address: to.Address, Host: c.req.Host, Method: c.req.Method, Target: c.req.Target,
 		Header: s.cfg.Codec.AttemptHeader(c.req, a), Body: c.req.Body, IdleTimeout: c.idleTimeout(left),
 		AllowCloseDelimited: true,
@@ -114,8 +118,14 @@
 	return false
 }
 
+// drainTimeout bounds the wait for the rest of a response that is not passed on. The
+// rest usually arrived with the head.
+const drainTimeout = 100 * time.Millisecond
+
 // drain reads a short response to its end, so that its connection can be reused.
 func (c *call) drain(resp *exchange.Response) {
+	timeout := time.AfterFunc(drainTimeout, c.cancelSend)
+	defer timeout.Stop()
 	if _, err := io.CopyN(io.Discard, resp.Body, maxBufferedBody); !errors.Is(err, io.EOF) {
 		resp.Body.Discard()
 		return
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -59,18 +61,26 @@
 	// response.
 	truncated bool
 	err       error
+	// stalls makes the body wait for more until the exchange is cancelled. endless
+	// repeats the body without end.
+	stalls, endless bool
 	// length is the announced length; -1 for a chunked body.
 	length int64
 }
 
-// testBody ends with an error if truncated is set.
+// testBody ends as the reply says.
 type testBody struct {
 	io.Reader
 	truncated bool
+	stalled   context.Context // if set, the body waits for its end
 }
 
 func (b *testBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) && b.stalled != nil {
+		<-b.stalled.Done()
+		return n, b.stalled.Err()
+	}
 	if errors.Is(err, io.EOF) && b.truncated {
 		err = resultcode.New(resultcode.AnswerIncomplete, "truncated by the test")
 	}
@@ -103,7 +113,25 @@
 	if h == nil {
 		h = http.Header{}
 	}
-	return &exchange.Response{Status: next.status, Header: h, ContentLength: next.length, Body: &testBody{strings.NewReader(next.body), next.truncated}}, nil
+	body := &testBody{Reader: strings.NewReader(next.body), truncated: next.truncated}
+	if next.stalls {
+		body.stalled = ctx
+	}
+	if next.endless {
+		body.Reader = &repeatingReader{text: next.body}
+	}
+	return &exchange.Response{Status: next.status, Header: h, ContentLength: next.length, Body: body}, nil
+}
+
+// repeatingReader repeats a text without end.
+type repeatingReader struct{ text string }
+
+func (r *repeatingReader) Read(p []byte) (int, error) {
+	n := 0
+	for n+len(r.text) <= len(p) {
+		n += copy(p[n:], r.text)
+	}
+	return n, nil
 }
 
 func (f *fakeEndpoints) sends() []*exchange.Request {
@@ -399,3 +427,60 @@
 		t.Fatal("a draining entry is ready")
 	}
 }
+
+// Guards against a caller that announces a body which nobody can take: the entry must
+// refuse it at once and close the connection, and must not read until the limit.
+func TestAnnouncedBodyOverLimitIsRefusedAtOnce(t *testing.T) {
+	w := newFixture(t)
+	c, err := net.Dial("tcp", w.http.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(c, "POST /once/x HTTP/1.1\r\nHost: h\r\nKey: k\r\nContent-Length: 99999999999\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no response to the head alone: %v", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestEntityTooLarge || !resp.Close {
+		t.Fatalf("status %d, Connection: close %t; want 413 and true", resp.StatusCode, resp.Close)
+	}
+}
+
+// Guards against an endpoint in trouble that refuses a request and then sends a body
+// without end, or a byte now and then: the request has not run, so another endpoint
+// must get it at once.
+func TestRefusalWithoutEndIsRetriedAtOnce(t *testing.T) {
+	for name, refusal := range map[string]reply{
+		"stalled": {status: 503, header: http.Header{"Not-Run": {"1"}, "Id": {"id-1"}}, body: "x", stalls: true, length: -1},
+		"endless": {status: 503, header: http.Header{"Not-Run": {"1"}, "Id": {"id-1"}}, body: "x", endless: true, length: -1},
+	} {
+		w := newFixture(t, refusal, reply{status: 200, header: sealed(), body: "fine", length: 4})
+		started := time.Now()
+		status, _, body, err := w.do("/once/x", nil)
+		if err != nil || status != 200 || body != "fine" {
+			t.Errorf("%s: status %d, body %q, error %v", name, status, body, err)
+		}
+		if took := time.Since(started); took > drainTimeout+300*time.Millisecond {
+			t.Errorf("%s: answered after %v", name, took)
+		}
+	}
+}
+
+// Guards against an event without end, which would fill the memory of the entry: the
+// endpoint counts as failed, and another one resumes the stream after the last whole
+// event.
+func TestEventWithoutEndIsResumedElsewhere(t *testing.T) {
+	w := newFixture(t,
+		reply{status: 200, header: sealed(), body: "data: without end\n", endless: true, length: -1},
+		reply{status: 200, header: sealed(), body: "id: 1\ndata: a\n\n", length: -1},
+	)
+	status, _, body, err := w.do("/resumed/x", map[string]string{"Model": "m"})
+	if err != nil || status != 200 || body != "id: 1\ndata: a\n\n" {
+		t.Fatalf("status %d, %d bytes of body, error %v", status, len(body), err)
+	}
+}
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -26,7 +26,10 @@
 // the same packet as the marker or in the next one.
 const bodyEndTimeout = 2 * time.Millisecond
 
-var errHeadTooLarge = errors.New("the response head exceeds the size limit")
+var (
+	errHeadTooLarge    = errors.New("the response head exceeds the size limit")
+	errSkippedTooLarge = errors.New("responses to other requests exceed the size limit")
+)
 
 // conn is one connection to an endpoint. It carries one exchange at a time.
 type conn struct {
@@ -211,22 +214,30 @@
 	return method != http.MethodGet && method != http.MethodHead && method != http.MethodDelete
 }
 
+// maxSkippedBody bounds the bodies of the responses that are skipped before the
+// response to a request.
+const maxSkippedBody = 256 << 10
+
 // readHead reads the head of the final response. While an engine works on a
 // response that is not streamed, it sends informational (1xx) responses so that
-// the idle timeout applies as in a stream; only the context bounds their number.
-// Responses that accept rejects are skipped.
+// the idle timeout applies as in a stream. Responses that accept rejects are
+// skipped. All heads together are bounded by maxHead, and all skipped bodies by
+// maxSkippedBody, because an endpoint in trouble may send them without end.
 func (cn *conn) readHead(method string, accept func(http.Header) bool) (*http.Response, error) {
+	headLeft, skipLeft := cn.maxHead, int64(maxSkippedBody)
 	for {
-		cn.headLeft = cn.maxHead
+		cn.headLeft = headLeft
 		resp, err := http.ReadResponse(cn.br, &http.Request{Method: method})
-		cn.headLeft = -1
+		headLeft, cn.headLeft = cn.headLeft, -1
 		if err != nil {
 			return nil, err
 		}
 		if accept != nil && resp.StatusCode >= http.StatusOK && !accept(resp.Header) {
-			if err := skipResponse(resp); err != nil {
+			skipped, err := skipResponse(resp, skipLeft)
+			if err != nil {
 				return nil, err
 			}
+			skipLeft -= skipped
 			continue
 		}
 		cn.idleLimit = keepAliveLimit(resp.Header)
@@ -239,13 +250,20 @@
 	}
 }
 
-// skipResponse reads a response to an earlier request to its end.
-func skipResponse(resp *http.Response) error {
+// skipResponse reads a response to an earlier request to its end, and returns the
+// size of its body.
+func skipResponse(resp *http.Response, limit int64) (skipped int64, err error) {
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return errCloseDelimited
+		return 0, errCloseDelimited
 	}
-	_, err := io.Copy(io.Discard, resp.Body)
-	return err
+	skipped, err = io.CopyN(io.Discard, resp.Body, limit)
+	if errors.Is(err, io.EOF) {
+		return skipped, nil
+	}
+	if err == nil {
+		err = errSkippedTooLarge
+	}
+	return skipped, err
 }
 
 // keepAliveLimit returns the timeout parameter of the Keep-Alive field, or zero.
