--- a/internal/coordination/directory/relay_test.go
+++ b/internal/coordination/directory/relay_test.go
@@ -206,3 +206,58 @@
 		t.Fatalf("%d entries at %v after a control VM was lost", w.count, list)
 	}
 }
+
+// Guards against a leader whose work grows with the number of entries: when 174 of 291
+// entries restarted at the same moment, their calls took all of its processor, its
+// reads timed out, it lost the leadership twice within 20 s, and models that callers
+// asked for were never loaded.
+func TestCallsToTheLeaderDoNotGrowWithEntries(t *testing.T) {
+	const entries, duration = 300, 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), duration)
+		defer cancel()
+		leader := &changingLeader{}
+		r := NewRelay(RelayConfig{Leadership: &fakeLeadership{}, Follower: leader, VM: "control", Log: slog.New(slog.DiscardHandler)}, nil)
+		go r.Run(ctx)
+		responses := make([]int, entries)
+		for i := range entries {
+			go func() {
+				in := watchRequest(fmt.Sprint(i))
+				for ctx.Err() == nil {
+					out, err := r.Watch(ctx, in)
+					if err != nil {
+						return
+					}
+					if out.GetEpoch() != 0 {
+						in.Epoch, in.EndpointsVersion = out.GetEpoch(), out.GetEndpointsVersion()
+						responses[i]++
+					}
+				}
+			}()
+		}
+		<-ctx.Done()
+		synctest.Wait()
+		if limit := int(duration/followInterval) + 1; leader.calls > limit || leader.calls < limit/4 {
+			t.Errorf("%d calls to the leader in %v, want at most %d and not many fewer", leader.calls, duration, limit)
+		}
+		for i, n := range responses {
+			if n < leader.calls/2 {
+				t.Errorf("entry %d got %d of %d versions", i, n, leader.calls)
+			}
+		}
+	})
+}
+
+// changingLeader has a new version of the list at each call.
+type changingLeader struct{ calls int }
+
+func (l *changingLeader) Follow(_ context.Context, _ string, r *peerv1.FollowRequest) (*peerv1.FollowResponse, error) {
+	l.calls++
+	if r.GetEpoch() == 0 {
+		list := newEndpointList()
+		p, err := list.pack()
+		return &peerv1.FollowResponse{Epoch: 1, EndpointsVersion: 1, Packed: p.data}, err
+	}
+	e := &peerv1.DirectoryEndpoint{Id: "e", KvTotal: uint64(l.calls)}
+	return &peerv1.FollowResponse{Epoch: 1, EndpointsVersion: uint64(l.calls), Partial: true, Endpoints: []*peerv1.DirectoryEndpoint{e}}, nil
+}
