directory: spending on its way to the leader counts; entries of an idle relay time out

Cause, found on reading the change: what a report to the leader contained was neither in the old levels nor in the next report for up to 0.3 s, so it could be spent twice; and a control VM that no entry calls any more never removed its entries, so the leader went on to count them and listed them as brokers.

Change: Shares keeps what is on its way until the leader answers; entries time out with each report.

--- a/internal/coordination/directory/plan_test.go
+++ b/internal/coordination/directory/plan_test.go
@@ -382,6 +382,7 @@
 			i := rapid.IntRange(0, len(names)-1).Draw(t, "entry")
 			controls[i%2].RecordUsage(now, names[i], map[string]Usage{"c": {Requested: requested}})
 			for vm, s := range controls {
+				s.Expire(now)
 				demand, spent := s.TakeReport()
 				levels.RecordReport(now, fmt.Sprint(vm), demand, spent)
 			}
--- a/internal/coordination/directory/relay.go
+++ b/internal/coordination/directory/relay.go
@@ -94,7 +94,7 @@
 		return
 	}
 	r.mu.Lock()
-	report := r.mu.state.takeReport(r.cfg.VM, followHold)
+	report := r.mu.state.takeReport(r.now(), r.cfg.VM, followHold)
 	r.mu.Unlock()
 	sentAt := r.now()
 	response, err := r.call(ctx, address, report)
@@ -175,8 +175,8 @@
 	r.mu.Unlock()
 	hold := time.NewTimer(time.Duration(in.GetHoldMs()) * time.Millisecond)
 	defer hold.Stop()
-	patience := time.NewTimer(freshWait)
-	defer patience.Stop()
+	freshTimer := time.NewTimer(freshWait)
+	defer freshTimer.Stop()
 	for {
 		r.mu.Lock()
 		fresh, changed := r.freshLocked(), r.mu.changed
@@ -187,7 +187,7 @@
 			select {
 			case <-changed:
 				continue
-			case <-patience.C:
+			case <-freshTimer.C:
 			case <-ctx.Done():
 			}
 			return r.redirect(ctx)
--- a/internal/coordination/directory/relay_test.go
+++ b/internal/coordination/directory/relay_test.go
@@ -261,3 +261,43 @@
 	e := &peerv1.DirectoryEndpoint{Id: "e", KvTotal: uint64(l.calls)}
 	return &peerv1.FollowResponse{Epoch: 1, EndpointsVersion: uint64(l.calls), Partial: true, Endpoints: []*peerv1.DirectoryEndpoint{e}}, nil
 }
+
+// Guards against tokens that are spent twice: while a report is on its way to the
+// leader, what it contains is neither in the leader's last levels nor in the next
+// report.
+func TestSpentTokensCountWhileReported(t *testing.T) {
+	s := NewShares()
+	s.RecordUsage(0, "e", nil)
+	s.SetLevels(0, 1, []Level{{Customer: "c", Rate: 1, Burst: 100, Tokens: 100}})
+	s.RecordUsage(0, "e", map[string]Usage{"c": {Requested: 80, Spent: 80}})
+	if got := s.ForEntry(0, "e")["c"].Level; got > 20 {
+		t.Errorf("%.0f of 20 tokens may be spent before the report", got)
+	}
+	s.TakeReport()
+	if got := s.ForEntry(0, "e")["c"].Level; got > 20 {
+		t.Errorf("%.0f of 20 tokens may be spent while the report is on its way", got)
+	}
+	s.ReturnReport()
+	if got := s.ForEntry(0, "e")["c"].Level; got > 20 {
+		t.Errorf("%.0f of 20 tokens may be spent after the report failed", got)
+	}
+	s.TakeReport()
+	s.SetLevels(0, 1, []Level{{Customer: "c", Rate: 1, Burst: 100, Tokens: 20}})
+	if got := s.ForEntry(0, "e")["c"].Level; got != 20 {
+		t.Errorf("%.0f tokens may be spent after the leader's answer, want 20", got)
+	}
+}
+
+// Guards against a control VM that reports entries for ever which no longer call it:
+// the leader would count them, and others would choose them as brokers.
+func TestEntriesOfAnIdleRelayTimeOut(t *testing.T) {
+	r := newRelayState()
+	r.record(0, watchRequest("e"))
+	if set := r.takeReport(time.Second, "control", 0).GetEntries(); len(set.GetEntries()) != 1 {
+		t.Fatalf("entries in the report: %v", set)
+	}
+	set := r.takeReport(entryTimeout+time.Second, "control", 0).GetEntries()
+	if set == nil || len(set.GetEntries()) != 0 {
+		t.Fatalf("entries in the report after no call for %v: %v", entryTimeout+time.Second, set)
+	}
+}
--- a/internal/coordination/directory/relaystate.go
+++ b/internal/coordination/directory/relaystate.go
@@ -68,10 +68,7 @@
 // record records the report of an entry.
 func (r *relayState) record(now time.Duration, in *peerv1.WatchRequest) {
 	name := in.GetEntry().GetVm()
-	for _, removed := range r.shares.RecordUsage(now, name, decodeUsage(in.GetUsage())) {
-		delete(r.entries, removed)
-		r.entriesVersion++
-	}
+	r.shares.RecordUsage(now, name, decodeUsage(in.GetUsage()))
 	e := r.entries[name]
 	if e == nil || e.address != in.GetLoadAddress() {
 		e = &watchingEntry{address: in.GetLoadAddress()}
@@ -99,8 +96,13 @@
 	d.tokens += tokens
 }
 
-// takeReport returns the report to the leader and begins the next one.
-func (r *relayState) takeReport(vm string, hold time.Duration) *peerv1.FollowRequest {
+// takeReport returns the report to the leader and begins the next one. It removes the
+// entries that no longer call.
+func (r *relayState) takeReport(now time.Duration, vm string, hold time.Duration) *peerv1.FollowRequest {
+	for _, removed := range r.shares.Expire(now) {
+		delete(r.entries, removed)
+		r.entriesVersion++
+	}
 	out := &peerv1.FollowRequest{
 		Vm: vm, Epoch: r.list.epoch, EndpointsVersion: r.list.version, PeersVersion: r.peersVersion, HoldMs: uint32(hold.Milliseconds()), Lost: r.lost,
 	}
@@ -138,8 +140,7 @@
 // returnReport adds a report that was not answered to the next one. If the leader
 // did receive it, the usage counts twice, which errs on the side of spending less.
 func (r *relayState) returnReport(report *peerv1.FollowRequest) {
-	_, spent := decodeDemand(report.GetCustomers())
-	r.shares.ReturnSpent(spent)
+	r.shares.ReturnReport()
 	for _, d := range report.GetDemand() {
 		r.addDemand(d.GetModel(), d.GetRequests(), d.GetTokens())
 	}
--- a/internal/coordination/directory/share.go
+++ b/internal/coordination/directory/share.go
@@ -29,7 +29,8 @@
 	initialLevel = 0.3
 )
 
-// Usage is what a customer requested and spent since the last report, in tokens.
+// Usage is what a customer requested and spent at an entry since its last report, in
+// tokens.
 type Usage struct{ Requested, Spent float64 }
 
 // Share is an entry's share of a customer's rate.
@@ -56,51 +57,51 @@
 	return demandMeter{entries: map[string]*entryUsage{}, totals: map[string]float64{}}
 }
 
-// record adds a report, and returns the entries that timed out and were removed.
-func (m *demandMeter) record(now time.Duration, from string, usage map[string]Usage) (removed []string) {
-	r := m.entries[from]
-	if r == nil {
-		r = &entryUsage{demand: map[string]float64{}, updatedAt: now}
-		m.entries[from] = r
+// record adds the report of an entry.
+func (m *demandMeter) record(now time.Duration, entry string, usage map[string]Usage) {
+	e := m.entries[entry]
+	if e == nil {
+		e = &entryUsage{demand: map[string]float64{}, updatedAt: now}
+		m.entries[entry] = e
 	}
-	r.lastSeen = now
-	decay := math.Exp(-(now - r.updatedAt).Seconds() / demandTimeConstant.Seconds())
-	r.updatedAt = now
-	for name, demand := range r.demand {
+	e.lastSeen = now
+	decay := math.Exp(-(now - e.updatedAt).Seconds() / demandTimeConstant.Seconds())
+	e.updatedAt = now
+	for name, demand := range e.demand {
 		if kept := demand * decay; kept >= 1 {
-			m.set(r, name, kept)
+			m.set(e, name, kept)
 		} else {
-			m.set(r, name, 0)
+			m.set(e, name, 0)
 		}
 	}
 	for name, u := range usage {
-		m.set(r, name, r.demand[name]+u.Requested)
-	}
-	for name, other := range m.entries {
-		if now-other.lastSeen > entryTimeout {
-			m.remove(name)
-			removed = append(removed, name)
-		}
+		m.set(e, name, e.demand[name]+u.Requested)
 	}
-	return removed
 }
 
 // set replaces an entry's demand for a customer.
-func (m *demandMeter) set(r *entryUsage, customer string, demand float64) {
-	m.totals[customer] += demand - r.demand[customer]
+func (m *demandMeter) set(e *entryUsage, customer string, demand float64) {
+	m.totals[customer] += demand - e.demand[customer]
 	if demand == 0 {
-		delete(r.demand, customer)
+		delete(e.demand, customer)
 		return
 	}
-	r.demand[customer] = demand
+	e.demand[customer] = demand
 }
 
-func (m *demandMeter) remove(name string) {
-	r := m.entries[name]
-	for customer := range r.demand {
-		m.set(r, customer, 0)
+// expire removes the entries that have timed out, and returns them.
+func (m *demandMeter) expire(now time.Duration) (removed []string) {
+	for name, e := range m.entries {
+		if now-e.lastSeen <= entryTimeout {
+			continue
+		}
+		for customer := range e.demand {
+			m.set(e, customer, 0)
+		}
+		delete(m.entries, name)
+		removed = append(removed, name)
 	}
-	delete(m.entries, name)
+	return removed
 }
 
 // Level is the state of a customer's rate over all entries.
@@ -208,45 +209,49 @@
 	allEntries int
 	levels     map[string]Level
 	levelsAt   time.Duration
-	// unreported is what was spent since the last report to the leader. The levels do
-	// not contain it yet.
-	unreported map[string]float64
+	// unreported is what was spent since the last report to the leader, and reported
+	// what a report contains that the leader has not answered. The levels contain
+	// neither.
+	unreported, reported map[string]float64
 }
 
 // NewShares returns Shares without entries and levels.
 func NewShares() *Shares {
-	return &Shares{demandMeter: newDemandMeter(), levels: map[string]Level{}, unreported: map[string]float64{}}
+	return &Shares{demandMeter: newDemandMeter(), levels: map[string]Level{}, unreported: map[string]float64{}, reported: map[string]float64{}}
 }
 
-// RecordUsage adds the usage of an entry since its last report, and returns the
-// entries that have timed out.
-func (s *Shares) RecordUsage(now time.Duration, entry string, usage map[string]Usage) (removed []string) {
+// RecordUsage adds the usage of an entry since its last report.
+func (s *Shares) RecordUsage(now time.Duration, entry string, usage map[string]Usage) {
 	for name, u := range usage {
 		s.unreported[name] += u.Spent
 	}
-	return s.record(now, entry, usage)
+	s.record(now, entry, usage)
 }
 
-// TakeReport returns the recent demand at all entries, and what was spent since the
-// last call. If the report does not reach the leader, ReturnSpent adds that to the
-// next one.
+// Expire removes the entries that have timed out, and returns them.
+func (s *Shares) Expire(now time.Duration) (removed []string) { return s.expire(now) }
+
+// TakeReport returns the report to the leader: the recent demand at all entries, and
+// what was spent since the last report. SetLevels applies the leader's answer. If there
+// is none, ReturnReport must be called.
 func (s *Shares) TakeReport() (demand, spent map[string]float64) {
-	spent = s.unreported
-	s.unreported = map[string]float64{}
-	return maps.Clone(s.totals), spent
+	s.reported, s.unreported = s.unreported, map[string]float64{}
+	return maps.Clone(s.totals), s.reported
 }
 
-// ReturnSpent adds what was not reported to the next report.
-func (s *Shares) ReturnSpent(spent map[string]float64) {
-	for name, tokens := range spent {
+// ReturnReport adds what the last report contained to the next one.
+func (s *Shares) ReturnReport() {
+	for name, tokens := range s.reported {
 		s.unreported[name] += tokens
 	}
+	s.reported = map[string]float64{}
 }
 
 // SetLevels replaces the levels by those of the leader, which contain all usage up
 // to the last TakeReport. entries is the number of entries of all control VMs.
 func (s *Shares) SetLevels(now time.Duration, entries int, levels []Level) {
 	s.allEntries, s.levelsAt = entries, now
+	s.reported = map[string]float64{}
 	s.levels = make(map[string]Level, len(levels))
 	for _, l := range levels {
 		s.levels[l.Customer] = l
@@ -289,5 +294,5 @@
 func (s *Shares) tokens(now time.Duration, name string) float64 {
 	l := s.levels[name]
 	refilled := min(max(l.Burst, 1), l.Tokens+l.Rate*(now-s.levelsAt).Seconds())
-	return refilled - s.unreported[name]
+	return refilled - s.unreported[name] - s.reported[name]
 }
