directory: an entry that changed to another control VM counts once

Change: a control VM forgets an entry that it sends elsewhere, and the leader tells a control VM which entries of its set were added to another one's since. TestDemandOfMovedEntryCountsOnce and the extended TestEntryOfTwoControlVMsCountsOnce.

--- a/internal/coordination/directory/follow.go
+++ b/internal/coordination/directory/follow.go
@@ -91,6 +91,7 @@
 	now := s.now()
 	out := &peerv1.FollowResponse{
 		Suspects: s.mu.suspects.List(now), LiveEntries: uint32(s.mu.watchers.count), EntriesVersion: s.mu.watchers.setVersion(r.GetVm()),
+		Moved: s.mu.watchers.moved(r.GetVm()),
 	}
 	if peers, version := s.mu.watchers.list(now); version+s.mu.term<<32 != r.GetPeersVersion() {
 		out.Peers, out.PeersVersion = peers, version+s.mu.term<<32
--- a/internal/coordination/directory/relay.go
+++ b/internal/coordination/directory/relay.go
@@ -190,7 +190,7 @@
 			case <-freshTimer.C:
 			case <-ctx.Done():
 			}
-			return r.redirect(ctx)
+			return r.redirect(ctx, in.GetEntry().GetVm())
 		}
 		if hasChanges || isClosed(catalogChanged) {
 			return r.response(ctx, in)
@@ -224,6 +224,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.freshLocked() {
+		r.mu.state.remove(in.GetEntry().GetVm())
 		return &peerv1.WatchResponse{NotLeading: true, Members: members}, nil
 	}
 	out, err := r.mu.state.respond(r.now(), in)
@@ -238,9 +239,12 @@
 }
 
 // redirect returns the address of the leader, if one is known, to an entry that this
-// VM cannot serve. The entry may have no other way to find the control VMs, since its
+// VM cannot serve, and forgets the entry. The entry may have no other way to find the control VMs, since its
 // settings name only some of them.
-func (r *Relay) redirect(ctx context.Context) (*peerv1.WatchResponse, error) {
+func (r *Relay) redirect(ctx context.Context, entry string) (*peerv1.WatchResponse, error) {
+	r.mu.Lock()
+	r.mu.state.remove(entry)
+	r.mu.Unlock()
 	leader, members, err := r.cfg.Leadership.Leader(ctx)
 	if err != nil {
 		return nil, err
--- a/internal/coordination/directory/relay_test.go
+++ b/internal/coordination/directory/relay_test.go
@@ -200,6 +200,9 @@
 	if list, _ := w.list(time.Second); w.count != 3 || fmt.Sprint(list) != "[e1:1 e2:1 e3:1]" {
 		t.Fatalf("%d entries at %v", w.count, list)
 	}
+	if moved := fmt.Sprint(w.moved("c1"), w.moved("c2")); moved != "[e2] []" {
+		t.Fatalf("entries that moved away: %s, want e2 from c1", moved)
+	}
 	w.set("c1", 2, map[string]string{"e1": "e1:1"}) // c1 noticed that e2 no longer calls
 	w.remove("c1")
 	if list, _ := w.list(2 * time.Second); w.count != 2 || fmt.Sprint(list) != "[e2:1 e3:1]" {
@@ -301,3 +304,23 @@
 		t.Fatalf("entries in the report after no call for %v: %v", entryTimeout+time.Second, set)
 	}
 }
+
+// Guards against a customer's rate that shrinks while entries change from one control
+// VM to another: the former one would count their demand for entryTimeout more, and
+// each entry would get about half of its share.
+func TestDemandOfMovedEntryCountsOnce(t *testing.T) {
+	former := newRelayState()
+	in := watchRequest("e")
+	in.Usage = []*peerv1.CustomerUsage{{Customer: "c", Tokens: 50, Spent: 40}}
+	former.record(0, in)
+	if _, err := former.apply(0, 0, &peerv1.FollowResponse{Moved: []string{"e"}}); err != nil {
+		t.Fatal(err)
+	}
+	report := former.takeReport(0, "control", 0)
+	if c := report.GetCustomers(); len(c) != 1 || c[0].GetDemand() != 0 || c[0].GetSpent() != 40 {
+		t.Errorf("customers in the report after the entry moved: %v; want what it spent and no demand", c)
+	}
+	if set := report.GetEntries(); set == nil || len(set.GetEntries()) != 0 {
+		t.Errorf("entries in the report after the entry moved: %v", set)
+	}
+}
--- a/internal/coordination/directory/relaystate.go
+++ b/internal/coordination/directory/relaystate.go
@@ -86,6 +86,16 @@
 	r.lost = r.lost[max(0, len(r.lost)-maxRelayedLosses):]
 }
 
+// remove removes an entry that watches another control VM.
+func (r *relayState) remove(entry string) {
+	if r.entries[entry] == nil {
+		return
+	}
+	r.shares.Remove(entry)
+	delete(r.entries, entry)
+	r.entriesVersion++
+}
+
 func (r *relayState) addDemand(model string, requests uint32, tokens uint64) {
 	d := r.demand[model]
 	if d == nil {
@@ -156,6 +166,9 @@
 	r.catalogVersion = in.GetCatalogVersion()
 	r.suspects = in.GetSuspects()
 	r.leaderEntriesVersion = in.GetEntriesVersion()
+	for _, entry := range in.GetMoved() {
+		r.remove(entry)
+	}
 	if v := in.GetPeersVersion(); v != 0 {
 		r.peers, r.peersVersion = in.GetPeers(), v
 	}
--- a/internal/coordination/directory/share.go
+++ b/internal/coordination/directory/share.go
@@ -89,17 +89,25 @@
 	e.demand[customer] = demand
 }
 
+// remove removes an entry and its demand.
+func (m *demandMeter) remove(entry string) {
+	e := m.entries[entry]
+	if e == nil {
+		return
+	}
+	for customer := range e.demand {
+		m.set(e, customer, 0)
+	}
+	delete(m.entries, entry)
+}
+
 // expire removes the entries that have timed out, and returns them.
 func (m *demandMeter) expire(now time.Duration) (removed []string) {
 	for name, e := range m.entries {
-		if now-e.lastSeen <= entryTimeout {
-			continue
-		}
-		for customer := range e.demand {
-			m.set(e, customer, 0)
+		if now-e.lastSeen > entryTimeout {
+			m.remove(name)
+			removed = append(removed, name)
 		}
-		delete(m.entries, name)
-		removed = append(removed, name)
 	}
 	return removed
 }
@@ -231,6 +239,10 @@
 // Expire removes the entries that have timed out, and returns them.
 func (s *Shares) Expire(now time.Duration) (removed []string) { return s.expire(now) }
 
+// Remove removes an entry, which now watches another control VM. What it spent stays
+// in the next report.
+func (s *Shares) Remove(entry string) { s.remove(entry) }
+
 // TakeReport returns the report to the leader: the recent demand at all entries, and
 // what was spent since the last report. SetLevels applies the leader's answer. If there
 // is none, ReturnReport must be called.
--- a/internal/coordination/directory/watchers.go
+++ b/internal/coordination/directory/watchers.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -9,6 +10,8 @@
 // that has changed to another control VM is in both sets for a while.
 type watchers struct {
 	sets map[string]watcherSet // by control VM
+	// current is the control VM whose set an entry was added to last.
+	current map[string]string
 	// version grows when the union of the sets may have changed. addresses is the list
 	// of addresses at addressesVersion.
 	version, addressesVersion uint64
@@ -23,10 +26,18 @@
 	addresses map[string]string // by entry
 }
 
-func newWatchers() *watchers { return &watchers{sets: map[string]watcherSet{}} }
+func newWatchers() *watchers {
+	return &watchers{sets: map[string]watcherSet{}, current: map[string]string{}}
+}
 
 // set replaces the set of a control VM.
 func (w *watchers) set(vm string, version uint64, addresses map[string]string) {
+	before := w.sets[vm].addresses
+	for entry := range addresses {
+		if _, known := before[entry]; !known {
+			w.current[entry] = vm
+		}
+	}
 	w.sets[vm] = watcherSet{version: version, addresses: addresses}
 	w.changed()
 }
@@ -34,6 +45,7 @@
 // remove removes the set of a control VM.
 func (w *watchers) remove(vm string) {
 	delete(w.sets, vm)
+	maps.DeleteFunc(w.current, func(_, at string) bool { return at == vm })
 	w.changed()
 }
 
@@ -46,6 +58,19 @@
 		}
 	}
 	w.count = len(entries)
+	maps.DeleteFunc(w.current, func(entry, _ string) bool { return !entries[entry] })
+}
+
+// moved returns the entries of a control VM's set that were added to another one's
+// since. Their demand must not count at both.
+func (w *watchers) moved(vm string) []string {
+	var out []string
+	for entry := range w.sets[vm].addresses {
+		if w.current[entry] != vm {
+			out = append(out, entry)
+		}
+	}
+	return out
 }
 
 // setVersion returns the version of a control VM's set, or zero if there is none.
