directory: a copy without the leader's list is not confirmed; a lost control VM takes no entries

Cause, found on reading the whole change: after a list that could not be read the copy counted as recent; and an entry whose last control VM was removed counted as moved away from the one that it still watches. Both have a test that failed first.

--- a/internal/coordination/directory/relay_test.go
+++ b/internal/coordination/directory/relay_test.go
@@ -204,7 +204,11 @@
 		t.Fatalf("entries that moved away: %s, want e2 from c1", moved)
 	}
 	w.set("c1", 2, map[string]string{"e1": "e1:1"}) // c1 noticed that e2 no longer calls
+	w.set("c1", 3, map[string]string{"e1": "e1:1", "e2": "e2:1"})
 	w.remove("c1")
+	if moved := w.moved("c2"); len(moved) > 0 {
+		t.Fatalf("%v moved away from c2 to a control VM that was lost", moved)
+	}
 	if list, _ := w.list(2 * time.Second); w.count != 2 || fmt.Sprint(list) != "[e2:1 e3:1]" {
 		t.Fatalf("%d entries at %v after a control VM was lost", w.count, list)
 	}
@@ -324,3 +328,15 @@
 		t.Errorf("entries in the report after the entry moved: %v", set)
 	}
 }
+
+// Guards against a control VM that counts as up to date although it could not apply
+// the leader's list.
+func TestUnreadableListIsNotConfirmed(t *testing.T) {
+	r := newRelayState()
+	if _, err := r.apply(0, 0, &peerv1.FollowResponse{Epoch: 3, EndpointsVersion: 1, Packed: []byte("no list")}); err == nil {
+		t.Fatal("a list that cannot be read was applied")
+	}
+	if r.fresh(0) {
+		t.Error("the copy counts as recent without the list")
+	}
+}
--- a/internal/coordination/directory/relaystate.go
+++ b/internal/coordination/directory/relaystate.go
@@ -162,7 +162,7 @@
 // apply applies the leader's answer to a call that was sent at sentAt. It reports
 // whether the list of endpoints changed.
 func (r *relayState) apply(now, sentAt time.Duration, in *peerv1.FollowResponse) (changed bool, err error) {
-	r.confirmed, r.confirmedAt = true, sentAt
+	r.confirmed = false
 	r.catalogVersion = in.GetCatalogVersion()
 	r.suspects = in.GetSuspects()
 	r.leaderEntriesVersion = in.GetEntriesVersion()
@@ -179,15 +179,18 @@
 		})
 	}
 	r.shares.SetLevels(now, int(in.GetLiveEntries()), levels)
-	if in.GetEpoch() == 0 {
-		return false, nil // a new leader that has no list of endpoints yet
-	}
 	epoch, version := r.list.epoch, r.list.version
-	err = r.list.apply(listUpdate{
-		epoch: in.GetEpoch(), version: in.GetEndpointsVersion(), partial: in.GetPartial(),
-		changed: in.GetEndpoints(), gone: in.GetGone(), packed: in.GetPacked(),
-	})
-	return epoch != r.list.epoch || version != r.list.version, err
+	if in.GetEpoch() != 0 { // zero from a new leader that has no list of endpoints yet
+		err = r.list.apply(listUpdate{
+			epoch: in.GetEpoch(), version: in.GetEndpointsVersion(), partial: in.GetPartial(),
+			changed: in.GetEndpoints(), gone: in.GetGone(), packed: in.GetPacked(),
+		})
+	}
+	if err != nil {
+		return false, err
+	}
+	r.confirmed, r.confirmedAt = true, sentAt
+	return epoch != r.list.epoch || version != r.list.version, nil
 }
 
 // hasChanges reports whether there is a newer list than the one that an entry has.
--- a/internal/coordination/directory/watchers.go
+++ b/internal/coordination/directory/watchers.go
@@ -66,7 +66,7 @@
 func (w *watchers) moved(vm string) []string {
 	var out []string
 	for entry := range w.sets[vm].addresses {
-		if w.current[entry] != vm {
+		if at, known := w.current[entry]; known && at != vm {
 			out = append(out, entry)
 		}
 	}
