--- a/internal/coordination/directory/doc.go
+++ b/internal/coordination/directory/doc.go
@@ -20,8 +20,8 @@
 // confirm that its copy is recent serves no entry. Therefore an endpoint that left, or
 // a key that was withdrawn, does not come back with a restart or a change of leader.
 //
-// Invariant of orders: an order is sent only by a VM that has confirmed its leadership just
-// before, with the fencing token of its term and with the engine's sequence on
+// Invariant of orders: an order is sent only by a VM that has confirmed its leadership
+// just before, with the fencing token of its term and with the engine's sequence on
 // which it was decided. An engine refuses an order with any other sequence, so that
 // orders which arrive late change nothing.
 //
