forward, directory, platform: log the steps of a recovery and the version behind reads and decisions

Cause: after a restart of everything, logs did not show which step an entry or a new leader waited for, so the hypotheses of docs/incidents/2026-12-04- recovery-grows-with-endpoints.md could not be told apart. A read of the catalog left no line with its version, and a refusal did not say how old the catalog behind it was. Change: entries log the first list, the catalog with its source, and the first request served, each with the time since the start; refusals carry the age of the last confirmation by a control VM. A leader logs how long its first list took and when every engine was polled. Conclusion: no logic changed.

--- a/internal/coordination/directory/poll.go
+++ b/internal/coordination/directory/poll.go
@@ -24,15 +24,17 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
+		started := s.now()
 		list, err := s.cfg.Platform.List(ctx)
+		took := s.now() - started
 		if err != nil {
-			s.cfg.Log.Warn("platform's list could not be read", "error", err)
+			s.cfg.Log.Warn("platform's list could not be read", "took_ms", took.Milliseconds(), "error", err)
 		}
-		s.setList(term, list, err)
+		s.setList(term, list, took, err)
 	}()
 }
 
-func (s *Server) setList(term uint64, list []Endpoint, err error) {
+func (s *Server) setList(term uint64, list []Endpoint, took time.Duration, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.mu.term != term || term == 0 {
@@ -50,7 +52,7 @@
 	})
 	changed := !s.mu.listed || !slices.EqualFunc(list, s.mu.list, sameEndpoint)
 	s.mu.listed = true
-	s.logChanges(list)
+	s.logChanges(list, took)
 	s.mu.list = list
 	s.mu.reports.removeUnlisted(endpointIDs(list))
 	s.mu.planner.SetEndpoints(list)
@@ -68,10 +70,11 @@
 }
 
 // logChanges logs endpoints that were added, are leaving or were removed. For the
-// first list of a term it logs only the number of endpoints.
-func (s *Server) logChanges(list []Endpoint) {
+// first list of a term it logs only the number of endpoints and the time that the
+// list took.
+func (s *Server) logChanges(list []Endpoint, took time.Duration) {
 	if s.mu.list == nil {
-		s.cfg.Log.Info("endpoints listed", "endpoints", len(list), "term", s.mu.term)
+		s.cfg.Log.Info("endpoints listed", "endpoints", len(list), "term", s.mu.term, "took_ms", took.Milliseconds())
 		return
 	}
 	old := map[string]Endpoint{}
@@ -116,6 +119,10 @@
 	for _, e := range s.mu.reports.due(now, engines, interval) {
 		go s.requestReport(ctx, s.mu.term, e, now)
 	}
+	if !s.mu.allPolled && len(engines) > 0 && len(s.mu.reports.lastPolled) >= len(engines) {
+		s.mu.allPolled = true
+		s.cfg.Log.Info("every engine was polled", "engines", len(engines), "term", s.mu.term, "since_term_ms", (now - s.mu.termStart).Milliseconds())
+	}
 }
 
 func (s *Server) requestReport(ctx context.Context, term uint64, e Endpoint, requestedAt time.Duration) {
--- a/internal/coordination/directory/publish_test.go
+++ b/internal/coordination/directory/publish_test.go
@@ -73,7 +73,7 @@
 				for _, n := range rapid.SliceOfNDistinct(rapid.IntRange(0, 400), 0, 400, rapid.ID[int]).Draw(t, "listed") {
 					list = append(list, Endpoint{ID: fmt.Sprint(n), Leaving: rapid.IntRange(0, 9).Draw(t, "state") == 0})
 				}
-				s.setList(s.mu.term, list, nil)
+				s.setList(s.mu.term, list, 0, nil)
 				s.mu.Lock()
 				s.publishLocked()
 				s.mu.Unlock()
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -98,6 +98,8 @@
 		// listInFlight is set during a call of the platform's list.
 		listInFlight bool
 		reports      *reportScheduler
+		// allPolled is set once every engine has been polled in this term.
+		allPolled bool
 		// publishedAt is when the last version was published; publishScheduled is set while
 		// a timer for the next one runs.
 		publishedAt      time.Duration
@@ -162,7 +164,7 @@
 	s.mu.suspects = NewSuspects()
 	s.mu.list, s.mu.listed = nil, false
 	s.mu.nextList, s.mu.listInFlight = 0, false
-	s.mu.reports = newReportScheduler(s.now())
+	s.mu.reports, s.mu.allPolled = newReportScheduler(s.now()), false
 	s.mu.nextPlan = 0
 	s.mu.published.begin(term, 0)
 	s.publishLocked()
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -137,6 +137,7 @@
 // served records the times of a response, and logs a stream that missed the
 // route's target or had too long a pause.
 func (c *call) served(to *slot) {
+	c.server.logFirstServed(c.service.Name)
 	took := c.server.now() - c.arrived
 	if c.relay == nil {
 		c.server.cfg.Metrics.ResponseTime(took)
--- a/internal/coordination/forward/refuse.go
+++ b/internal/coordination/forward/refuse.go
@@ -60,7 +60,7 @@
 		version = c.index.Version()
 	}
 	c.server.log.Info("request refused", "request", c.req.ID, "code", err.Code, "customer", c.customerName(), "model", c.req.Model,
-		"catalog", version, "sends", c.sends, "ms", (c.server.now() - c.arrived).Milliseconds(), "error", err.Error())
+		"catalog", version, "control_age_ms", c.server.controlAge().Milliseconds(), "sends", c.sends, "ms", (c.server.now() - c.arrived).Milliseconds(), "error", err.Error())
 	info := err.Code.Info()
 	if err.Code == resultcode.CallerGone {
 		panic(http.ErrAbortHandler)
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -73,6 +73,7 @@
 		demand       map[string]*Demand
 		loading      map[pool.MissingModel]bool
 		hasEndpoints bool // a list of endpoints has been received
+		hasServed    bool // a request has been served
 		suspects     suspects
 	}
 }
@@ -131,12 +132,15 @@
 		return
 	}
 	s.index.Store(x)
-	s.cfg.Log.Info("catalog applied", "version", x.Version(), "routes", len(x.Catalog().Routes))
+	s.cfg.Log.Info("catalog applied", "version", x.Version(), "routes", len(x.Catalog().Routes), "since_start_ms", s.now().Milliseconds())
 }
 
 // SetEndpoints replaces the list of endpoints.
 func (s *Server) SetEndpoints(list []pool.Endpoint) {
 	s.step(func(now time.Duration, e *pool.Entry) {
+		if !s.mu.hasEndpoints {
+			s.cfg.Log.Info("first list of endpoints received", "endpoints", len(list), "since_start_ms", now.Milliseconds())
+		}
 		e.SetEndpoints(now, list)
 		s.mu.hasEndpoints = true
 		s.mu.queue.Dispatch(now, e.Table)
@@ -234,5 +238,25 @@
 	c.serve(r)
 }
 
+// controlAge returns the time since the last response of a control VM, which is the
+// age of this entry's catalog, list of endpoints and shares.
+func (s *Server) controlAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now() - s.mu.buckets.lastContact
+}
+
+// logFirstServed logs the first request that this process served: the end of its
+// recovery from a restart.
+func (s *Server) logFirstServed(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mu.hasServed {
+		return
+	}
+	s.mu.hasServed = true
+	s.cfg.Log.Info("first request served", "service", service, "catalog", s.index.Load().Version(), "since_start_ms", s.now().Milliseconds())
+}
+
 // Open returns the number of in-flight requests.
 func (s *Server) Open() int { return int(s.open.Load()) }
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -30,8 +30,9 @@
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	req := &Request{
 		ID: r.Header.Get("Id"), Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: path,
-		Header: r.Header, Key: r.Header.Get("Key"), Model: r.Header.Get("Model"), LastEventID: r.Header.Get("Resume"),
+		Header: r.Header, Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Resume"),
 	}
+	req.Model, req.Adapter, _ = strings.Cut(r.Header.Get("Model"), "/")
 	if w, err := time.ParseDuration(r.Header.Get("Wait")); err == nil {
 		req.Timeout = w
 	}
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -181,6 +181,7 @@
 		if err != nil {
 			return fmt.Errorf("decode catalog version %d: %w", c.GetVersion(), err)
 		}
+		w.cfg.Log.Info("catalog received", "version", c.GetVersion(), "address", address, "leader", resp.GetLeader(), "epoch", resp.GetEpoch())
 		s.SetCatalog(catalog.NewIndex(decoded))
 	}
 	w.controls.set(resp.GetMembers(), address)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -29,12 +29,13 @@
 }
 
 // Get implements platform.CatalogStore.
-func (c catalogStore) Get(ctx context.Context) ([]byte, error) {
+func (c catalogStore) Get(ctx context.Context) ([]byte, uint64, error) {
 	found, err := c.control.ReadCatalog(ctx)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	return catalog.Unpack(found.GetDocument())
+	document, err := catalog.Unpack(found.GetDocument())
+	return document, found.GetVersion(), err
 }
 
 // decodePackedCatalog decodes a catalog document in the packed form in which the
