directory: a report that an order or a request waits for comes first

Cause: a new leader polls 120 engines a second for their first report, and all first reports came before any other. An adapter needs a report of an engine that has its model, and a model that was loaded becomes known by the next report of its engine: both waited up to engines / 120 seconds, 8.3 s for 1,000 and 25 s for 3,000. Class of fault: work in the order of arrival although somebody waits for a part of it. Ruled out: the election (2.4 s at most), catalog and list at an entry (3.0 s for a resident model in the test, as before). Evidence: TestServiceReturnsAfterAllProcessesRestart, all processes at new incarnations, 3,000 engines, virtual time: adapter 28.0 s and absent model 28.1 s before (fails), 6.8 s and 7.1 s after; bound 12 s, the users' smallest.

--- a/internal/coordination/directory/adapter.go
+++ b/internal/coordination/directory/adapter.go
@@ -13,6 +13,7 @@
 // has the adapter already, it returns the identifier of that engine instead.
 func (p *Planner) PlanAdapter(now time.Duration, s *catalog.Service, model, adapter string) (*Decision, string) {
 	var best *engine
+	var unreported []*engine
 	for _, e := range p.engines {
 		if e.Service != s.Name || !e.serves(model) {
 			continue
@@ -20,6 +21,9 @@
 		if slices.Contains(e.adaptersOf(model), adapter) {
 			return nil, e.ID
 		}
+		if e.reportedAt == 0 {
+			unreported = append(unreported, e)
+		}
 		if !p.canOrderAdapter(now, e) || !p.hasAdapterSlot(now, s, e) {
 			continue
 		}
@@ -28,6 +32,7 @@
 		}
 	}
 	if best == nil {
+		requestReports(unreported)
 		return nil, ""
 	}
 	if best.usedAdapterSlots() >= s.Engine.AdapterSlots {
@@ -39,6 +44,18 @@
 	return &d, ""
 }
 
+// maxReportsWanted bounds the engines from which one request for an adapter wants a
+// report: one of them suffices, but may not answer.
+const maxReportsWanted = 3
+
+// requestReports makes the first reports of engines urgent.
+func requestReports(unreported []*engine) {
+	slices.SortFunc(unreported, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+	for _, e := range unreported[:min(maxReportsWanted, len(unreported))] {
+		e.reportWanted = true
+	}
+}
+
 // maxIncomingAdapters is how many adapters an engine may load at the same time.
 const maxIncomingAdapters = 4
 
--- a/internal/coordination/directory/demand_test.go
+++ b/internal/coordination/directory/demand_test.go
@@ -20,7 +20,7 @@
 			e.models[e.loading] = map[string]bool{}
 			e.loading = ""
 		}
-		busy := f.planner.ReportInterval(f.now, e.id) < reportInterval
+		busy := f.planner.reportNeed(f.now, e.id).interval < reportInterval
 		if busy || (int(f.now/round)+i)%10 == 0 {
 			f.planner.RecordReport(f.now, f.now, e.id, e.report())
 		}
--- a/internal/coordination/directory/engine.go
+++ b/internal/coordination/directory/engine.go
@@ -14,6 +14,8 @@
 	reportedAt time.Duration // zero before the first report
 	// stale is set while a newer report is needed before the next order.
 	stale bool
+	// reportWanted is set while a request for an adapter waits for the report.
+	reportWanted bool
 	// lastOrderAt is when the last order was answered or failed. A report that was
 	// requested earlier does not show it.
 	lastOrderAt time.Duration
--- a/internal/coordination/directory/observe.go
+++ b/internal/coordination/directory/observe.go
@@ -47,7 +47,7 @@
 		}
 		return
 	}
-	e.report, e.reportedAt, e.stale = r, now, false
+	e.report, e.reportedAt, e.stale, e.reportWanted = r, now, false, false
 	if e.loading != "" && (e.hasModel(e.loading) || (now > e.loadDeadline && !r.Busy)) {
 		e.loading = ""
 	}
@@ -151,19 +151,22 @@
 	e.stale, e.lastOrderAt = false, now
 }
 
-// ReportInterval returns the time from one report of an engine to the next. It is
-// short while an order waits for the report.
-func (p *Planner) ReportInterval(now time.Duration, id string) time.Duration {
+// reportNeed returns how soon an engine has to report again.
+func (p *Planner) reportNeed(now time.Duration, id string) reportNeed {
 	e := p.engines[id]
 	switch {
 	case e == nil || e.Leaving:
-		return reportInterval
+		return reportNeed{interval: reportInterval}
+	case e.reportWanted:
+		return reportNeed{interval: busyReportInterval, urgent: true}
+	case e.reportedAt == 0:
+		return reportNeed{interval: busyReportInterval}
 	case e.stale && now < e.lastOrderAt+reportLag:
-		return reportInterval // the report would show the state before the order
+		return reportNeed{interval: reportInterval} // the report would show the state before the order
 	case e.stale, e.replacement != "", e.loading != "" && now >= e.loadReadyAt:
-		return busyReportInterval
+		return reportNeed{interval: busyReportInterval, urgent: true}
 	default:
-		return reportInterval
+		return reportNeed{interval: reportInterval}
 	}
 }
 
--- a/internal/coordination/directory/poll.go
+++ b/internal/coordination/directory/poll.go
@@ -115,8 +115,8 @@
 			engines = append(engines, e)
 		}
 	}
-	interval := func(id string) time.Duration { return s.mu.planner.ReportInterval(now, id) }
-	for _, e := range s.mu.reports.due(now, engines, interval) {
+	need := func(id string) reportNeed { return s.mu.planner.reportNeed(now, id) }
+	for _, e := range s.mu.reports.due(now, engines, need) {
 		go s.requestReport(ctx, s.mu.term, e, now)
 	}
 	if !s.mu.allPolled && len(engines) > 0 && len(s.mu.reports.lastPolled) >= len(engines) {
--- a/internal/coordination/directory/reports_test.go
+++ b/internal/coordination/directory/reports_test.go
@@ -23,18 +23,18 @@
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			engines := newEngines(n)
 			busy := engines[n-1].ID
-			interval := func(id string) time.Duration {
+			need := func(id string) reportNeed {
 				if id == busy {
-					return busyReportInterval
+					return reportNeed{interval: busyReportInterval, urgent: true}
 				}
-				return reportInterval
+				return reportNeed{interval: reportInterval}
 			}
 			scheduler := newReportScheduler(0)
 			last := map[string]time.Duration{}
 			total := 0
 			const span = 30 * time.Second
 			for now := time.Duration(0); now < span; now += workInterval {
-				due := scheduler.due(now, engines, interval)
+				due := scheduler.due(now, engines, need)
 				if len(due) > reportBurst {
 					t.Fatalf("%d calls at once, want at most reportBurst", len(due))
 				}
@@ -72,7 +72,7 @@
 			pending = pending[1:]
 			scheduler.answered()
 		}
-		for _, e := range scheduler.due(now, engines, func(string) time.Duration { return reportInterval }) {
+		for _, e := range scheduler.due(now, engines, func(string) reportNeed { return reportNeed{interval: reportInterval} }) {
 			polls[e.ID]++
 			if unresponsive(e.ID) {
 				pending = append(pending, now+engineCallTimeout)
--- a/internal/coordination/forward/recovery_test.go
+++ b/internal/coordination/forward/recovery_test.go
@@ -30,6 +30,10 @@
 	// electionTime is the longest time until a leader is elected, see docs/design.md.
 	electionTime = 2400 * time.Millisecond
 
+	// rareModel is resident on the last engine only, absentModel on none.
+	rareModel   = "rare"
+	absentModel = "absent"
+
 	recoveryEngines  = 3000
 	recoveryModels   = 470
 	recoveryEntries  = 12
@@ -62,6 +66,9 @@
 	for i := range recoveryEngines {
 		id := fmt.Sprintf("e%04d", i)
 		model := fmt.Sprintf("m%d", i%recoveryModels)
+		if i == recoveryEngines-1 {
+			model = rareModel
+		}
 		resident := []directory.Resident{{Model: model}}
 		f.ids = append(f.ids, id)
 		f.engines[id] = &fleetEngine{
@@ -212,9 +219,13 @@
 func recoveryCatalog() *catalog.Catalog {
 	c := testCatalog()
 	engine := &catalog.Engine{Slots: 12, MemoryMB: 200_000, AdapterSlots: 8, LoadsPerSecond: 36}
-	for i := range recoveryModels + 1 { // the last one is resident nowhere
+	names := []string{rareModel, absentModel}
+	for i := range recoveryModels {
+		names = append(names, fmt.Sprintf("m%d", i))
+	}
+	for _, name := range names {
 		engine.Models = append(engine.Models, catalog.Model{
-			Name: fmt.Sprintf("m%d", i), MemoryMB: 70_000, AdapterMB: 60,
+			Name: name, MemoryMB: 70_000, AdapterMB: 60,
 			LoadTime: 1200 * time.Millisecond, DiskLoadTime: 800 * time.Millisecond, WarmLoadTime: 600 * time.Millisecond,
 		})
 	}
@@ -251,8 +262,10 @@
 		w.SetSeeds([]string{"c1", "c2"})
 		s := New(Config{
 			Codec: testCodec{}, Client: f, Loader: w, Metrics: noMetrics{}, Log: log, DataCentre: "dc",
-			Self:        pool.Sender{Address: name, Incarnation: uint64(i + 1)},
-			Send:        func(to string, m *peerv1.PlaceMessage) { time.AfterFunc(networkDelay, func() { byAddress[to].Receive(m) }) },
+			Self: pool.Sender{Address: name, Incarnation: uint64(i + 1)},
+			Send: func(to string, m *peerv1.PlaceMessage) {
+				time.AfterFunc(networkDelay, func() { byAddress[to].Receive(m) })
+			},
 			RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 58,
 		})
 		byAddress[name] = s
@@ -289,8 +302,8 @@
 func TestServiceReturnsAfterAllProcessesRestart(t *testing.T) {
 	for _, test := range []struct{ name, model, adapter string }{
 		{"resident model", "m0", ""},
-		{"adapter of a rare model", fmt.Sprintf("m%d", recoveryModels-1), "a1"},
-		{"model that is resident nowhere", fmt.Sprintf("m%d", recoveryModels), ""},
+		{"adapter of a model on one engine", rareModel, "a1"},
+		{"model that is resident nowhere", absentModel, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
