directory: the platform's list has a time-out for each page, not for all of them

Cause: the leader read all pages within one time-out of 3 s, and a page that failed or was late discarded the pages before it; the next try began at the first page. The time grows with the number of endpoints, and is longest when everything else starts again, too. Class of fault: a fixed time-out around work whose size grows. TestServiceReturnsAfterAllProcessesRestart with pages of 55 ms fails on the commit before: not served within 60 s, 4001. Ruled out: the rate of the platform's list (1,500 calls a second there) and entries (they had the catalog 1.2 s after the start).

--- a/internal/coordination/directory/poll.go
+++ b/internal/coordination/directory/poll.go
@@ -22,10 +22,8 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
 		started := s.now()
-		list, err := s.cfg.Platform.List(ctx)
+		list, err := s.readList(ctx)
 		took := s.now() - started
 		if err != nil {
 			s.cfg.Log.Warn("platform's list could not be read", "took_ms", took.Milliseconds(), "error", err)
@@ -34,6 +32,43 @@
 	}()
 }
 
+// readList reads the platform's list page by page. The time that it takes grows with
+// the number of endpoints, so only the single pages have a time-out, and a page that
+// failed is read again.
+func (s *Server) readList(ctx context.Context) ([]Endpoint, error) {
+	var out []Endpoint
+	token := ""
+	for {
+		page, err := s.readPage(ctx, token)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, page.Endpoints...)
+		if page.Next == "" {
+			return out, nil
+		}
+		token = page.Next
+	}
+}
+
+// readPage reads one page, at most maxPageAttempts times.
+func (s *Server) readPage(ctx context.Context, token string) (Page, error) {
+	for attempt := 1; ; attempt++ {
+		pageCtx, cancel := context.WithTimeout(ctx, pageTimeout)
+		page, err := s.cfg.Platform.ListPage(pageCtx, token)
+		cancel()
+		if err == nil || attempt == maxPageAttempts || ctx.Err() != nil {
+			return page, err
+		}
+		pause := time.NewTimer(pageRetryDelay)
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+		}
+		pause.Stop()
+	}
+}
+
 func (s *Server) setList(term uint64, list []Endpoint, took time.Duration, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -21,10 +21,14 @@
 	reportInterval = time.Second
 	// busyReportInterval is the same for an engine that carries out an order.
 	busyReportInterval = 250 * time.Millisecond
-	// engineCallTimeout bounds one call to an engine, listTimeout the calls for all
-	// pages of the platform's list.
+	// engineCallTimeout bounds one call to an engine, pageTimeout one call for a page
+	// of the platform's list.
 	engineCallTimeout = time.Second
-	listTimeout       = 3 * time.Second
+	pageTimeout       = 3 * time.Second
+	// maxPageAttempts bounds the calls for one page, with pageRetryDelay in between: the
+	// platform refuses calls beyond its rate.
+	maxPageAttempts = 3
+	pageRetryDelay  = 100 * time.Millisecond
 	// planTimeFraction is the fraction of the time that planning rounds may take: with
 	// thousands of engines a round takes longer than workInterval.
 	planTimeFraction = 0.1
--- a/internal/coordination/directory/types.go
+++ b/internal/coordination/directory/types.go
@@ -106,10 +106,18 @@
 	return names[o]
 }
 
+// Page is a part of the platform's list.
+type Page struct {
+	Endpoints []Endpoint
+	// Next is the token of the next page; empty on the last one.
+	Next string
+}
+
 // Platform gives access to the platform's list of endpoints and to the engines.
 type Platform interface {
-	// List returns every endpoint that the platform knows.
-	List(ctx context.Context) ([]Endpoint, error)
+	// ListPage returns one page of the list of all endpoints that the platform knows:
+	// the first one, or the one that an earlier page named as the next.
+	ListPage(ctx context.Context, token string) (Page, error)
 	// Report asks one engine for its state.
 	Report(ctx context.Context, e Endpoint) (Report, error)
 	// Order sends an order. After an error it may still be carried out.
--- a/internal/coordination/forward/recovery_test.go
+++ b/internal/coordination/forward/recovery_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -40,6 +41,9 @@
 	recoveryControls = 3
 	networkDelay     = 3 * time.Millisecond
 	pageSize         = 50
+	// pageTime is how long a leader takes for a page of the platform's list while
+	// everything else starts again, too.
+	pageTime = 55 * time.Millisecond
 	// callsEnd exceeds the time-out of every call in progress.
 	callsEnd = 5 * time.Second
 )
@@ -87,17 +91,28 @@
 	}
 }
 
-func (f *restartedFleet) List(context.Context) ([]directory.Endpoint, error) {
-	time.Sleep(recoveryEngines / pageSize * 2 * networkDelay)
+func (f *restartedFleet) ListPage(ctx context.Context, token string) (directory.Page, error) {
+	select {
+	case <-time.After(pageTime):
+	case <-ctx.Done():
+		return directory.Page{}, ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make([]directory.Endpoint, 0, len(f.ids))
-	for _, id := range f.ids {
+	first := 0
+	if token != "" {
+		first, _ = strconv.Atoi(token)
+	}
+	var out directory.Page
+	for _, id := range f.ids[first:min(first+pageSize, len(f.ids))] {
 		e := f.engines[id]
 		e.settle()
 		listed := e.endpoint
 		listed.Models = e.report.Models
-		out = append(out, listed)
+		out.Endpoints = append(out.Endpoints, listed)
+	}
+	if first += pageSize; first < len(f.ids) {
+		out.Next = strconv.Itoa(first)
 	}
 	return out, nil
 }
