--- a/internal/coordination/directory/follow.go
+++ b/internal/coordination/directory/follow.go
@@ -24,6 +24,7 @@
 		s.mu.Lock()
 		term, changed := s.mu.term, s.mu.changed
 		hasChanges := s.mu.listed && (r.GetEpoch() != term || r.GetEndpointsVersion() != s.mu.published.version)
+		hasChanges = hasChanges || r.GetSuspects().GetVersion() != s.suspectsVersionLocked()
 		s.mu.Unlock()
 		if term == 0 {
 			return &peerv1.FollowResponse{NotLeading: true}, nil
@@ -68,9 +69,7 @@
 		s.mu.planner.RecordDemand(now, vm, d.GetModel(), int(d.GetRequests()), int(d.GetTokens()), int(d.GetWaiting()))
 	}
 	s.mu.planner.ClearWaiting(vm, reported)
-	for _, l := range r.GetLost() {
-		s.mu.suspects.RecordLoss(now, l.GetFingerprint(), l.GetEndpoint())
-	}
+	s.takeOverSuspectsLocked(r.GetSuspects())
 	return true
 }
 
@@ -90,9 +89,12 @@
 	}
 	now := s.now()
 	out := &peerv1.FollowResponse{
-		Suspects: s.mu.suspects.List(now), LiveEntries: uint32(s.mu.watchers.count), EntriesVersion: s.mu.watchers.setVersion(r.GetVm()),
+		LiveEntries: uint32(s.mu.watchers.count), EntriesVersion: s.mu.watchers.setVersion(r.GetVm()),
 		Moved: s.mu.watchers.moved(r.GetVm()),
 	}
+	if version := s.suspectsVersionLocked(); r.GetSuspects().GetVersion() != version {
+		out.Suspects = encodeSuspects(now, version, s.mu.listedSuspects)
+	}
 	if peers, version := s.mu.watchers.list(now); version+s.mu.term<<32 != r.GetPeersVersion() {
 		out.Peers, out.PeersVersion = peers, version+s.mu.term<<32
 	}
--- a/internal/coordination/directory/observe.go
+++ b/internal/coordination/directory/observe.go
@@ -151,6 +151,14 @@
 	e.stale, e.lastOrderAt = false, now
 }
 
+// startedAt returns the start time in the last report of an engine, or zero.
+func (p *Planner) startedAt(id string) int64 {
+	if e := p.engines[id]; e != nil {
+		return e.report.Started
+	}
+	return 0
+}
+
 // reportNeed returns how soon an engine has to report again.
 func (p *Planner) reportNeed(now time.Duration, id string) reportNeed {
 	e := p.engines[id]
--- a/internal/coordination/directory/poll.go
+++ b/internal/coordination/directory/poll.go
@@ -88,6 +88,7 @@
 	changed := !s.mu.listed || !slices.EqualFunc(list, s.mu.list, sameEndpoint)
 	s.mu.listed = true
 	s.logChanges(list, took)
+	s.recordRemovedLocked(list)
 	s.mu.list = list
 	s.mu.reports.removeUnlisted(endpointIDs(list))
 	s.mu.planner.SetEndpoints(list)
@@ -96,6 +97,18 @@
 	}
 }
 
+// recordRemovedLocked records that the endpoints that are no longer listed have
+// crashed, if requests were lost there: the platform lists an endpoint that leaves
+// as leaving first.
+func (s *Server) recordRemovedLocked(list []Endpoint) {
+	listed := endpointIDs(list)
+	for _, e := range s.mu.list {
+		if !listed[e.ID] {
+			s.mu.suspects.RecordCrash(e.ID)
+		}
+	}
+}
+
 func endpointIDs(list []Endpoint) map[string]bool {
 	out := make(map[string]bool, len(list))
 	for _, e := range list {
@@ -170,12 +183,16 @@
 		return
 	}
 	s.mu.reports.answered()
+	s.recordProbeLocked(requestedAt, e.ID, s.mu.planner.startedAt(e.ID), r, err)
 	if err != nil {
 		s.cfg.Log.Info("engine's report could not be read", "endpoint", e.ID, "error", err)
 		return
 	}
 	before := s.describeLocked(e)
 	s.mu.planner.RecordReport(s.now(), requestedAt, e.ID, r)
+	if engine := s.mu.planner.engines[e.ID]; engine != nil && s.mu.suspects.Pending(e.ID) {
+		engine.reportWanted = true // the report was asked for before the last loss
+	}
 	if !proto.Equal(before, s.describeLocked(e)) {
 		s.schedulePublishLocked()
 	}
--- a/internal/coordination/directory/relay.go
+++ b/internal/coordination/directory/relay.go
@@ -180,7 +180,7 @@
 	for {
 		r.mu.Lock()
 		fresh, changed := r.freshLocked(), r.mu.changed
-		hasChanges := r.mu.state.hasChanges(in.GetEpoch(), in.GetEndpointsVersion())
+		hasChanges := r.mu.state.hasChanges(in)
 		r.mu.Unlock()
 		catalogChanged := r.cfg.Leadership.CatalogChanged(in.GetCatalogVersion())
 		if !fresh {
@@ -272,6 +272,11 @@
 	return s.Leader.Follow(ctx, r)
 }
 
+// Report records the evidence of an entry.
+func (s Service) Report(ctx context.Context, r *peerv1.EvidenceReport) (*peerv1.EvidenceResponse, error) {
+	return s.Leader.Report(ctx, r)
+}
+
 // Load handles the request of an entry for a model or adapter.
 func (s Service) Load(ctx context.Context, r *peerv1.LoadRequest) (*peerv1.LoadResponse, error) {
 	return s.Leader.Load(ctx, r)
--- a/internal/coordination/directory/relay_test.go
+++ b/internal/coordination/directory/relay_test.go
@@ -162,15 +162,13 @@
 }
 
 // Guards against reports of entries that are lost with a call to the leader: tokens
-// that were spent would not be charged, and a request that crashes endpoints would
-// not be counted.
+// that were spent would not be charged.
 func TestReportsOutliveFailedCalls(t *testing.T) {
 	leader := &fakeLeader{silent: true, response: &peerv1.FollowResponse{}}
 	r := newTestRelay(&fakeLeadership{}, leader)
 	in := watchRequest("e")
 	in.Usage = []*peerv1.CustomerUsage{{Customer: "c", Tokens: 50, Spent: 40}}
 	in.Demand = []*peerv1.ModelDemand{{Model: "m", Requests: 2, Tokens: 70, Waiting: 1}}
-	in.Lost = []*peerv1.LostRequest{{Fingerprint: 9, Endpoint: "a"}}
 	r.mu.state.record(0, in)
 	r.follow(t.Context())
 	leader.silent = false
@@ -182,11 +180,11 @@
 	if len(got.GetDemand()) != 1 || got.GetDemand()[0].GetRequests() != 2 || got.GetDemand()[0].GetWaiting() != 1 {
 		t.Errorf("demand in the second call: %v", got.GetDemand())
 	}
-	if len(got.GetLost()) != 1 || len(got.GetEntries().GetEntries()) != 1 {
-		t.Errorf("lost requests and entries in the second call: %v, %v", got.GetLost(), got.GetEntries())
+	if len(got.GetEntries().GetEntries()) != 1 {
+		t.Errorf("entries in the second call: %v", got.GetEntries())
 	}
 	r.follow(t.Context())
-	if next := leader.requests[2]; next.GetLost() != nil || next.GetCustomers()[0].GetSpent() != 0 {
+	if next := leader.requests[2]; next.GetCustomers()[0].GetSpent() != 0 {
 		t.Errorf("the third call repeats what was reported: %v", next)
 	}
 }
--- a/internal/coordination/directory/relaystate.go
+++ b/internal/coordination/directory/relaystate.go
@@ -13,8 +13,6 @@
 	// maxRelayAge is the age from which a control VM's copy of the leader's state is
 	// too old for entries. It covers two calls of followHold and a lost packet.
 	maxRelayAge = 1200 * time.Millisecond
-	// maxRelayedLosses bounds the lost requests that wait for the next report.
-	maxRelayedLosses = 1024
 )
 
 // relayState is what a control VM holds for the entries that watch it: a copy of the
@@ -25,7 +23,7 @@
 	shares       *Shares
 	peers        []string
 	peersVersion uint64
-	suspects     []uint64
+	suspects     *peerv1.SuspectList
 	// catalogVersion is the leader's, which this VM may not have applied yet.
 	catalogVersion uint64
 	// confirmedAt is when the call was sent that the leader answered last.
@@ -38,7 +36,6 @@
 	// leaderEntriesVersion is the version that the leader has.
 	entriesVersion, leaderEntriesVersion uint64
 	demand                               map[string]*relayedDemand
-	lost                                 []*peerv1.LostRequest
 }
 
 // watchingEntry is an entry that watches this control VM.
@@ -82,8 +79,6 @@
 		}
 		r.addDemand(d.GetModel(), d.GetRequests(), d.GetTokens())
 	}
-	r.lost = append(r.lost, in.GetLost()...)
-	r.lost = r.lost[max(0, len(r.lost)-maxRelayedLosses):]
 }
 
 // remove removes an entry that watches another control VM.
@@ -114,7 +109,7 @@
 		r.entriesVersion++
 	}
 	out := &peerv1.FollowRequest{
-		Vm: vm, Epoch: r.list.epoch, EndpointsVersion: r.list.version, PeersVersion: r.peersVersion, HoldMs: uint32(hold.Milliseconds()), Lost: r.lost,
+		Vm: vm, Epoch: r.list.epoch, EndpointsVersion: r.list.version, PeersVersion: r.peersVersion, HoldMs: uint32(hold.Milliseconds()), Suspects: r.suspects,
 	}
 	demand, spent := r.shares.TakeReport()
 	for name, tokens := range demand {
@@ -135,7 +130,7 @@
 	if r.leaderEntriesVersion != r.entriesVersion {
 		out.Entries = r.watchingEntries()
 	}
-	r.demand, r.lost = map[string]*relayedDemand{}, nil
+	r.demand = map[string]*relayedDemand{}
 	return out
 }
 
@@ -154,17 +149,18 @@
 	for _, d := range report.GetDemand() {
 		r.addDemand(d.GetModel(), d.GetRequests(), d.GetTokens())
 	}
-	r.lost = append(report.GetLost(), r.lost...)
-	r.lost = r.lost[max(0, len(r.lost)-maxRelayedLosses):]
 	r.leaderEntriesVersion = 0
 }
 
 // apply applies the leader's answer to a call that was sent at sentAt. It reports
-// whether the list of endpoints changed.
+// whether the list of endpoints or that of suspects changed.
 func (r *relayState) apply(now, sentAt time.Duration, in *peerv1.FollowResponse) (changed bool, err error) {
 	r.confirmed = false
 	r.catalogVersion = in.GetCatalogVersion()
-	r.suspects = in.GetSuspects()
+	suspectsChanged := in.GetSuspects() != nil
+	if suspectsChanged {
+		r.suspects = in.GetSuspects()
+	}
 	r.leaderEntriesVersion = in.GetEntriesVersion()
 	for _, entry := range in.GetMoved() {
 		r.remove(entry)
@@ -190,17 +186,24 @@
 		return false, err
 	}
 	r.confirmed, r.confirmedAt = true, sentAt
-	return epoch != r.list.epoch || version != r.list.version, nil
+	return suspectsChanged || epoch != r.list.epoch || version != r.list.version, nil
 }
 
-// hasChanges reports whether there is a newer list than the one that an entry has.
-func (r *relayState) hasChanges(epoch, version uint64) bool {
+// hasChanges reports whether there are newer lists than those that an entry has.
+func (r *relayState) hasChanges(in *peerv1.WatchRequest) bool {
+	if r.suspects != nil && in.GetSuspectsVersion() != r.suspects.GetVersion() {
+		return true
+	}
+	epoch, version := in.GetEpoch(), in.GetEndpointsVersion()
 	return r.list.epoch != 0 && (epoch != r.list.epoch || version != r.list.version) && !r.list.olderThan(epoch, version)
 }
 
 // respond returns the response for an entry, without the catalog and the members.
 func (r *relayState) respond(now time.Duration, in *peerv1.WatchRequest) (*peerv1.WatchResponse, error) {
-	out := &peerv1.WatchResponse{Suspects: r.suspects, LiveEntries: uint32(r.shares.EntryCount())}
+	out := &peerv1.WatchResponse{LiveEntries: uint32(r.shares.EntryCount())}
+	if r.suspects.GetVersion() != in.GetSuspectsVersion() {
+		out.Suspects = r.suspects
+	}
 	if r.peersVersion != in.GetPeersVersion() {
 		out.Peers, out.PeersVersion = r.peers, r.peersVersion
 	}
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/coordination/suspect"
 	"github.com/radishloom/radishloom/internal/state/catalog"
 )
 
@@ -92,13 +93,17 @@
 		planner   *Planner
 		levels    *Levels
 		watchers  *watchers
-		suspects  *Suspects
-		list      []Endpoint // as the platform lists them
-		listed    bool
-		published *endpointList // as sent to the control VMs
-		changed   chan struct{} // closed and replaced with each published version
-		index     *catalog.Index
-		nextList  time.Duration
+		suspects  *suspect.Register
+		// listedSuspects is the list of suspects as last sent to followers, and
+		// suspectsVersion its number in this term.
+		listedSuspects  []suspect.Suspect
+		suspectsVersion uint64
+		list            []Endpoint // as the platform lists them
+		listed          bool
+		published       *endpointList // as sent to the control VMs
+		changed         chan struct{} // closed and replaced with each published version
+		index           *catalog.Index
+		nextList        time.Duration
 		// listInFlight is set during a call of the platform's list.
 		listInFlight bool
 		reports      *reportScheduler
@@ -146,6 +151,7 @@
 		return
 	}
 	s.updateCatalog(ctx)
+	s.evaluateSuspects()
 	s.startList(ctx)
 	s.startReports(ctx)
 	for _, d := range s.plan() {
@@ -153,6 +159,12 @@
 	}
 }
 
+func (s *Server) evaluateSuspects() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evaluateSuspectsLocked()
+}
+
 func (s *Server) setTerm(term uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -165,7 +177,7 @@
 	s.mu.planner = NewPlanner(s.now())
 	s.mu.levels = NewLevels()
 	s.mu.watchers = newWatchers()
-	s.mu.suspects = NewSuspects()
+	s.mu.suspects, s.mu.listedSuspects, s.mu.suspectsVersion = suspect.New(), nil, 0
 	s.mu.list, s.mu.listed = nil, false
 	s.mu.nextList, s.mu.listInFlight = 0, false
 	s.mu.reports, s.mu.allPolled = newReportScheduler(s.now()), false
--- a/internal/coordination/directory/suspects.go
+++ b/internal/coordination/directory/suspects.go
@@ -1,78 +1,187 @@
 package directory
 
 import (
-	"slices"
+	"context"
+	"errors"
 	"time"
-)
 
-// Limits for the detection of requests that crash endpoints.
-const (
-	// lossesToSuspect is the number of endpoints that have to be lost while they run
-	// equal requests before these requests are suspect.
-	lossesToSuspect = 2
-	// suspectTime is how long losses count after the last one. The caller of a request
-	// that crashes endpoints sends it again within seconds.
-	suspectTime = time.Minute
-	// maxTrackedRequests bounds the requests with losses that are tracked.
-	maxTrackedRequests = 4096
-	// maxListedSuspects bounds the suspects that are sent to entries.
-	maxListedSuspects = 256
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	"github.com/radishloom/radishloom/internal/coordination/suspect"
 )
 
-// losses holds the endpoints that were lost while they ran equal requests.
-type losses struct {
-	endpoints []string
-	last      time.Duration
+// ErrEndpointGone is wrapped by the error of a call that was refused because the
+// incarnation of the endpoint that was called no longer runs.
+var ErrEndpointGone = errors.New("the endpoint no longer runs")
+
+// termBits is the position of the leader's term in the version of a list of
+// suspects.
+const termBits = 32
+
+// Report records what an entry learned about requests that may crash endpoints.
+func (s *Server) Report(_ context.Context, r *peerv1.EvidenceReport) (*peerv1.EvidenceResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mu.term == 0 {
+		return nil, notLeading()
+	}
+	now := s.now()
+	for _, c := range r.GetCarried() {
+		s.mu.suspects.RecordCarried(now-time.Duration(c.GetAgeMs())*time.Millisecond, suspect.Trait(c.GetTrait()))
+	}
+	for _, l := range r.GetLost() {
+		s.recordLossLocked(now, l)
+	}
+	s.evaluateSuspectsLocked()
+	return &peerv1.EvidenceResponse{}, nil
 }
 
-// Suspects detects requests that crash the endpoints that run them. A crash ends
-// all requests of an endpoint, but only those that caused it run again when the
-// next endpoint crashes. Only a request that is sent again can become suspect, so a
-// broken connection without a crash does no harm: an innocent request would have to
-// be hit twice, at different endpoints.
-type Suspects struct {
-	requests map[uint64]*losses
+// recordLossLocked records a lost request. Whether its engine crashed is seen from a
+// report that is asked for now; a plain service has no reports, so each loss there
+// counts as a crash. Losses at endpoints that leave are no sign of a crash.
+func (s *Server) recordLossLocked(now time.Duration, l *peerv1.LostRequest) {
+	e := s.mu.planner.engines[l.GetEndpoint()]
+	if e == nil || e.Leaving || e.report.Leaving {
+		return
+	}
+	traits := []suspect.Trait{suspect.RequestTrait(l.GetFingerprint())}
+	for _, part := range l.GetParts() {
+		traits = append(traits, suspect.PartTrait(part))
+	}
+	s.mu.suspects.RecordLoss(now, e.ID, traits)
+	if !s.isEngineLocked(e.Endpoint) {
+		s.mu.suspects.RecordCrash(e.ID)
+		return
+	}
+	if s.mu.suspects.Pending(e.ID) {
+		e.reportWanted = true
+	}
 }
 
-// NewSuspects returns Suspects without any losses.
-func NewSuspects() *Suspects { return &Suspects{requests: map[uint64]*losses{}} }
+func (s *Server) isEngineLocked(e Endpoint) bool {
+	if s.mu.index == nil {
+		return false
+	}
+	service := s.mu.index.Service(e.Service)
+	return service != nil && service.Engine != nil
+}
 
-// RecordLoss records that the endpoint of a request was lost while it ran the
-// request.
-func (s *Suspects) RecordLoss(now time.Duration, fingerprint uint64, endpoint string) {
-	l := s.requests[fingerprint]
-	if l == nil || now-l.last > suspectTime {
-		if l == nil && len(s.requests) >= maxTrackedRequests {
-			s.removeExpired(now)
-		}
-		if len(s.requests) >= maxTrackedRequests {
-			return
+// recordProbeLocked records what an answered or failed call for a report says about
+// the losses at an engine. before is the start time in its last report, zero if there
+// was none.
+func (s *Server) recordProbeLocked(askedAt time.Duration, id string, before int64, r Report, err error) {
+	if !s.mu.suspects.Pending(id) {
+		return
+	}
+	switch {
+	case errors.Is(err, ErrEndpointGone), err == nil && before != 0 && r.Started != before:
+		s.mu.suspects.RecordCrash(id)
+		s.evaluateSuspectsLocked()
+		if e := s.mu.planner.engines[id]; e != nil {
+			e.reportWanted = false
 		}
-		l = &losses{}
-		s.requests[fingerprint] = l
+	case err == nil:
+		s.mu.suspects.RecordAlive(id, askedAt)
+	}
+}
+
+// evaluateSuspectsLocked puts traits into quarantine for which the evidence
+// suffices, and wakes the followers if the list has changed.
+func (s *Server) evaluateSuspectsLocked() {
+	now := s.now()
+	for _, q := range s.mu.suspects.Evaluate(now) {
+		s.cfg.Log.Warn("requests put into quarantine", "trait", q.Trait, "crashes", q.Crashes, "last_crash_ms", (now - q.Last).Milliseconds(), "term", s.mu.term)
+	}
+	list := s.mu.suspects.List()
+	if sameSuspects(list, s.mu.listedSuspects) {
+		return
 	}
-	l.last = now
-	if !slices.Contains(l.endpoints, endpoint) {
-		l.endpoints = append(l.endpoints, endpoint)
+	for _, old := range s.mu.listedSuspects {
+		if old.Quarantined && !quarantined(list, old.Trait) {
+			s.cfg.Log.Warn("quarantine ended", "trait", old.Trait, "crashes", old.Crashes, "last_crash_ms", (now - old.Last).Milliseconds())
+		}
 	}
+	s.mu.listedSuspects = list
+	s.mu.suspectsVersion++
+	close(s.mu.changed)
+	s.mu.changed = make(chan struct{})
 }
 
-// List returns the fingerprints of suspect requests in a fixed order.
-func (s *Suspects) List(now time.Duration) []uint64 {
-	var out []uint64
-	for fingerprint, l := range s.requests {
-		if len(l.endpoints) >= lossesToSuspect && now-l.last <= suspectTime {
-			out = append(out, fingerprint)
+func sameSuspects(a, b []suspect.Suspect) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Trait != b[i].Trait || a[i].Quarantined != b[i].Quarantined {
+			return false
 		}
 	}
-	slices.Sort(out)
-	return out[:min(len(out), maxListedSuspects)]
+	return true
 }
 
-func (s *Suspects) removeExpired(now time.Duration) {
-	for fingerprint, l := range s.requests {
-		if now-l.last > suspectTime {
-			delete(s.requests, fingerprint)
+func quarantined(list []suspect.Suspect, t suspect.Trait) bool {
+	for _, s := range list {
+		if s.Trait == t && s.Quarantined {
+			return true
 		}
 	}
+	return false
+}
+
+// suspectsVersionLocked returns the version of the list of suspects.
+func (s *Server) suspectsVersionLocked() uint64 { return s.mu.term<<termBits + s.mu.suspectsVersion }
+
+// takeOverSuspectsLocked adds what an earlier leader had put into quarantine, as a
+// follower still knows it.
+func (s *Server) takeOverSuspectsLocked(list *peerv1.SuspectList) {
+	if list == nil || list.GetVersion()>>termBits == s.mu.term {
+		return
+	}
+	s.mu.suspects.Merge(decodeSuspects(s.now(), list))
+	s.evaluateSuspectsLocked()
+}
+
+func decodeSuspects(now time.Duration, list *peerv1.SuspectList) []suspect.Suspect {
+	out := make([]suspect.Suspect, 0, len(list.GetSuspects()))
+	for _, s := range list.GetSuspects() {
+		out = append(out, suspect.Suspect{
+			Trait: suspect.Trait(s.GetTrait()), Quarantined: s.GetQuarantined(), Crashes: int(s.GetCrashes()),
+			Last: now - time.Duration(s.GetLastCrashMs())*time.Millisecond,
+		})
+	}
+	return out
+}
+
+func encodeSuspects(now time.Duration, version uint64, list []suspect.Suspect) *peerv1.SuspectList {
+	out := &peerv1.SuspectList{Version: version}
+	for _, s := range list {
+		out.Suspects = append(out.Suspects, &peerv1.CrashSuspect{
+			Trait: string(s.Trait), Quarantined: s.Quarantined, Crashes: uint32(s.Crashes), LastCrashMs: uint64(max(0, now-s.Last).Milliseconds()),
+		})
+	}
+	return out
+}
+
+// Suspects returns the traits with evidence against them, and the current time to
+// which theirs relate. It fails on a VM that does not lead.
+func (s *Server) Suspects() (now time.Duration, list []suspect.Suspect, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mu.term == 0 {
+		return 0, nil, notLeading()
+	}
+	return s.now(), s.mu.suspects.List(), nil
+}
+
+// LiftQuarantine ends the quarantine of a trait at the request of an operator. It
+// reports whether the trait was in quarantine.
+func (s *Server) LiftQuarantine(t suspect.Trait) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mu.term == 0 {
+		return false, notLeading()
+	}
+	lifted := s.mu.suspects.Lift(s.now(), t)
+	s.cfg.Log.Warn("operator lifts a quarantine", "trait", t, "was_quarantined", lifted)
+	s.evaluateSuspectsLocked()
+	return lifted, nil
 }
--- a/internal/coordination/directory/suspects_test.go
+++ b/internal/coordination/directory/suspects_test.go
@@ -1,47 +1,131 @@
 package directory
 
 import (
+	"errors"
 	"fmt"
+	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	"github.com/radishloom/radishloom/internal/coordination/suspect"
+	"github.com/radishloom/radishloom/internal/state/catalog"
 )
 
-// Guards against requests that crash one endpoint after another, and against
-// innocent requests among the suspects. A request is suspect after two endpoints
-// that it crashed; requests that shared an endpoint with it, and those that lost
-// the same endpoint twice, are not.
-func TestRequestsThatCrashEndpointsAreSuspect(t *testing.T) {
-	s := NewSuspects()
-	const crashing = 1
-	for i := range 3 {
-		endpoint := fmt.Sprint("e", i)
-		s.RecordLoss(time.Duration(i)*time.Second, crashing, endpoint)
-		for other := range 12 {
-			s.RecordLoss(time.Duration(i)*time.Second, uint64(100*(i+1)+other), endpoint)
-		}
-		s.RecordLoss(time.Duration(i)*time.Second, 7, "e0")
-		got := s.List(time.Duration(i) * time.Second)
-		if want := i+1 >= lossesToSuspect; want != (len(got) == 1 && got[0] == crashing) || (!want && len(got) != 0) {
-			t.Fatalf("after %d crashes the suspects are %v", i+1, got)
-		}
+// newLeader returns the leader of a term with engines e0 to e5 and the plain endpoint
+// p.
+func newLeader(term uint64) *Server {
+	s := New(Config{Log: slog.New(slog.DiscardHandler)})
+	s.setTerm(term)
+	s.mu.index = catalog.NewIndex(&catalog.Catalog{Version: 1, Services: []catalog.Service{{Name: "models", Engine: &catalog.Engine{}}, {Name: "plain"}}})
+	list := []Endpoint{{ID: "p", Service: "plain"}}
+	for i := range 6 {
+		list = append(list, Endpoint{ID: fmt.Sprint("e", i), Service: "models"})
 	}
-	if got := s.List(3*time.Second + suspectTime); len(got) != 0 {
-		t.Fatalf("%v are still suspect after suspectTime", got)
+	s.setList(term, list, 0, nil)
+	return s
+}
+
+// lose reports a request with parts as lost at an endpoint. No two are equal.
+func lose(t *testing.T, s *Server, endpoint string, parts ...string) {
+	t.Helper()
+	if _, err := s.Report(t.Context(), &peerv1.EvidenceReport{Lost: []*peerv1.LostRequest{{Endpoint: endpoint, Fingerprint: xxhash.Sum64String(endpoint), Parts: parts}}}); err != nil {
+		t.Fatal(err)
 	}
 }
 
-// Guards against losses of many different requests that use up the leader's memory.
-func TestSuspectsAreBounded(t *testing.T) {
-	s := NewSuspects()
-	for i := range 3 * maxTrackedRequests {
-		s.RecordLoss(0, uint64(i), "a")
-		s.RecordLoss(0, uint64(i), "b")
+// probe records the outcome of a call for the report of an engine.
+func probe(s *Server, engine string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordProbeLocked(s.now(), engine, 5, Report{Started: 5}, err)
+}
+
+// crashTwice lets two engines crash, a second apart, with requests that have only the
+// part x in common.
+func crashTwice(t *testing.T, s *Server) {
+	t.Helper()
+	for _, e := range []string{"e1", "e2"} {
+		time.Sleep(time.Second)
+		lose(t, s, e, "x", "of "+e)
+		s.mu.Lock()
+		urgent := s.mu.planner.reportNeed(s.now(), e).urgent
+		s.mu.Unlock()
+		if !urgent {
+			t.Fatalf("the report of %s, which may have crashed, is not urgent", e)
+		}
+		probe(s, e, fmt.Errorf("report: %w", ErrEndpointGone))
 	}
-	if len(s.requests) > maxTrackedRequests || len(s.List(0)) > maxListedSuspects {
-		t.Fatalf("%d requests are tracked, %d listed", len(s.requests), len(s.List(0)))
+}
+
+func isQuarantined(list *peerv1.SuspectList, trait suspect.Trait) bool {
+	for _, s := range list.GetSuspects() {
+		if s.GetTrait() == string(trait) && s.GetQuarantined() {
+			return true
+		}
 	}
-	s.RecordLoss(2*suspectTime, 1<<40, "a")
-	if len(s.requests) != 1 {
-		t.Fatalf("%d requests are tracked after the old ones expired, want 1", len(s.requests))
+	return false
+}
+
+func followLeader(t *testing.T, s *Server, r *peerv1.FollowRequest) *peerv1.FollowResponse {
+	t.Helper()
+	out, err := s.Follow(t.Context(), r)
+	if err != nil {
+		t.Fatal(err)
 	}
+	return out
+}
+
+// Guards against a quarantine that entries do not learn of, and against one that ends
+// when the leader changes: the next leader must have it before its first answer, and
+// a list that this leader sent itself must not bring back what was lifted.
+func TestQuarantineReachesEntriesAndOutlivesTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newLeader(1)
+		crashTwice(t, s)
+		relay := newRelayState()
+		for term := uint64(1); term <= 2; term++ {
+			if term == 2 {
+				s = newLeader(2)
+			}
+			if _, err := relay.apply(s.now(), s.now(), followLeader(t, s, relay.takeReport(s.now(), "c", 0))); err != nil {
+				t.Fatal(err)
+			}
+			out, err := relay.respond(s.now(), watchRequest("entry"))
+			if err != nil || !isQuarantined(out.GetSuspects(), suspect.PartTrait("x")) || isQuarantined(out.GetSuspects(), suspect.PartTrait("of e1")) {
+				t.Fatalf("term %d: an entry gets %v, error %v", term, out.GetSuspects(), err)
+			}
+		}
+		if lifted, err := s.LiftQuarantine(suspect.PartTrait("x")); err != nil || !lifted {
+			t.Fatalf("lifted %v, error %v", lifted, err)
+		}
+		if out := followLeader(t, s, relay.takeReport(s.now(), "c", 0)); out.GetSuspects() == nil || isQuarantined(out.GetSuspects(), suspect.PartTrait("x")) {
+			t.Fatalf("after the quarantine was lifted: %v", out.GetSuspects())
+		}
+	})
+}
+
+// Guards against blame for connections that broke at engines that still run, or whose
+// state is not known, and for losses at engines that leave.
+func TestBrokenConnectionsAreNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newLeader(1)
+		for i := range 3 {
+			time.Sleep(time.Second)
+			e := fmt.Sprint("e", i)
+			lose(t, s, e, "x")
+			time.Sleep(time.Millisecond)
+			probe(s, e, nil)
+			lose(t, s, fmt.Sprint("e", 3+i), "y")
+			probe(s, fmt.Sprint("e", 3+i), errors.New("timed out"))
+		}
+		s.mu.planner.engines["e0"].Leaving = true
+		lose(t, s, "e0", "z")
+		if s.mu.suspects.Pending("e0") || len(s.mu.suspects.List()) != 0 {
+			t.Fatalf("suspects: %v", s.mu.suspects.List())
+		}
+	})
 }
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -113,6 +113,11 @@
 			c.finish(err)
 			return
 		}
+		if err := c.checkQuarantine(); err != nil {
+			c.server.releaseSlot(to, pool.Unknown, false)
+			c.finish(err)
+			return
+		}
 		c.endpointLeaving = false
 		result, err := c.send(to)
 		c.server.releaseSlot(to, result, c.endpointLeaving)
--- a/internal/coordination/forward/recovery_test.go
+++ b/internal/coordination/forward/recovery_test.go
@@ -227,6 +227,12 @@
 	return p[address].Load(ctx, r)
 }
 
+func (p inProcess) Report(ctx context.Context, address string, r *peerv1.EvidenceReport) (*peerv1.EvidenceResponse, error) {
+	time.Sleep(networkDelay)
+	defer time.Sleep(networkDelay)
+	return p[address].Report(ctx, r)
+}
+
 type noOrderMetrics struct{}
 
 func (noOrderMetrics) EngineOrder(string) {}
--- a/internal/coordination/forward/relay.go
+++ b/internal/coordination/forward/relay.go
@@ -113,6 +113,7 @@
 func (r *relay) observe(at time.Duration) {
 	if r.first == 0 {
 		r.first = at
+		r.call.recordBegun()
 	} else {
 		r.pause = max(r.pause, at-r.last)
 	}
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -157,6 +157,7 @@
 	if err := expectEOF(resp.Body); err != nil {
 		return c.failed(err)
 	}
+	c.recordBegun()
 	copyHeader(c.w.Header(), resp.Header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(resp.Status)
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -74,7 +74,7 @@
 		loading      map[pool.MissingModel]bool
 		hasEndpoints bool // a list of endpoints has been received
 		hasServed    bool // a request has been served
-		suspects     suspects
+		evidence     evidence
 	}
 }
 
@@ -93,6 +93,7 @@
 	s.mu.budget = NewRetryBudget(c.RetryWindow, c.RetryRatio, c.RetrySlack)
 	s.mu.demand = map[string]*Demand{}
 	s.mu.loading = map[pool.MissingModel]bool{}
+	s.mu.evidence = newEvidence()
 	return s
 }
 
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -19,6 +20,7 @@
 	"github.com/radishloom/radishloom/internal/coordination/directory"
 	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/coordination/pool"
+	"github.com/radishloom/radishloom/internal/coordination/suspect"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/catalog"
 )
@@ -33,6 +35,11 @@
 		Header: r.Header, Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Resume"),
 	}
 	req.Model, req.Adapter, _ = strings.Cut(r.Header.Get("Model"), "/")
+	for _, id := range strings.Split(r.Header.Get("Parts"), ",") {
+		if id != "" {
+			req.Prefix = append(req.Prefix, PromptPart{ID: id, Tokens: 10})
+		}
+	}
 	if w, err := time.ParseDuration(r.Header.Get("Wait")); err == nil {
 		req.Timeout = w
 	}
@@ -356,17 +363,17 @@
 	if status, _, _, err := w.do("/once/x", nil); err != nil || status != http.StatusBadGateway {
 		t.Fatalf("status %d, error %v", status, err)
 	}
-	lost := w.server.takeLost()
-	if len(lost) != 1 || lost[0].endpoint == "" {
+	lost := w.server.takeEvidence().GetLost()
+	if len(lost) != 1 || lost[0].GetEndpoint() == "" {
 		t.Fatalf("lost requests: %+v", lost)
 	}
 	if status, _, _, err := w.do("/often/x", nil); err != nil || status != 200 {
 		t.Fatalf("status %d, error %v", status, err)
 	}
-	if other := w.server.takeLost(); len(other) != 0 {
+	if other := w.server.takeEvidence().GetLost(); len(other) != 0 {
 		t.Fatalf("an error response counts as a lost request: %+v", other)
 	}
-	w.server.setQuarantined([]uint64{lost[0].fingerprint})
+	w.quarantine(suspect.RequestTrait(lost[0].GetFingerprint()))
 	before := len(w.endpoints.sends())
 	if status, h, _, err := w.do("/once/x", nil); err != nil || status != http.StatusBadGateway || h.Get(resultcode.Header) != "4008" {
 		t.Fatalf("status %d, code %s, error %v", status, h.Get(resultcode.Header), err)
@@ -379,6 +386,50 @@
 	}
 }
 
+// quarantine puts a trait into quarantine.
+func (w *fixture) quarantine(t suspect.Trait) {
+	w.server.setSuspects(&peerv1.SuspectList{Version: 1, Suspects: []*peerv1.CrashSuspect{{Trait: string(t), Quarantined: true, Crashes: 2}}})
+}
+
+// Guards against requests with a part of a prompt that crashes endpoints: they are
+// never equal, so the fingerprint of the whole request does not stop them. Requests
+// that share other parts must go on, and the refusal must say "not run".
+func TestQuarantinedPromptPartIsNotSent(t *testing.T) {
+	w := newFixture(t, reply{status: 200, header: sealed(), body: "id: 1\n\n", length: -1})
+	w.quarantine(suspect.PartTrait("bad"))
+	status, h, _, err := w.do("/stream/x", map[string]string{"Model": "m", "Parts": "shared,bad,own1"})
+	if err != nil || status != http.StatusServiceUnavailable || h.Get(resultcode.Header) != "4011" || h.Get("Retry-After") == "" {
+		t.Fatalf("status %d, code %s, Retry-After %q, error %v", status, h.Get(resultcode.Header), h.Get("Retry-After"), err)
+	}
+	if sent := len(w.endpoints.sends()); sent != 0 {
+		t.Fatalf("%d sends", sent)
+	}
+	if status, _, _, err := w.do("/stream/x", map[string]string{"Model": "m", "Parts": "shared,own2"}); err != nil || status != 200 {
+		t.Fatalf("a request that shares another part: status %d, error %v", status, err)
+	}
+}
+
+// Guards against evidence that blames the parts of streams that had begun, and
+// against evidence that is lost when the leader does not answer.
+func TestEvidenceNamesPartsBeforeTheAnswerOnly(t *testing.T) {
+	w := newFixture(t, reply{err: errMayHaveRun}, reply{status: 200, header: sealed(), body: "id: 1\n\n", truncated: true, length: -1})
+	_, _, _, _ = w.do("/stream/x", map[string]string{"Model": "m", "Parts": "a,b"})
+	_, _, _, _ = w.do("/stream/y", map[string]string{"Model": "m", "Parts": "a,c"})
+	report := w.server.takeEvidence()
+	if lost := report.GetLost(); len(lost) != 2 || fmt.Sprint(lost[0].GetParts()) != "[a b]" || len(lost[1].GetParts()) != 0 {
+		t.Fatalf("lost requests: %v", lost)
+	}
+	w.server.giveBackEvidence(report)
+	w.server.setSuspects(&peerv1.SuspectList{Suspects: []*peerv1.CrashSuspect{{Trait: string(suspect.PartTrait("c"))}, {Trait: string(suspect.PartTrait("b"))}}})
+	again := w.server.takeEvidence()
+	if len(again.GetLost()) != 2 {
+		t.Fatalf("lost requests in the report after a failed one: %v", again.GetLost())
+	}
+	if carried := again.GetCarried(); len(carried) != 1 || carried[0].GetTrait() != string(suspect.PartTrait("c")) {
+		t.Fatalf("suspects with which an answer began: %v", carried)
+	}
+}
+
 // Requests with an unknown key or route, or before the first catalog, must be refused
 // with the right status.
 func TestRefusalStatuses(t *testing.T) {
--- a/internal/coordination/forward/suspects.go
+++ b/internal/coordination/forward/suspects.go
@@ -1,27 +1,133 @@
 package forward
 
 import (
+	"maps"
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	"github.com/radishloom/radishloom/internal/coordination/suspect"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
-// maxLostRequests bounds the lost requests that wait to be reported.
-const maxLostRequests = 256
+const (
+	// maxLostRequests bounds the lost requests that wait to be reported.
+	maxLostRequests = 256
+	// maxBegunParts bounds the parts of prompts with which answers began: twice as
+	// many are kept.
+	maxBegunParts = 4096
+	// carriedInterval is the shortest time between two reports that answers with the
+	// same suspect begin.
+	carriedInterval = 500 * time.Millisecond
+)
+
+// evidence is what an entry knows about requests that may crash endpoints. It is
+// guarded by Server.mu.
+type evidence struct {
+	// suspects are those of the leader. Requests with a quarantined one are refused.
+	suspects map[suspect.Trait]listedSuspect
+	// lost are the requests that wait to be reported to the leader.
+	lost []*peerv1.LostRequest
+	// carried holds the suspects with which an answer began, and when, until that is
+	// reported; reported holds when it was for the last time.
+	carried, reported map[suspect.Trait]time.Duration
+	// begun holds when an answer to a request with a part last began; older is what it
+	// was before it became full.
+	begun, older map[string]time.Duration
+	// ready has an element while there is something to report.
+	ready chan struct{}
+}
+
+// listedSuspect is a suspect in the leader's list. A quarantine lasts until the given
+// time.
+type listedSuspect struct {
+	quarantined bool
+	until       time.Duration
+}
+
+func newEvidence() evidence {
+	return evidence{
+		carried: map[suspect.Trait]time.Duration{}, reported: map[suspect.Trait]time.Duration{},
+		begun: map[string]time.Duration{}, ready: make(chan struct{}, 1),
+	}
+}
 
-// lostRequest is a request whose exchange with an endpoint broke while the endpoint
-// may have run it.
-type lostRequest struct {
-	fingerprint uint64
-	endpoint    string
+func (e *evidence) signal() {
+	select {
+	case e.ready <- struct{}{}:
+	default:
+	}
 }
 
-// suspects holds the requests that may have crashed their endpoints, until they are
-// reported to the leader, and the fingerprints of the requests that the leader has
-// put under quarantine.
-type suspects struct {
-	lost        []lostRequest
-	quarantined map[uint64]bool
+// recordBegun records that the answer to a request with these parts began.
+func (e *evidence) recordBegun(now time.Duration, parts []PromptPart) {
+	if len(e.begun) >= maxBegunParts {
+		e.older, e.begun = e.begun, make(map[string]time.Duration, maxBegunParts)
+	}
+	for _, p := range parts {
+		e.begun[p.ID] = now
+		if t := suspect.PartTrait(p.ID); len(e.suspects) > 0 {
+			e.answer(t, now)
+		}
+	}
+}
+
+// answer queues the report that an answer with a trait began, if the leader asks for
+// it.
+func (e *evidence) answer(t suspect.Trait, begunAt time.Duration) {
+	if _, asked := e.suspects[t]; !asked {
+		return
+	}
+	if last, reported := e.reported[t]; reported && begunAt < last+carriedInterval {
+		return
+	}
+	e.carried[t], e.reported[t] = begunAt, begunAt
+	e.signal()
+}
+
+// setSuspects replaces the suspects of the leader.
+func (e *evidence) setSuspects(now time.Duration, list []suspect.Suspect) {
+	e.suspects = make(map[suspect.Trait]listedSuspect, len(list))
+	for _, s := range list {
+		e.suspects[s.Trait] = listedSuspect{quarantined: s.Quarantined, until: s.Last + suspect.QuarantineTime}
+	}
+	maps.DeleteFunc(e.reported, func(t suspect.Trait, _ time.Duration) bool {
+		_, listed := e.suspects[t]
+		return !listed
+	})
+	for t := range e.suspects {
+		part, isPart := t.Part()
+		if !isPart {
+			continue
+		}
+		at, begun := e.begun[part]
+		if !begun {
+			at, begun = e.older[part]
+		}
+		if begun {
+			e.answer(t, at)
+		}
+	}
+}
+
+// take returns and removes what is to be reported.
+func (e *evidence) take(now time.Duration) *peerv1.EvidenceReport {
+	r := &peerv1.EvidenceReport{Lost: e.lost}
+	for t, at := range e.carried {
+		r.Carried = append(r.Carried, &peerv1.CarriedTrait{Trait: string(t), AgeMs: uint64((now - at).Milliseconds())})
+	}
+	e.lost = nil
+	clear(e.carried)
+	return r
+}
+
+// giveBack adds lost requests that could not be reported to the next report. What
+// began is reported again when the leader asks again.
+func (e *evidence) giveBack(r *peerv1.EvidenceReport) {
+	e.lost = append(r.GetLost(), e.lost...)
+	e.lost = e.lost[:min(len(e.lost), maxLostRequests)]
+	clear(e.reported)
 }
 
 // fingerprint returns a hash that is equal for equal requests of one customer.
@@ -34,6 +140,20 @@
 	return h.Sum64()
 }
 
+// answerBegun reports whether a part of the response's body has been passed on.
+func (c *call) answerBegun() bool { return c.relay != nil && c.relay.first > 0 }
+
+// recordBegun records that the answer to the request began.
+func (c *call) recordBegun() {
+	if len(c.req.Prefix) == 0 {
+		return
+	}
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.evidence.recordBegun(s.now(), c.req.Prefix)
+}
+
 // recordLost records the request for the next report if the error shows that the
 // exchange broke while the endpoint may have run it.
 func (c *call) recordLost(endpoint string, err *resultcode.Error) {
@@ -42,42 +162,70 @@
 	default:
 		return
 	}
+	lost := &peerv1.LostRequest{Fingerprint: c.fingerprint(), Endpoint: endpoint}
+	if !c.answerBegun() {
+		lost.Parts = partIDs(c.req.Prefix)
+	}
 	s := c.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.mu.suspects.lost) < maxLostRequests {
-		s.mu.suspects.lost = append(s.mu.suspects.lost, lostRequest{c.fingerprint(), endpoint})
+	if len(s.mu.evidence.lost) < maxLostRequests {
+		s.mu.evidence.lost = append(s.mu.evidence.lost, lost)
 	}
+	s.mu.evidence.signal()
 }
 
-// checkQuarantine returns an error if the request is under quarantine, because
-// endpoints crashed while they ran it.
+// checkQuarantine returns an error if the request, or a part of its prompt, is under
+// quarantine because endpoints crashed while they ran such requests.
 func (c *call) checkQuarantine() *resultcode.Error {
 	s := c.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.mu.suspects.quarantined) > 0 && s.mu.suspects.quarantined[c.fingerprint()] {
+	suspects := s.mu.evidence.suspects
+	if len(suspects) == 0 {
+		return nil
+	}
+	if suspects[suspect.RequestTrait(c.fingerprint())].quarantined {
 		return resultcode.New(resultcode.RequestCrashes, "the request is under quarantine: endpoints crashed while they ran it")
 	}
+	for _, p := range c.req.Prefix {
+		listed := suspects[suspect.PartTrait(p.ID)]
+		if !listed.quarantined {
+			continue
+		}
+		err := resultcode.New(resultcode.PromptPartCrashes, "part %q of the prompt is under quarantine: endpoints crashed when they began to answer requests with it", p.ID)
+		err.RetryAfter = max(0, listed.until-s.now())
+		return err
+	}
 	return nil
 }
 
-// takeLost returns and removes the lost requests that are to be reported.
-func (s *Server) takeLost() []lostRequest {
+// setSuspects replaces the suspects of the leader.
+func (s *Server) setSuspects(list *peerv1.SuspectList) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	lost := s.mu.suspects.lost
-	s.mu.suspects.lost = nil
-	return lost
+	now := s.now()
+	decoded := make([]suspect.Suspect, 0, len(list.GetSuspects()))
+	for _, l := range list.GetSuspects() {
+		decoded = append(decoded, suspect.Suspect{
+			Trait: suspect.Trait(l.GetTrait()), Quarantined: l.GetQuarantined(), Crashes: int(l.GetCrashes()),
+			Last: now - time.Duration(l.GetLastCrashMs())*time.Millisecond,
+		})
+	}
+	s.mu.evidence.setSuspects(now, decoded)
 }
 
-// setQuarantined replaces the fingerprints of the requests that must not be run.
-func (s *Server) setQuarantined(fingerprints []uint64) {
-	quarantined := make(map[uint64]bool, len(fingerprints))
-	for _, f := range fingerprints {
-		quarantined[f] = true
-	}
+// takeEvidence returns and removes what is to be reported to the leader.
+func (s *Server) takeEvidence() *peerv1.EvidenceReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.evidence.take(s.now())
+}
+
+// giveBackEvidence adds a report that failed to the next one.
+func (s *Server) giveBackEvidence(r *peerv1.EvidenceReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mu.suspects.quarantined = quarantined
+	s.mu.evidence.giveBack(r)
+	s.mu.evidence.signal()
 }
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -41,6 +41,7 @@
 type DirectoryClient interface {
 	Watch(ctx context.Context, address string, r *peerv1.WatchRequest) (*peerv1.WatchResponse, error)
 	Load(ctx context.Context, address string, r *peerv1.LoadRequest) (*peerv1.LoadResponse, error)
+	Report(ctx context.Context, address string, r *peerv1.EvidenceReport) (*peerv1.EvidenceResponse, error)
 }
 
 // WatcherConfig configures a Watcher.
@@ -62,10 +63,12 @@
 	controls       controlVMs
 	epoch, version uint64
 	peersVersion   uint64
-	endpoints      map[string]pool.Endpoint // the list as of version
-	entries        int                      // number of live entries, as of the last response
-	lastResponse   time.Time
-	controlLost    bool
+	// suspectsVersion is the version of the leader's list of suspects.
+	suspectsVersion uint64
+	endpoints       map[string]pool.Endpoint // the list as of version
+	entries         int                      // number of live entries, as of the last response
+	lastResponse    time.Time
+	controlLost     bool
 	// behindSince is since when control VMs have an older list than this entry; zero if
 	// they do not.
 	behindSince time.Time
@@ -86,8 +89,9 @@
 // SetSeeds replaces the addresses of the control VMs from the settings.
 func (w *Watcher) SetSeeds(addresses []string) { w.controls.setSeeds(addresses) }
 
-// Run polls a control VM until ctx ends.
+// Run polls a control VM, and reports evidence to the leader, until ctx ends.
 func (w *Watcher) Run(ctx context.Context, s *Server) {
+	go w.reportEvidence(ctx, s)
 	failures := 0
 	w.lastResponse = time.Now()
 	for ctx.Err() == nil {
@@ -110,6 +114,24 @@
 	}
 }
 
+// reportEvidence reports what this entry learns about requests that may crash
+// endpoints to the leader, at once: each second more costs further endpoints.
+func (w *Watcher) reportEvidence(ctx context.Context, s *Server) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.mu.evidence.ready:
+		}
+		r := s.takeEvidence()
+		if _, err := w.cfg.Directory.Report(ctx, w.controls.loadAddress(), r); err != nil {
+			s.log.Info("evidence not reported", "lost", len(r.GetLost()), "carried", len(r.GetCarried()), "error", err.Error())
+			sleep(ctx, watchRetryDelay)
+			s.giveBackEvidence(r)
+		}
+	}
+}
+
 // logControlLost logs once that no control VM has responded for controlLostAfter.
 func (w *Watcher) logControlLost(address string, err error) {
 	if w.controlLost || time.Since(w.lastResponse) < controlLostAfter {
@@ -124,7 +146,7 @@
 func (w *Watcher) poll(ctx context.Context, s *Server, address string) error {
 	r := &peerv1.WatchRequest{
 		Entry: w.cfg.Session, Epoch: w.epoch, EndpointsVersion: w.version, HoldMs: uint32(w.holdTime().Milliseconds()),
-		LoadAddress: w.cfg.DatagramAddress, PeersVersion: w.peersVersion,
+		LoadAddress: w.cfg.DatagramAddress, PeersVersion: w.peersVersion, SuspectsVersion: w.suspectsVersion,
 	}
 	if x := s.Index(); x != nil {
 		r.CatalogVersion = x.Version()
@@ -139,9 +161,6 @@
 	for name, d := range demand {
 		r.Demand = append(r.Demand, &peerv1.ModelDemand{Model: name, Requests: uint32(d.Requests), Waiting: uint32(d.Waiting), Tokens: d.Work})
 	}
-	for _, l := range s.takeLost() {
-		r.Lost = append(r.Lost, &peerv1.LostRequest{Fingerprint: l.fingerprint, Endpoint: l.endpoint})
-	}
 	resp, err := w.cfg.Directory.Watch(ctx, address, r)
 	if err != nil {
 		return err
@@ -185,7 +204,10 @@
 		s.SetCatalog(catalog.NewIndex(decoded))
 	}
 	w.controls.set(resp.GetMembers(), address)
-	s.setQuarantined(resp.GetSuspects())
+	if list := resp.GetSuspects(); list != nil {
+		w.suspectsVersion = list.GetVersion()
+		s.setSuspects(list)
+	}
 	w.entries = int(resp.GetLiveEntries())
 	s.SetShares(decodeShares(resp.GetShares()), int(resp.GetLiveEntries()))
 	if v := resp.GetPeersVersion(); v != 0 && v != w.peersVersion {
--- a/internal/coordination/forward/watch_test.go
+++ b/internal/coordination/forward/watch_test.go
@@ -27,6 +27,10 @@
 	return &peerv1.LoadResponse{}, nil
 }
 
+func (s *partitionedControl) Report(context.Context, string, *peerv1.EvidenceReport) (*peerv1.EvidenceResponse, error) {
+	return &peerv1.EvidenceResponse{}, nil
+}
+
 // An entry whose first control VMs do not know a leader must call all others too: in
 // a network partition the first ones may all be on the side without the leader.
 func TestWatcherFindsLeaderAcrossPartition(t *testing.T) {
--- /dev/null
+++ b/internal/coordination/suspect/suspect_test.go
@@ -0,0 +1,267 @@
+package suspect
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func traits(parts ...string) []Trait {
+	var out []Trait
+	for _, p := range parts {
+		out = append(out, PartTrait(p))
+	}
+	return out
+}
+
+// loseAll records the crash of an endpoint with the given requests.
+func loseAll(r *Register, now time.Duration, endpoint string, requests ...[]Trait) {
+	for _, lost := range requests {
+		r.RecordLoss(now, endpoint, lost)
+	}
+	r.RecordCrash(endpoint)
+}
+
+func inQuarantine(r *Register) []Trait {
+	var out []Trait
+	for _, s := range r.List() {
+		if s.Quarantined {
+			out = append(out, s.Trait)
+		}
+	}
+	return out
+}
+
+// simRequest is a request of the simulation. Its answer begins at a time.
+type simRequest struct {
+	traits []Trait
+	begins time.Duration
+	deadly bool
+}
+
+// sim sends requests to endpoints by lot. Some have the deadly part and crash their
+// endpoint when their answer would begin, which ends all requests there.
+type sim struct {
+	rand       *rand.Rand
+	register   *Register
+	endpoints  int
+	perSecond  float64 // requests
+	deadlyRate float64 // of them, a second
+	first      bool    // the deadly part is the first one of the prompt
+	common     int     // different second parts
+	running    map[int][]simRequest
+	downUntil  map[int]time.Duration
+	begunAt    map[Trait]time.Duration
+	crashedAt  []time.Duration
+	sent       int
+	lateDeadly int // deadly requests that were sent later than contactTime after the fifth crash
+}
+
+const (
+	deadlyPart  = "deadly"
+	contactTime = 3 * time.Second
+	simStep     = 20 * time.Millisecond
+)
+
+func (s *sim) newRequest(now time.Duration) simRequest {
+	s.sent++
+	q := simRequest{begins: now + time.Duration(1+s.rand.IntN(10))*simStep, deadly: s.rand.Float64() < s.deadlyRate/s.perSecond}
+	first, second := fmt.Sprint("first", s.rand.IntN(3)), fmt.Sprint("second", s.rand.IntN(s.common))
+	switch {
+	case q.deadly && s.first:
+		first = deadlyPart
+	case q.deadly:
+		second = deadlyPart
+	}
+	q.traits = append(traits(first, second, fmt.Sprint("own", s.sent)), RequestTrait(uint64(s.sent)))
+	return q
+}
+
+func (s *sim) send(now time.Duration) {
+	n := int(s.perSecond * simStep.Seconds())
+	for range max(1, n) {
+		q := s.newRequest(now)
+		e := s.rand.IntN(s.endpoints)
+		if now < s.downUntil[e] || q.deadly && slices.Contains(inQuarantine(s.register), PartTrait(deadlyPart)) {
+			continue
+		}
+		s.running[e] = append(s.running[e], q)
+		if q.deadly && len(s.crashedAt) >= 5 && now > s.crashedAt[4]+contactTime {
+			s.lateDeadly++
+		}
+	}
+}
+
+// answer reports with which of the listed suspects answers began, as entries do.
+func (s *sim) answer() {
+	for _, listed := range s.register.List() {
+		if at, begun := s.begunAt[listed.Trait]; begun {
+			s.register.RecordCarried(at, listed.Trait)
+		}
+	}
+}
+
+// run lets the requests of an endpoint begin their answers.
+func (s *sim) run(now time.Duration, e int) {
+	crash := slices.ContainsFunc(s.running[e], func(q simRequest) bool { return q.deadly && q.begins <= now })
+	name := fmt.Sprint(e, "/", s.downUntil[e])
+	var waiting []simRequest
+	for _, q := range s.running[e] {
+		switch {
+		case crash && (q.begins > now || q.deadly):
+			s.register.RecordLoss(now, name, q.traits)
+		case q.begins > now:
+			waiting = append(waiting, q)
+		default:
+			for _, x := range q.traits {
+				s.begunAt[x] = now
+			}
+		}
+	}
+	s.running[e] = waiting
+	if crash {
+		s.register.RecordCrash(name)
+		s.crashedAt = append(s.crashedAt, now)
+		s.running[e], s.downUntil[e] = nil, now+3*time.Second
+	}
+}
+
+// Guards against a part that crashes one endpoint after another, and against the
+// quarantine of harmless parts that are lost with it. Not more than three requests
+// with the part may be sent later than contactTime after the fifth crash.
+func TestDeadlyPartIsFoundWithinFiveCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &sim{
+			rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), register: New(),
+			endpoints: rapid.IntRange(6, 60).Draw(t, "endpoints"), perSecond: rapid.Float64Range(50, 400).Draw(t, "requests a second"),
+			first: rapid.Bool().Draw(t, "the deadly part is the first one"), common: rapid.IntRange(3, 60).Draw(t, "second parts"),
+			running: map[int][]simRequest{}, downUntil: map[int]time.Duration{}, begunAt: map[Trait]time.Duration{},
+		}
+		s.deadlyRate = rapid.Float64Range(0.5, float64(s.endpoints)/4).Draw(t, "deadly requests a second")
+		for now := simStep; now < 15*time.Second; now += simStep {
+			s.send(now)
+			for e := range s.endpoints {
+				s.run(now, e)
+			}
+			s.answer()
+			s.register.Evaluate(now)
+			for _, q := range inQuarantine(s.register) {
+				if q != PartTrait(deadlyPart) {
+					t.Fatalf("%s is in quarantine at %v after %d crashes", q, now, len(s.crashedAt))
+				}
+			}
+		}
+		if s.lateDeadly > 3 {
+			t.Fatalf("%d requests with the deadly part were sent later than %v after the fifth of %d crashes", s.lateDeadly, contactTime, len(s.crashedAt))
+		}
+	})
+}
+
+// Guards against the quarantine of common parts when a rack fails: many endpoints
+// crash at the same time, and for a while none is left that could answer.
+func TestSimultaneousCrashesCountOnce(t *testing.T) {
+	r := New()
+	for i := range 12 {
+		loseAll(r, time.Second+time.Duration(i)*10*time.Millisecond, fmt.Sprint(i), traits("common", fmt.Sprint("own", i)))
+	}
+	for now := time.Second; now < 30*time.Second; now += 100 * time.Millisecond {
+		r.Evaluate(now)
+	}
+	if got := inQuarantine(r); len(got) != 0 {
+		t.Fatalf("in quarantine: %v", got)
+	}
+}
+
+// Guards against blame for broken connections to an endpoint that still runs.
+func TestLossesAtRunningEndpointAreNoCrash(t *testing.T) {
+	r := New()
+	for i := range 5 {
+		now := time.Duration(i) * time.Second
+		endpoint := fmt.Sprint(i)
+		r.RecordLoss(now, endpoint, traits("a"))
+		r.RecordAlive(endpoint, now) // asked before the loss was known
+		if !r.Pending(endpoint) {
+			t.Fatal("a report that was asked for before the loss cleared it")
+		}
+		r.RecordAlive(endpoint, now+time.Millisecond)
+		r.RecordCrash(endpoint)
+		r.Evaluate(now + time.Second)
+	}
+	if got := r.List(); len(got) != 0 {
+		t.Fatalf("suspects: %v", got)
+	}
+}
+
+// Guards against requests that crash endpoints and are repeated unchanged, with no
+// prompt: the whole request is the trait. Requests that shared an endpoint with it
+// are not refused, and the quarantine ends.
+func TestRepeatedRequestIsFound(t *testing.T) {
+	r := New()
+	last := time.Duration(0)
+	for i := range 3 {
+		last = time.Duration(i) * time.Second
+		lost := [][]Trait{{RequestTrait(1)}}
+		for other := range 12 {
+			lost = append(lost, []Trait{RequestTrait(uint64(100*(i+1) + other))})
+		}
+		loseAll(r, last, fmt.Sprint("e", i), lost...)
+		r.RecordLoss(last, "e0", []Trait{RequestTrait(7)}) // lost twice at the same endpoint
+		r.Evaluate(last)
+		if want, got := i > 0, inQuarantine(r); want != slices.Equal(got, []Trait{RequestTrait(1)}) || !want && len(got) != 0 {
+			t.Fatalf("after %d crashes: %v", i+1, got)
+		}
+	}
+	r.Evaluate(last + QuarantineTime + time.Millisecond)
+	if got := r.List(); len(got) != 0 {
+		t.Fatalf("suspects after QuarantineTime: %v", got)
+	}
+	loseAll(r, last+QuarantineTime+time.Second, "e9", []Trait{RequestTrait(1)})
+	r.Evaluate(last + QuarantineTime + 2*time.Second)
+	if got := inQuarantine(r); len(got) != 1 {
+		t.Fatalf("after the first crash since the quarantine ended: %v", got)
+	}
+}
+
+// Guards against a quarantine that a change of the leader ends, and against one that
+// nothing can end: an operator, or an answer that begins.
+func TestQuarantineIsTakenOverAndLifted(t *testing.T) {
+	r := New()
+	loseAll(r, time.Second, "a", traits("x", "y"))
+	loseAll(r, 2*time.Second, "b", traits("x", "z"))
+	r.Evaluate(2 * time.Second)
+	next := New()
+	next.Merge(r.List())
+	next.Evaluate(3 * time.Second)
+	if got := inQuarantine(next); !slices.Equal(got, traits("x")) {
+		t.Fatalf("at the next leader: %v", got)
+	}
+	if next.Lift(4*time.Second, PartTrait("y")) || !next.Lift(4*time.Second, PartTrait("x")) {
+		t.Fatal("lifted what was not in quarantine, or not what was")
+	}
+	r.RecordCarried(1500*time.Millisecond, PartTrait("x"))
+	if len(inQuarantine(r)) != 1 {
+		t.Fatal("an answer before the last crash ended the quarantine")
+	}
+	r.RecordCarried(3*time.Second, PartTrait("x"))
+	if len(inQuarantine(r)) != 0 || len(inQuarantine(next)) != 0 {
+		t.Fatal("still in quarantine")
+	}
+}
+
+// Guards against losses of many different requests that use up the leader's memory.
+func TestEvidenceIsBounded(t *testing.T) {
+	r := New()
+	for i := range 3 * maxFormer {
+		now := time.Duration(i) * time.Millisecond
+		loseAll(r, now, fmt.Sprint("a", i), traits(fmt.Sprint("p", i)), []Trait{RequestTrait(uint64(i))})
+		r.RecordCarried(now, PartTrait(fmt.Sprint("c", i)))
+	}
+	r.Evaluate(time.Duration(3*maxFormer) * time.Millisecond)
+	if len(r.crashes) > maxCrashes || len(r.carried) > maxFormer || len(r.List()) > maxListed || len(r.pending) > 0 {
+		t.Fatalf("%d crashes, %d carried, %d listed, %d pending", len(r.crashes), len(r.carried), len(r.List()), len(r.pending))
+	}
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -8,6 +8,7 @@
 	"github.com/radishloom/radishloom/internal/coordination/control"
 	"github.com/radishloom/radishloom/internal/coordination/directory"
 	"github.com/radishloom/radishloom/internal/protocol/peerrpc"
+	"github.com/radishloom/radishloom/internal/protocol/quarantinehttp"
 	"github.com/radishloom/radishloom/internal/state/catalog"
 	"github.com/radishloom/radishloom/internal/state/wal"
 	"github.com/radishloom/radishloom/internal/telemetry"
@@ -82,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	metricsServer, err := newMetricsServer(s, metrics, log)
+	metricsServer, err := newMetricsServer(s, metrics, log, quarantinehttp.New(directoryServer))
 	if err != nil {
 		return err
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	metricsServer, err := newMetricsServer(s, metrics, log)
+	metricsServer, err := newMetricsServer(s, metrics, log, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/protocol/peerrpc"
+	"github.com/radishloom/radishloom/internal/protocol/quarantinehttp"
 	"github.com/radishloom/radishloom/internal/telemetry"
 	"github.com/radishloom/radishloom/internal/transport/httpclient"
 	"github.com/radishloom/radishloom/internal/transport/httpserver"
@@ -99,10 +100,17 @@
 	return httpserver.New(httpserver.Config{Address: address, Handler: handler, Limits: limits, DisableHealthChecks: true, Logger: log})
 }
 
-// newMetricsServer returns the server for metrics scrapes.
-func newMetricsServer(s *platform.Settings, m *telemetry.Metrics, log *slog.Logger) (*httpserver.Server, error) {
+// newMetricsServer returns the server for metrics scrapes and, on control VMs, for the
+// operators' view of the quarantine.
+func newMetricsServer(s *platform.Settings, m *telemetry.Metrics, log *slog.Logger, quarantine http.Handler) (*httpserver.Server, error) {
 	address := net.JoinHostPort(s.IP, fmt.Sprint(s.MetricsPort))
-	return newServer(address, m.Handler(), httpserver.Limits{OpenConnections: 16}, log)
+	mux := http.NewServeMux()
+	mux.Handle("/", m.Handler())
+	if quarantine != nil {
+		mux.Handle(quarantinehttp.Path, quarantine)
+		mux.Handle(quarantinehttp.Path+"/", quarantine)
+	}
+	return newServer(address, mux, httpserver.Limits{OpenConnections: 16}, log)
 }
 
 // watchSettings reads the settings after SIGHUP and every settingsPollInterval, and
--- a/internal/protocol/peerrpc/directory.go
+++ b/internal/protocol/peerrpc/directory.go
@@ -19,6 +19,7 @@
 	Watch(ctx context.Context, r *peerv1.WatchRequest) (*peerv1.WatchResponse, error)
 	Follow(ctx context.Context, r *peerv1.FollowRequest) (*peerv1.FollowResponse, error)
 	Load(ctx context.Context, r *peerv1.LoadRequest) (*peerv1.LoadResponse, error)
+	Report(ctx context.Context, r *peerv1.EvidenceReport) (*peerv1.EvidenceResponse, error)
 }
 
 // NewDirectoryHandler returns an HTTP handler for the Directory service and the
@@ -48,6 +49,11 @@
 	return resp, toTwirp(err)
 }
 
+func (s directoryServer) Report(ctx context.Context, r *peerv1.EvidenceReport) (*peerv1.EvidenceResponse, error) {
+	resp, err := s.directory.Report(ctx, r)
+	return resp, toTwirp(err)
+}
+
 // Watch sends a long-poll request for changes to the Directory service of the
 // control VM at address. The call times out after the hold time of the request plus
 // directoryMargin.
@@ -77,6 +83,14 @@
 	return resp, t.callError(address, err, resultcode.NoLeader)
 }
 
+// Report calls Report of the directory at address.
+func (t *Transport) Report(ctx context.Context, address string, r *peerv1.EvidenceReport) (*peerv1.EvidenceResponse, error) {
+	ctx, cancel := withDefaultTimeout(ctx, directoryMargin)
+	defer cancel()
+	resp, err := t.directory(address).Report(ctx, r)
+	return resp, t.callError(address, err, resultcode.NoLeader)
+}
+
 func (t *Transport) directory(address string) peerv1.Directory {
 	return peerv1.NewDirectoryProtobufClient(t.baseURL(address), t.client(address))
 }
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -121,6 +121,7 @@
 	RequestCrashes      Code = 4008
 	ModelLoading        Code = 4009
 	EndpointUnreachable Code = 4010
+	PromptPartCrashes   Code = 4011
 
 	NoFreshState Code = 5001
 	Draining     Code = 5002
@@ -211,6 +212,7 @@
 		{RequestCrashes, "request_crashes_endpoints", http.StatusUnprocessableEntity, Ran, RetryLater, "Endpoints crashed while running this request; it is refused for a limited time."},
 		{ModelLoading, "model_loading", http.StatusServiceUnavailable, NotRun, RetryLater, "The model is not loaded yet and was not ready before the deadline."},
 		{EndpointUnreachable, "endpoint_unreachable", http.StatusBadGateway, NotRun, RetryLater, "No connection to an endpoint could be made; nothing was sent."},
+		{PromptPartCrashes, "prompt_part_crashes_endpoints", http.StatusServiceUnavailable, NotRun, RetryLater, "Endpoints crashed when they began to answer requests with a part of this prompt; requests with it are refused for a limited time."},
 
 		{NoFreshState, "no_fresh_state", http.StatusServiceUnavailable, NotRun, RetryLater, "This VM has not confirmed its configuration with a quorum for some seconds and cannot know which keys are withdrawn."},
 		{Draining, "draining", http.StatusServiceUnavailable, NotRun, RetryLater, "This VM is shutting down or draining."},
