forward: a stream that ends with its connection within an event is not complete

Callers saw: a stream with neither a length nor chunks looked complete when the endpoint closed the connection in the middle of an event, or before the first one. Cause: such a stream was passed on without looking at its events, and every orderly close counted as its end. Class of fault: the end of the transport is taken for the end of the message. Evidence: TestAnswerThatEndsWithItsConnection, endpoints on real sockets: three of its eight cases failed before (within an event, after a line, no event). A reset, a resumable stream and plain answers were right before. Change: at the orderly close of a stream, its last bytes must end an event; otherwise the caller's connection is reset.

--- /dev/null
+++ b/internal/coordination/forward/close_test.go
@@ -0,0 +1,90 @@
+package forward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/radishloom/radishloom/internal/coordination/directory"
+	"github.com/radishloom/radishloom/internal/coordination/pool"
+	"github.com/radishloom/radishloom/internal/transport/httpclient"
+)
+
+// closingEndpoint answers each request with a body that has neither a length nor
+// chunks, and ends it with an orderly close or with a reset.
+type closingEndpoint struct {
+	body  string
+	reset bool
+}
+
+func (e closingEndpoint) listen(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (e closingEndpoint) serve(c *net.TCPConn) {
+	defer func() { _ = c.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSeal: s\r\nId: id-1\r\n\r\n"+e.body)
+	if e.reset {
+		_ = c.SetLinger(0)
+	}
+}
+
+// Guards against answers that end with their connection and look complete to the
+// caller although the endpoint broke off: a stream whose last event is not whole,
+// and any answer that ends with a reset.
+func TestAnswerThatEndsWithItsConnection(t *testing.T) {
+	for _, test := range []struct {
+		name, path string
+		endpoint   closingEndpoint
+		complete   bool
+	}{
+		{"stream, whole events", "/stream/x", closingEndpoint{body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"}, true},
+		{"stream, ends within an event", "/stream/x", closingEndpoint{body: "id: 1\ndata: a\n\nid: 2\nda"}, false},
+		{"stream, ends after a line", "/stream/x", closingEndpoint{body: "id: 1\ndata: a\n\nid: 2\ndata: b\n"}, false},
+		{"stream, without an event", "/stream/x", closingEndpoint{}, false},
+		{"stream, reset after a whole event", "/stream/x", closingEndpoint{body: "id: 1\ndata: a\n\n", reset: true}, false},
+		{"resumable stream, ends within an event", "/resumed/x", closingEndpoint{body: "id: 1\ndata: a\n\nid: 2\nda"}, false},
+		{"plain, whole", "/once/x", closingEndpoint{body: "answer"}, true},
+		{"plain, reset", "/once/x", closingEndpoint{body: "answer", reset: true}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newFixture(t)
+			client := httpclient.New(httpclient.Options{})
+			t.Cleanup(client.Close)
+			w.server.cfg.Client = client
+			address := test.endpoint.listen(t)
+			w.server.SetEndpoints([]pool.Endpoint{
+				{Endpoint: directory.Endpoint{ID: "p1", Service: "plain", Address: address, Slots: 4}},
+				{Endpoint: directory.Endpoint{ID: "e1", Service: "models", Address: address, Slots: 4, Models: []directory.Resident{{Model: "m"}}}},
+			})
+			status, _, body, err := w.do(test.path, map[string]string{"Model": "m"})
+			if complete := status == http.StatusOK && err == nil; complete != test.complete {
+				t.Fatalf("status %d, body %q, error %v: complete %v, want %v", status, body, err, complete, test.complete)
+			}
+			if test.complete && body != test.endpoint.body {
+				t.Fatalf("body %q, want %q", body, test.endpoint.body)
+			}
+		})
+	}
+}
--- a/internal/coordination/forward/relay.go
+++ b/internal/coordination/forward/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/state/catalog"
 )
 
 // readSize is the buffer size for reads of a response body.
@@ -32,6 +33,8 @@
 	closeDelimited bool
 	pending        []byte
 	lastID         string
+	// tail holds the last bytes that were passed on.
+	tail []byte
 	// first and last are the times from the arrival of the request to the first and
 	// to the latest write; pause is the longest time between two writes.
 	first, last, pause time.Duration
@@ -82,12 +85,26 @@
 }
 
 func (r *relay) end(resp *exchange.Response) error {
-	if len(r.pending) > 0 {
+	// The orderly close of a connection may be that of an endpoint that broke off, so
+	// a stream without other framing is complete only if its last event is.
+	endsWithinEvent := r.closeDelimited && r.isStream(resp) && !bytes.HasSuffix(r.tail, eventEnd)
+	if len(r.pending) > 0 || endsWithinEvent {
 		return resultcode.New(resultcode.AnswerIncomplete, "the stream ended within an event")
 	}
 	return resp.Body.Close()
 }
 
+// isStream reports whether a response is a stream of events.
+func (r *relay) isStream(resp *exchange.Response) bool {
+	return r.call.route.Kind == catalog.Streaming && resp.Status == http.StatusOK
+}
+
+// keepTail keeps the last bytes of p, as many as tell whether an event ends there.
+func (r *relay) keepTail(p []byte) {
+	r.tail = append(r.tail, p[max(0, len(p)-len(eventEnd)):]...)
+	r.tail = r.tail[max(0, len(r.tail)-len(eventEnd)):]
+}
+
 func (r *relay) write(p []byte) error {
 	if r.wholeEvents {
 		p = r.takeEvents(p)
@@ -98,6 +115,7 @@
 	if len(p) == 0 {
 		return nil
 	}
+	r.keepTail(p)
 	r.observe(r.call.server.now() - r.call.arrived)
 	_, err := r.call.w.Write(p)
 	if err == nil {
