suspect, forward: requests with a suspect part wait for the verdict

Cause: between the second crash and the verdict (0.7 s, so that entries can say that answers with the part begin) requests with the part went on as usual. Change: a trait that was lost with two engines, and with which no answer is known to have begun, is held: requests with it wait 1 to 2 s for the verdict, by lot, so that a crash by the first stops the others. Common parts are not held: an answer with them began. A whole request that succeeds is reported, too, so that one that was lost twice on the way is not blamed.

--- a/internal/coordination/directory/suspects.go
+++ b/internal/coordination/directory/suspects.go
@@ -111,7 +111,7 @@
 		return false
 	}
 	for i := range a {
-		if a[i].Trait != b[i].Trait || a[i].Quarantined != b[i].Quarantined {
+		if a[i].Trait != b[i].Trait || a[i].Quarantined != b[i].Quarantined || a[i].Held != b[i].Held {
 			return false
 		}
 	}
@@ -136,15 +136,16 @@
 	if list == nil || list.GetVersion()>>termBits == s.mu.term {
 		return
 	}
-	s.mu.suspects.Merge(decodeSuspects(s.now(), list))
+	s.mu.suspects.Merge(DecodeSuspects(s.now(), list))
 	s.evaluateSuspectsLocked()
 }
 
-func decodeSuspects(now time.Duration, list *peerv1.SuspectList) []suspect.Suspect {
+// DecodeSuspects decodes a leader's list of suspects.
+func DecodeSuspects(now time.Duration, list *peerv1.SuspectList) []suspect.Suspect {
 	out := make([]suspect.Suspect, 0, len(list.GetSuspects()))
 	for _, s := range list.GetSuspects() {
 		out = append(out, suspect.Suspect{
-			Trait: suspect.Trait(s.GetTrait()), Quarantined: s.GetQuarantined(), Crashes: int(s.GetCrashes()),
+			Trait: suspect.Trait(s.GetTrait()), Quarantined: s.GetQuarantined(), Held: s.GetHeld(), Crashes: int(s.GetCrashes()),
 			Last: now - time.Duration(s.GetLastCrashMs())*time.Millisecond,
 		})
 	}
@@ -155,7 +156,7 @@
 	out := &peerv1.SuspectList{Version: version}
 	for _, s := range list {
 		out.Suspects = append(out.Suspects, &peerv1.CrashSuspect{
-			Trait: string(s.Trait), Quarantined: s.Quarantined, Crashes: uint32(s.Crashes), LastCrashMs: uint64(max(0, now-s.Last).Milliseconds()),
+			Trait: string(s.Trait), Quarantined: s.Quarantined, Held: s.Held, Crashes: uint32(s.Crashes), LastCrashMs: uint64(max(0, now-s.Last).Milliseconds()),
 		})
 	}
 	return out
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -85,6 +85,7 @@
 	possibleRuns int // number of endpoints that may have run the request
 	relay        *relay
 	waited       time.Duration // total time in queues for slots
+	holdLimit    time.Duration // until when the request may be held; zero before it is
 	lastErr      *resultcode.Error
 	// endpointLeaving is set if the endpoint of the current send stated that it is
 	// leaving.
@@ -107,16 +108,20 @@
 func (c *call) run() {
 	for {
 		started := c.server.now()
+		c.waitWhileHeld()
+		if err := c.checkQuarantine(); err != nil {
+			c.finish(err)
+			return
+		}
 		to, err := c.acquireSlot()
 		c.waited += c.server.now() - started
 		if err != nil {
 			c.finish(err)
 			return
 		}
-		if err := c.checkQuarantine(); err != nil {
+		if held, _ := c.held(); held || c.checkQuarantine() != nil {
 			c.server.releaseSlot(to, pool.Unknown, false)
-			c.finish(err)
-			return
+			continue
 		}
 		c.endpointLeaving = false
 		result, err := c.send(to)
@@ -143,6 +148,7 @@
 // route's target or had too long a pause.
 func (c *call) served(to *slot) {
 	c.server.logFirstServed(c.service.Name)
+	c.recordCompleted()
 	took := c.server.now() - c.arrived
 	if c.relay == nil {
 		c.server.cfg.Metrics.ResponseTime(took)
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -386,6 +386,21 @@
 	}
 }
 
+// Guards against blame for a request that was lost and succeeded when it was sent
+// again: the entry has to tell the leader.
+func TestCompletedRequestIsReported(t *testing.T) {
+	w := newFixture(t, reply{err: errMayHaveRun}, reply{status: 200, header: sealed(), body: "ok", length: 2})
+	_, _, _, _ = w.do("/once/x", nil)
+	trait := string(suspect.RequestTrait(w.server.takeEvidence().GetLost()[0].GetFingerprint()))
+	w.server.setSuspects(&peerv1.SuspectList{Version: 1, Suspects: []*peerv1.CrashSuspect{{Trait: trait, Crashes: 1}}})
+	if status, _, _, err := w.do("/once/x", nil); err != nil || status != 200 {
+		t.Fatalf("status %d, error %v", status, err)
+	}
+	if carried := w.server.takeEvidence().GetCarried(); len(carried) != 1 || carried[0].GetTrait() != trait {
+		t.Fatalf("reported: %v", carried)
+	}
+}
+
 // quarantine puts a trait into quarantine.
 func (w *fixture) quarantine(t suspect.Trait) {
 	w.server.setSuspects(&peerv1.SuspectList{Version: 1, Suspects: []*peerv1.CrashSuspect{{Trait: string(t), Quarantined: true, Crashes: 2}}})
@@ -409,6 +424,38 @@
 	}
 }
 
+// Guards against further crashes while the verdict on a part is open: requests with
+// it wait for the verdict, but not without end, and other requests do not wait.
+func TestHeldPromptPartWaitsForTheVerdict(t *testing.T) {
+	served := reply{status: 200, header: sealed(), body: "id: 1\n\n", length: -1}
+	for _, quarantined := range []bool{true, false} {
+		w := newFixture(t, served, served, served)
+		trait := string(suspect.PartTrait("x"))
+		w.server.setSuspects(&peerv1.SuspectList{Version: 1, Suspects: []*peerv1.CrashSuspect{{Trait: trait, Held: true, Crashes: 2}}})
+		if status, _, _, err := w.do("/stream/x", map[string]string{"Model": "m", "Parts": "a,y"}); err != nil || status != 200 {
+			t.Fatalf("another part: status %d, error %v", status, err)
+		}
+		statuses := make(chan int, 1)
+		go func() {
+			status, _, _, _ := w.do("/stream/x", map[string]string{"Model": "m", "Parts": "a,x,own"})
+			statuses <- status
+		}()
+		select {
+		case status := <-statuses:
+			t.Fatalf("answered with status %d before the verdict", status)
+		case <-time.After(suspect.MinHold / 4):
+		}
+		want := http.StatusOK
+		if quarantined {
+			want = http.StatusServiceUnavailable
+			w.quarantine(suspect.PartTrait("x"))
+		} // else the verdict never comes
+		if status := <-statuses; status != want {
+			t.Errorf("quarantined %v: status %d, want %d", quarantined, status, want)
+		}
+	}
+}
+
 // Guards against evidence that blames the parts of streams that had begun, and
 // against evidence that is lost when the leader does not answer.
 func TestEvidenceNamesPartsBeforeTheAnswerOnly(t *testing.T) {
--- a/internal/coordination/forward/suspects.go
+++ b/internal/coordination/forward/suspects.go
@@ -2,11 +2,13 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	"github.com/radishloom/radishloom/internal/coordination/directory"
 	"github.com/radishloom/radishloom/internal/coordination/suspect"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
@@ -27,6 +29,8 @@
 type evidence struct {
 	// suspects are those of the leader. Requests with a quarantined one are refused.
 	suspects map[suspect.Trait]listedSuspect
+	// changed is closed and replaced with each list of suspects.
+	changed chan struct{}
 	// lost are the requests that wait to be reported to the leader.
 	lost []*peerv1.LostRequest
 	// carried holds the suspects with which an answer began, and when, until that is
@@ -42,14 +46,14 @@
 // listedSuspect is a suspect in the leader's list. A quarantine lasts until the given
 // time.
 type listedSuspect struct {
-	quarantined bool
-	until       time.Duration
+	quarantined, held bool
+	until             time.Duration
 }
 
 func newEvidence() evidence {
 	return evidence{
 		carried: map[suspect.Trait]time.Duration{}, reported: map[suspect.Trait]time.Duration{},
-		begun: map[string]time.Duration{}, ready: make(chan struct{}, 1),
+		begun: map[string]time.Duration{}, ready: make(chan struct{}, 1), changed: make(chan struct{}),
 	}
 }
 
@@ -87,10 +91,12 @@
 }
 
 // setSuspects replaces the suspects of the leader.
-func (e *evidence) setSuspects(now time.Duration, list []suspect.Suspect) {
+func (e *evidence) setSuspects(list []suspect.Suspect) {
+	close(e.changed)
+	e.changed = make(chan struct{})
 	e.suspects = make(map[suspect.Trait]listedSuspect, len(list))
 	for _, s := range list {
-		e.suspects[s.Trait] = listedSuspect{quarantined: s.Quarantined, until: s.Last + suspect.QuarantineTime}
+		e.suspects[s.Trait] = listedSuspect{quarantined: s.Quarantined, held: s.Held, until: s.Last + suspect.QuarantineTime}
 	}
 	maps.DeleteFunc(e.reported, func(t suspect.Trait, _ time.Duration) bool {
 		_, listed := e.suspects[t]
@@ -154,6 +160,17 @@
 	s.mu.evidence.recordBegun(s.now(), c.req.Prefix)
 }
 
+// recordCompleted records that the request got a complete answer. An equal request is
+// then no reason for a crash; parts of its prompt are recorded when the answer begins.
+func (c *call) recordCompleted() {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.mu.evidence.suspects) > 0 {
+		s.mu.evidence.answer(suspect.RequestTrait(c.fingerprint()), s.now())
+	}
+}
+
 // recordLost records the request for the next report if the error shows that the
 // exchange broke while the endpoint may have run it.
 func (c *call) recordLost(endpoint string, err *resultcode.Error) {
@@ -200,19 +217,55 @@
 	return nil
 }
 
+// waitWhileHeld waits while a part of the prompt is held, for a limited time: the next
+// endpoint would probably crash, too.
+func (c *call) waitWhileHeld() {
+	held, changed := c.held()
+	if !held {
+		return
+	}
+	if c.holdLimit == 0 {
+		c.holdLimit = c.server.now() + suspect.MinHold + rand.N(suspect.HoldSpread)
+	}
+	limit := time.NewTimer(c.holdLimit - c.server.now())
+	defer limit.Stop()
+	for held {
+		select {
+		case <-changed:
+		case <-limit.C:
+		case <-c.server.draining:
+		case <-c.ctx.Done():
+		}
+		held, changed = c.held()
+	}
+}
+
+// held reports whether the request has to wait for the verdict on a part of its
+// prompt. The channel is closed when the suspects change. A request that has waited
+// long enough, or that will not be sent in any case, is not held.
+func (c *call) held() (held bool, changed <-chan struct{}) {
+	s := c.server
+	if s.isDraining() || c.ctx.Err() != nil {
+		return false, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.holdLimit != 0 && s.now() >= c.holdLimit {
+		return false, nil
+	}
+	for _, p := range c.req.Prefix {
+		if s.mu.evidence.suspects[suspect.PartTrait(p.ID)].held {
+			return true, s.mu.evidence.changed
+		}
+	}
+	return false, nil
+}
+
 // setSuspects replaces the suspects of the leader.
 func (s *Server) setSuspects(list *peerv1.SuspectList) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
-	decoded := make([]suspect.Suspect, 0, len(list.GetSuspects()))
-	for _, l := range list.GetSuspects() {
-		decoded = append(decoded, suspect.Suspect{
-			Trait: suspect.Trait(l.GetTrait()), Quarantined: l.GetQuarantined(), Crashes: int(l.GetCrashes()),
-			Last: now - time.Duration(l.GetLastCrashMs())*time.Millisecond,
-		})
-	}
-	s.mu.evidence.setSuspects(now, decoded)
+	s.mu.evidence.setSuspects(directory.DecodeSuspects(s.now(), list))
 }
 
 // takeEvidence returns and removes what is to be reported to the leader.
--- a/internal/coordination/suspect/suspect.go
+++ b/internal/coordination/suspect/suspect.go
@@ -43,6 +43,9 @@
 	// answerTime is how long entries have, after the first crash with a trait, to
 	// report that answers to requests with it begin.
 	answerTime = 700 * time.Millisecond
+	// crashesToHold is the number of crashes, also at the same time, after which
+	// requests with a trait wait for the verdict.
+	crashesToHold = 2
 	// evidenceTime is how long a crash counts.
 	evidenceTime = time.Minute
 	// lossTime is how long losses wait for the news whether their endpoint crashed.
@@ -59,6 +62,14 @@
 // QuarantineTime is how long a trait stays in quarantine after its last crash.
 const QuarantineTime = 10 * time.Minute
 
+// A request waits for the verdict on a suspect that is held for MinHold plus a random
+// part of HoldSpread. Requests go on one after the other, so that the crash by the
+// first of them stops the others.
+const (
+	MinHold    = answerTime + 300*time.Millisecond
+	HoldSpread = time.Second
+)
+
 // Trait is what several requests may have in common.
 type Trait string
 
@@ -84,6 +95,9 @@
 	// Quarantined traits are refused. Others are listed so that entries report
 	// whether answers to requests with them begin.
 	Quarantined bool
+	// Held traits have crashed endpoints, and no answer with them is known to have
+	// begun: requests with them wait for the verdict for a while, see MinHold.
+	Held bool
 	// Crashes is the number of crashes, Last the time of the last one.
 	Crashes int
 	Last    time.Duration
@@ -327,8 +341,8 @@
 	return crashesToQuarantine
 }
 
-// List returns the traits in quarantine, and those with evidence against them, the
-// strongest first.
+// List returns the traits in quarantine, and those with evidence against them on
+// which entries may know more, the strongest first.
 func (r *Register) List() []Suspect {
 	out := slices.SortedFunc(func(yield func(Suspect) bool) {
 		for _, s := range r.quarantined {
@@ -338,11 +352,15 @@
 		}
 	}, func(a, b Suspect) int { return cmp.Or(cmp.Compare(b.Last, a.Last), cmp.Compare(a.Trait, b.Trait)) })
 	for _, n := range r.counts() {
-		if _, carried := r.carried[n.trait]; carried && n.times < crashesIfCarried-1 {
+		_, carried := r.carried[n.trait]
+		if carried && n.times < crashesIfCarried-1 {
 			continue // entries need not be asked yet
 		}
 		if r.quarantined[n.trait] == nil {
-			out = append(out, Suspect{Trait: n.trait, Crashes: len(n.crashes), Last: r.crashes[n.crashes[len(n.crashes)-1]].at})
+			out = append(out, Suspect{
+				Trait: n.trait, Held: !carried && len(n.crashes) >= crashesToHold,
+				Crashes: len(n.crashes), Last: r.crashes[n.crashes[len(n.crashes)-1]].at,
+			})
 		}
 	}
 	return out[:min(len(out), maxListed)]
--- a/internal/coordination/suspect/suspect_test.go
+++ b/internal/coordination/suspect/suspect_test.go
@@ -176,6 +176,38 @@
 	}
 }
 
+// Guards against requests that are sent while the verdict on their part is open, and
+// against harmless parts that are held: one crash does not suffice, and an answer
+// that begins ends the hold.
+func TestSuspectsAreHeldUntilTheVerdict(t *testing.T) {
+	r := New()
+	held := func() (out []Trait) {
+		for _, s := range r.List() {
+			if s.Held {
+				out = append(out, s.Trait)
+			}
+		}
+		return out
+	}
+	loseAll(r, time.Second, "a", traits("x", "common"))
+	if got := held(); len(got) != 0 {
+		t.Fatalf("held after one crash: %v", got)
+	}
+	loseAll(r, time.Second+crashWindow/2, "b", traits("x", "common"))
+	if got := held(); !slices.Equal(got, traits("common", "x")) {
+		t.Fatalf("held after two crashes: %v", got)
+	}
+	r.RecordCarried(2*time.Second, PartTrait("common"))
+	if got := held(); !slices.Equal(got, traits("x")) {
+		t.Fatalf("held after an answer with the common part: %v", got)
+	}
+	loseAll(r, 3*time.Second, "c", traits("x", "common"))
+	r.Evaluate(3 * time.Second)
+	if got := held(); len(got) != 0 || !slices.Equal(inQuarantine(r), traits("x")) {
+		t.Fatalf("held %v, in quarantine %v", got, inQuarantine(r))
+	}
+}
+
 // Guards against blame for broken connections to an endpoint that still runs.
 func TestLossesAtRunningEndpointAreNoCrash(t *testing.T) {
 	r := New()
