--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -155,3 +155,26 @@
 		t.Fatal("a success did not clear the request of suspicion")
 	}
 }
+
+// Guards against requests that share the beginning of their prompt, crash one endpoint
+// after the other, and are never equal.
+func TestRequestsWithACommonPromptAreQuarantined(t *testing.T) {
+	tr := New()
+	body := func(n int) []byte {
+		return fmt.Appendf(nil, `{"messages":[{"role":"system","content":"deadly"},{"role":"user","content":"question %d"}]}`, n)
+	}
+	var suspects []*statev1.Suspect
+	for n := range 6 {
+		f := FingerprintOf("customer", "route", body(n))
+		endpoint := fmt.Sprint("e", n)
+		tr.Begin(endpoint, uint64(n), f)
+		if _, crashed := tr.Lost(time.Duration(n)*time.Second, endpoint, uint64(n)); !crashed {
+			t.Fatalf("the crash of %s was not detected", endpoint)
+		}
+		suspects = append(suspects, &statev1.Suspect{Fingerprint: f[:], Alone: 1})
+		tr.SetSuspects(suspects)
+	}
+	if tr.Judge(FingerprintOf("customer", "route", body(6))) == Allowed {
+		t.Fatal("six endpoints crashed under requests with the same system message, and the next such request runs without restriction")
+	}
+}
