directory: a list whose pages always name a next one ends with an error

Found on reading the diff: since the list has no time-out for all its pages, a platform that always names a next page would be read without end, and the list would grow in memory. Change: 10,000 pages at most. TestListWithoutEndFails.

--- a/internal/coordination/directory/poll.go
+++ b/internal/coordination/directory/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -38,7 +39,7 @@
 func (s *Server) readList(ctx context.Context) ([]Endpoint, error) {
 	var out []Endpoint
 	token := ""
-	for {
+	for range maxListPages {
 		page, err := s.readPage(ctx, token)
 		if err != nil {
 			return nil, err
@@ -49,6 +50,7 @@
 		}
 		token = page.Next
 	}
+	return nil, fmt.Errorf("the platform's list has no end after %d pages", maxListPages)
 }
 
 // readPage reads one page, at most maxPageAttempts times.
--- a/internal/coordination/directory/poll_test.go
+++ b/internal/coordination/directory/poll_test.go
@@ -53,6 +53,17 @@
 	})
 }
 
+// Guards against a list whose pages always name a next one.
+func TestListWithoutEndFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pagedPlatform{pages: 1 << 40, failEvery: 1 << 40}
+		s := New(Config{Platform: p, Log: slog.New(slog.DiscardHandler)})
+		if _, err := s.readList(t.Context()); err == nil || p.calls != maxListPages {
+			t.Fatalf("error %v after %d pages", err, p.calls)
+		}
+	})
+}
+
 // Guards against a leader that reads a page again and again although the platform
 // refuses it.
 func TestFailedPageEndsTheList(t *testing.T) {
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -30,6 +30,8 @@
 	// platform refuses calls beyond its rate.
 	maxPageAttempts = 3
 	pageRetryDelay  = 100 * time.Millisecond
+	// maxListPages bounds a list whose pages always name a next one.
+	maxListPages = 10_000
 	// planTimeFraction is the fraction of the time that planning rounds may take: with
 	// thousands of engines a round takes longer than workInterval.
 	planTimeFraction = 0.1
