--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -81,7 +81,7 @@
 	return w
 }
 
-// holdTime returns how long the leader may hold a call open.
+// holdTime returns how long a control VM may hold a call open.
 func (w *Watcher) holdTime() time.Duration {
 	return max(minHold, min(maxHold, time.Duration(w.entries)*holdPerEntry))
 }
@@ -178,6 +178,7 @@
 }
 
 var (
+	// errNotLeader: the control VM neither leads nor is up to date, and named the leader.
 	errNotLeader = errors.New("the control VM is not the leader")
 	errNoLeader  = errors.New("the control VM does not know a leader")
 )
