httpclient: the number of skipped responses is bounded

Callers would see: an endpoint that sends short responses to other requests without end costs their entry some 4 MB of allocations for each exchange. Cause: only the bytes of heads and bodies were bounded, and each short response costs about 3 kB to parse. Change: 64 responses at most.

--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -218,14 +218,19 @@
 // response to a request.
 const maxSkippedBody = 256 << 10
 
+// maxSkippedResponses bounds their number: each one costs some kilobytes to parse,
+// however short it is.
+const maxSkippedResponses = 64
+
 // readHead reads the head of the final response. While an engine works on a
 // response that is not streamed, it sends informational (1xx) responses so that
 // the idle timeout applies as in a stream. Responses that accept rejects are
-// skipped. All heads together are bounded by maxHead, and all skipped bodies by
-// maxSkippedBody, because an endpoint in trouble may send them without end.
+// skipped. All heads together are bounded by maxHead, all skipped bodies by
+// maxSkippedBody, and skipped responses by maxSkippedResponses, because an endpoint
+// in trouble may send them without end.
 func (cn *conn) readHead(method string, accept func(http.Header) bool) (*http.Response, error) {
 	headLeft, skipLeft := cn.maxHead, int64(maxSkippedBody)
-	for {
+	for skips := 0; ; {
 		cn.headLeft = headLeft
 		resp, err := http.ReadResponse(cn.br, &http.Request{Method: method})
 		headLeft, cn.headLeft = cn.headLeft, -1
@@ -233,6 +238,9 @@
 			return nil, err
 		}
 		if accept != nil && resp.StatusCode >= http.StatusOK && !accept(resp.Header) {
+			if skips++; skips > maxSkippedResponses {
+				return nil, fmt.Errorf("more than %d responses to other requests", maxSkippedResponses)
+			}
 			skipped, err := skipResponse(resp, skipLeft)
 			if err != nil {
 				return nil, err
