virtualtime: one thread runs the timers of a bubble

With the race detector, all timers of a synctest bubble share one race context (bubble.timers.raceCtx). A timer that is due when it is created runs on the thread that creates it (timer.modify), without a lock on that context, so two threads corrupt the shadow stack of the race detector.

Change: tests with virtual time use virtualtime.Test, which sets GOMAXPROCS to 1 for the bubble; make lint rejects synctest.Test elsewhere. The assertions of the tests are unchanged.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 lint: $(LINT)
 	@out="$$($(TOOLS)/gofumpt -l $(SOURCES))"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@! git grep -n 'synctest\.Test(' -- '*.go' ':!internal/virtualtime' || { echo "use virtualtime.Test"; exit 1; }
 	$(GO) vet ./...
 	$(TOOLS)/staticcheck ./...
 
--- a/internal/coordination/directory/poll_test.go
+++ b/internal/coordination/directory/poll_test.go
@@ -7,8 +7,9 @@
 	"log/slog"
 	"strconv"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"github.com/radishloom/radishloom/internal/virtualtime"
 )
 
 // pagedPlatform returns its list in pages, each after a delay. Every failEvery-th
@@ -43,7 +44,7 @@
 // Guards against a list of endpoints that is never complete: it was read within one
 // time-out for all pages, and a page that failed discarded all others.
 func TestLongListIsReadToItsEnd(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p := &pagedPlatform{pages: 60, delay: 100 * time.Millisecond, failEvery: 7}
 		s := New(Config{Platform: p, Log: slog.New(slog.DiscardHandler)})
 		list, err := s.readList(t.Context())
@@ -55,7 +56,7 @@
 
 // Guards against a list whose pages always name a next one.
 func TestListWithoutEndFails(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p := &pagedPlatform{pages: 1 << 40, failEvery: 1 << 40}
 		s := New(Config{Platform: p, Log: slog.New(slog.DiscardHandler)})
 		if _, err := s.readList(t.Context()); err == nil || p.calls != maxListPages {
@@ -67,7 +68,7 @@
 // Guards against a leader that reads a page again and again although the platform
 // refuses it.
 func TestFailedPageEndsTheList(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p := &pagedPlatform{pages: 3, failEvery: 1}
 		s := New(Config{Platform: p, Log: slog.New(slog.DiscardHandler)})
 		if _, err := s.readList(t.Context()); err == nil || p.calls != maxPageAttempts {
--- a/internal/coordination/directory/relay_test.go
+++ b/internal/coordination/directory/relay_test.go
@@ -11,6 +11,7 @@
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/virtualtime"
 )
 
 // fakeLeadership is the control role of a follower. applied is the version of its
@@ -73,7 +74,7 @@
 // off from the leader: its entries would not learn of leaving endpoints and
 // withdrawn keys, although other control VMs know them.
 func TestRelayWithoutLeaderSendsEntriesElsewhere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		leader := &fakeLeader{response: &peerv1.FollowResponse{Epoch: 3, EndpointsVersion: 1, LiveEntries: 1, Packed: packed(t, "a")}}
 		r := newTestRelay(&fakeLeadership{}, leader)
 		if out := watch(t, r, watchRequest("e")); !out.GetNotLeading() {
@@ -100,7 +101,7 @@
 // Guards against a control VM with a stalled disk: it hears from the leader, but
 // does not apply the catalog in which a key was withdrawn.
 func TestRelayWithOldCatalogSendsEntriesElsewhere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		leadership := &fakeLeadership{applied: 6}
 		leader := &fakeLeader{response: &peerv1.FollowResponse{Epoch: 3, EndpointsVersion: 1, CatalogVersion: 7, Packed: packed(t)}}
 		r := newTestRelay(leadership, leader)
@@ -218,7 +219,7 @@
 // asked for were never loaded.
 func TestCallsToTheLeaderDoNotGrowWithEntries(t *testing.T) {
 	const entries, duration = 300, 3 * time.Second
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), duration)
 		defer cancel()
 		leader := &changingLeader{}
--- a/internal/coordination/directory/suspects_test.go
+++ b/internal/coordination/directory/suspects_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +12,7 @@
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	"github.com/radishloom/radishloom/internal/coordination/suspect"
 	"github.com/radishloom/radishloom/internal/state/catalog"
+	"github.com/radishloom/radishloom/internal/virtualtime"
 )
 
 // newLeader returns the leader of a term with engines e0 to e5 and the plain endpoint
@@ -83,7 +83,7 @@
 // when the leader changes: the next leader must have it before its first answer, and
 // a list that this leader sent itself must not bring back what was lifted.
 func TestQuarantineReachesEntriesAndOutlivesTheLeader(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		s := newLeader(1)
 		crashTwice(t, s)
 		relay := newRelayState()
@@ -111,7 +111,7 @@
 // Guards against blame for connections that broke at engines that still run, or whose
 // state is not known, and for losses at engines that leave.
 func TestBrokenConnectionsAreNoCrash(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		s := newLeader(1)
 		for i := range 3 {
 			time.Sleep(time.Second)
--- a/internal/coordination/entry/fuzz_test.go
+++ b/internal/coordination/entry/fuzz_test.go
@@ -16,6 +16,7 @@
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/virtualtime"
 )
 
 // fixture is a Server with its fakes. It is used inside a synctest bubble.
@@ -146,7 +147,7 @@
 		faults := append(make([]string, faultFree), "refuse", "unreachable", "crash", "mismatch", "hang", "late", "cut", "long", "long")
 		proposalFaults := append(make([]string, faultFree), "lost", "late", "unanswered", "leaderless")
 		var violations []string
-		synctest.Test(tt, func(*testing.T) {
+		virtualtime.Test(tt, func(*testing.T) {
 			w := newFixture(seed, testConfig(), broken)
 			w.fakePorts.faults = faults
 			for _, customer := range []string{"a", "b"} {
--- a/internal/coordination/entry/scenario_test.go
+++ b/internal/coordination/entry/scenario_test.go
@@ -17,13 +17,14 @@
 	"github.com/radishloom/radishloom/internal/proptest"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/config"
+	"github.com/radishloom/radishloom/internal/virtualtime"
 )
 
 // runScenario runs a scenario in a synctest bubble, that is on a fake clock. No rule
 // of the server is broken.
 func runScenario(t *testing.T, c *statev1.Config, f func(t *testing.T, w *fixture)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newFixture(1, c, faults{})
 		time.Sleep(time.Second)
 		f(t, w)
@@ -308,7 +309,7 @@
 	return func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		served, slowest := 0, time.Duration(0)
-		synctest.Test(tt, func(*testing.T) {
+		virtualtime.Test(tt, func(*testing.T) {
 			c := testConfig()
 			c.Profiles = c.Profiles[:1] // nothing is reserved
 			w := newFixture(seed|1, c, broken)
--- a/internal/coordination/forward/recovery_test.go
+++ b/internal/coordination/forward/recovery_test.go
@@ -12,7 +12,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
@@ -22,6 +21,7 @@
 	"github.com/radishloom/radishloom/internal/coordination/pool"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/catalog"
+	"github.com/radishloom/radishloom/internal/virtualtime"
 )
 
 const (
@@ -327,7 +327,7 @@
 		{"model that is resident nowhere", absentModel, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer time.Sleep(callsEnd)
 				defer cancel()
