directory, fleet: the quarantine is kept in the replicated state

Cause: the quarantine was in the leader's memory, with copies on its followers. When all of them restart, the first list of the new leader is empty and replaces the one that the entries still have.

Ruled out: entries that learn it late (4 ms after the decision), wrong evidence (the same part each time). Weighed: entries that report their old list to a new leader would cover a restart of the control VMs, but not one of everything.

Change: the leader saves the quarantine with a command PutQuarantine, which carries its term, so that a deposed leader cannot bring back what a later one lifted. A new leader reads it before its first answer and does not start its term without it. Ages are kept in fleet time.

Evidence that is no verdict yet is still lost with the leader.

--- a/internal/coordination/control/catalog.go
+++ b/internal/coordination/control/catalog.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 
-	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
-	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/fleet"
 )
 
@@ -13,15 +11,7 @@
 // the same or a higher version, is committed.
 func (s *Server) PutCatalog(ctx context.Context, version uint64, document []byte) error {
 	c := &statev1.Catalog{Version: version, Document: document}
-	command := &statev1.Command{Op: &statev1.Command_PutCatalog{PutCatalog: &statev1.PutCatalog{Catalog: c}}}
-	resp, err := s.Propose(ctx, &peerv1.ProposeRequest{Command: command})
-	if err != nil {
-		return err
-	}
-	if code := resultcode.Code(resp.GetResult().GetCode()); code != resultcode.OK {
-		return resultcode.New(code, "%s", resp.GetResult().GetMessage())
-	}
-	return nil
+	return s.proposeCommand(ctx, &statev1.Command{Op: &statev1.Command_PutCatalog{PutCatalog: &statev1.PutCatalog{Catalog: c}}})
 }
 
 // ReadCatalog returns the newest committed catalog.
--- a/internal/coordination/directory/publish_test.go
+++ b/internal/coordination/directory/publish_test.go
@@ -61,13 +61,13 @@
 func TestEntriesFollowTheList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := New(Config{Log: slog.New(slog.DiscardHandler)})
-		s.setTerm(1)
+		setTerm(s, 1)
 		copies := []*endpointList{newEndpointList(), newEndpointList(), s.mu.published}
 		readers := []*listReader{{}, {}, {}}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 12).Draw(t, "action") {
 			case 0:
-				s.setTerm(s.mu.term + uint64(rapid.IntRange(0, 1).Draw(t, "terms")))
+				setTerm(s, s.mu.term+uint64(rapid.IntRange(0, 1).Draw(t, "terms")))
 			case 1, 2, 3, 4:
 				var list []Endpoint
 				for _, n := range rapid.SliceOfNDistinct(rapid.IntRange(0, 400), 0, 400, rapid.ID[int]).Draw(t, "listed") {
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -65,6 +65,7 @@
 // Config configures a Server.
 type Config struct {
 	Leadership Leadership
+	Quarantine QuarantineStore
 	Platform   Platform
 	// Decode decodes a catalog's document.
 	Decode func(document []byte) (*catalog.Catalog, error)
@@ -100,6 +101,7 @@
 		// suspectsVersion its number in this term.
 		listedSuspects  []suspect.Suspect
 		suspectsVersion uint64
+		quarantineSave  quarantineSave
 		list            []Endpoint // as the platform lists them
 		listed          bool
 		published       *endpointList // as sent to the control VMs
@@ -148,12 +150,16 @@
 	if !leading {
 		term = 0
 	}
-	s.setTerm(term)
+	if err := s.startTerm(ctx, term); err != nil {
+		s.cfg.Log.Warn("term not started: the quarantine cannot be read", "term", term, "error", err)
+		return
+	}
 	if term == 0 {
 		return
 	}
 	s.updateCatalog(ctx)
 	s.evaluateSuspects()
+	s.saveQuarantine(ctx)
 	s.startList(ctx)
 	s.startReports(ctx)
 	for _, d := range s.plan() {
@@ -167,12 +173,30 @@
 	s.evaluateSuspectsLocked()
 }
 
-func (s *Server) setTerm(term uint64) {
+// startTerm begins a term if it is new, with the quarantine of earlier terms. Term zero
+// means that another VM leads.
+func (s *Server) startTerm(ctx context.Context, term uint64) error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.mu.term == term {
-		return
+	current := s.mu.term
+	s.mu.Unlock()
+	if term == current {
+		return nil
 	}
+	var stored []*statev1.QuarantinedTrait
+	if term != 0 {
+		var err error
+		if stored, err = s.cfg.Quarantine.Quarantine(ctx); err != nil {
+			return err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setTermLocked(term)
+	s.restoreQuarantineLocked(stored)
+	return nil
+}
+
+func (s *Server) setTermLocked(term uint64) {
 	s.cfg.Log.Info("directory term changed", "term", term, "before", s.mu.term)
 	s.mu.term = term
 	s.mu.termStart = s.now()
--- a/internal/coordination/directory/suspects_test.go
+++ b/internal/coordination/directory/suspects_test.go
@@ -1,25 +1,38 @@
 package directory
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/coordination/suspect"
 	"github.com/radishloom/radishloom/internal/state/catalog"
 	"github.com/radishloom/radishloom/internal/virtualtime"
 )
 
+// setTerm begins a term if it is new, without a quarantine of earlier terms.
+func setTerm(s *Server, term uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mu.term != term {
+		s.setTermLocked(term)
+	}
+}
+
 // newLeader returns the leader of a term with engines e0 to e5 and the plain endpoint
 // p.
 func newLeader(term uint64) *Server {
 	s := New(Config{Log: slog.New(slog.DiscardHandler)})
-	s.setTerm(term)
+	setTerm(s, term)
 	s.mu.index = catalog.NewIndex(&catalog.Catalog{Version: 1, Services: []catalog.Service{{Name: "models", Engine: &catalog.Engine{}}, {Name: "plain"}}})
 	list := []Endpoint{{ID: "p", Service: "plain"}}
 	for i := range 6 {
@@ -108,6 +121,85 @@
 	})
 }
 
+// fakeQuarantineStore is the replicated state of the control VMs.
+type fakeQuarantineStore struct {
+	mu   sync.Mutex
+	down bool
+	puts []*statev1.PutQuarantine
+}
+
+func (f *fakeQuarantineStore) Quarantine(context.Context) ([]*statev1.QuarantinedTrait, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, errors.New("the state cannot be read")
+	}
+	if len(f.puts) == 0 {
+		return nil, nil
+	}
+	return f.puts[len(f.puts)-1].GetTraits(), nil
+}
+
+func (f *fakeQuarantineStore) PutQuarantine(_ context.Context, q *statev1.PutQuarantine) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return errors.New("no leader")
+	}
+	f.puts = append(f.puts, q)
+	return nil
+}
+
+func (f *fakeQuarantineStore) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+// Guards against a quarantine that is forgotten when all control VMs restart: requests
+// with the part then crash further engines until it is known again.
+func TestQuarantineOutlivesARestartOfAllControlVMs(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		store := &fakeQuarantineStore{}
+		before := newLeader(1)
+		before.cfg.Quarantine = store
+		save := func(s *Server) {
+			time.Sleep(quarantineRetryDelay)
+			s.saveQuarantine(t.Context())
+			synctest.Wait()
+		}
+		crashTwice(t, before)
+		store.setDown(true)
+		save(before)
+		store.setDown(false)
+		save(before)
+		save(before)
+		if len(store.puts) != 1 {
+			t.Fatalf("an unchanged quarantine was saved %d times, want once", len(store.puts))
+		}
+
+		after := New(Config{Quarantine: store, Log: slog.New(slog.DiscardHandler)})
+		store.setDown(true)
+		if err := after.startTerm(t.Context(), 2); err == nil || after.mu.term != 0 {
+			t.Fatalf("term %d began without the saved quarantine, error %v", after.mu.term, err)
+		}
+		store.setDown(false)
+		if err := after.startTerm(t.Context(), 2); err != nil {
+			t.Fatal(err)
+		}
+		if out := followLeader(t, after, newRelayState().takeReport(after.now(), "c", 0)); !isQuarantined(out.GetSuspects(), suspect.PartTrait("x")) {
+			t.Fatalf("after all control VMs restarted, the suspects are %v", out.GetSuspects())
+		}
+		if lifted, err := after.LiftQuarantine(suspect.PartTrait("x")); err != nil || !lifted {
+			t.Fatalf("lifted %v, error %v", lifted, err)
+		}
+		save(after)
+		if stored, err := store.Quarantine(t.Context()); err != nil || len(stored) != 0 {
+			t.Fatalf("a quarantine that was lifted is saved: %v, error %v", stored, err)
+		}
+	})
+}
+
 // Guards against blame for connections that broke at engines that still run, or whose
 // state is not known, and for losses at engines that leave.
 func TestBrokenConnectionsAreNoCrash(t *testing.T) {
--- a/internal/coordination/forward/recovery_test.go
+++ b/internal/coordination/forward/recovery_test.go
@@ -197,6 +197,10 @@
 	return "c0", e.members, nil
 }
 
+func (e *elected) Quarantine(context.Context) ([]*statev1.QuarantinedTrait, error) { return nil, nil }
+
+func (e *elected) PutQuarantine(context.Context, *statev1.PutQuarantine) error { return nil }
+
 func (e *elected) CatalogChanged(version uint64) <-chan struct{} {
 	c := make(chan struct{})
 	if e.catalog.GetVersion() > version {
@@ -268,7 +272,7 @@
 	for i, m := range members {
 		role := &elected{leads: i == 0, at: time.Now().Add(electionTime), catalog: &statev1.Catalog{Version: decoded.Version}, members: members}
 		leader := directory.New(directory.Config{
-			Leadership: role, Platform: f, Decode: decode, Holder: m.GetVm(), OrderLease: 3 * time.Second, Metrics: noOrderMetrics{}, Log: log,
+			Leadership: role, Quarantine: role, Platform: f, Decode: decode, Holder: m.GetVm(), OrderLease: 3 * time.Second, Metrics: noOrderMetrics{}, Log: log,
 		})
 		relay := directory.NewRelay(directory.RelayConfig{Leadership: role, Follower: calls, VM: m.GetVm(), Address: m.GetAddress(), Log: log}, leader)
 		calls[m.GetAddress()] = directory.Service{Relay: relay, Leader: leader}
--- a/internal/state/fleet/machine.go
+++ b/internal/state/fleet/machine.go
@@ -48,6 +48,7 @@
 	orders         *order.Ledger
 	suspects       suspects
 	catalog        *statev1.Catalog
+	quarantine     *statev1.QuarantineRecord // never modified
 	faults         faults
 	proposerWallMs uint64 // wall clock of the last sync batch; used only with faults.wallClock
 }
@@ -105,6 +106,9 @@
 	case *statev1.Command_PutCatalog:
 		m.putCatalog(op.PutCatalog.GetCatalog())
 		return &statev1.Result{}
+	case *statev1.Command_PutQuarantine:
+		m.putQuarantine(op.PutQuarantine)
+		return &statev1.Result{}
 	case *statev1.Command_SuspectReport:
 		m.suspects.report(m.now, op.SuspectReport)
 		return &statev1.Result{}
--- a/internal/state/fleet/snapshot.go
+++ b/internal/state/fleet/snapshot.go
@@ -28,6 +28,7 @@
 		Orders:      m.orders.Save(),
 		Suspects:    m.suspects.save(),
 		Catalog:     m.catalog,
+		Quarantine:  m.quarantine,
 	}
 	s.Sessions, s.EndedSessions = m.sessions.save()
 	return func() ([]byte, error) {
@@ -65,6 +66,7 @@
 	m.orders.Load(s.GetOrders())
 	m.suspects.load(s.GetSuspects())
 	m.catalog = s.GetCatalog()
+	m.quarantine = s.GetQuarantine()
 	return nil
 }
 
