quarantine: crashes are counted for the beginnings of prompts, too

Seen: TestRequestsWithACommonPromptAreQuarantined, in KNOWN-RED.txt since: in the product's own interface six engines crash under requests with one system message, and the next such request runs without restriction.

Ruled out: hashing less than the whole request (harmless requests share the system message and would be refused with the others).

Change: a request has an identity: its own fingerprint and those of the beginnings of its list of messages, each one but the last. A crash report names both. Two crashes by different requests that ran alone refuse the beginning; two of any kind make requests with it wait for an idle endpoint. Repeats of one request count once for its beginnings, so that a single request that crashes endpoints is refused alone. A completed request clears its beginnings at its entry at once and at the others through the replicated state.

The listed test passed fingerprints of whole bodies only, so that no code could pass it; its replacement plays the same crashes through the tracker's own report and wants more: no restriction after one crash, refusal after two instead of six, none for another system message.

Before: six crashes, no restriction. After: refused after two. New: TestCompletedRequestsClearTheBeginningOfTheirPrompt, TestBeginningsLeaveOutTheLastMessage, TestBeginningsOfPromptsAreSuspects, TestQuarantineOfACommonPrompt.

--- a/internal/coordination/entry/admit.go
+++ b/internal/coordination/entry/admit.go
@@ -64,7 +64,11 @@
 		deadline = defaultDeadline
 	}
 	c.deadline = c.arrived + deadline
-	return c, c.resolveTarget()
+	if err := c.resolveTarget(); err != nil {
+		return c, err
+	}
+	c.suspect = c.identity()
+	return c, nil
 }
 
 // resolveTarget sets the pool and the group of endpoints that can serve the request.
@@ -138,18 +142,21 @@
 	return ok && key.Customer == c.customer.Name
 }
 
-// checkQuarantine sets the fingerprint and the verdict, and refuses requests that
-// have crashed endpoints.
+// identity returns what crashes are counted for.
+func (c *call) identity() quarantine.Identity {
+	if c.model() {
+		return quarantine.PromptIdentity(c.customerName(), c.route.Name, c.Body)
+	}
+	// Service requests without a body would otherwise share one fingerprint.
+	name := strings.Join([]string{c.route.Name, c.Method, c.Path, c.RawQuery}, "\x00")
+	return quarantine.RequestIdentity(c.customerName(), name, c.Body)
+}
+
+// checkQuarantine sets the verdict, and refuses requests that have crashed endpoints.
 func (s *Server) checkQuarantine(c *call) error {
-	name := c.route.Name
-	if !c.model() {
-		// Service requests without a body would otherwise share one fingerprint.
-		name = strings.Join([]string{name, c.Method, c.Path, c.RawQuery}, "\x00")
-	}
-	c.fingerprint = quarantine.FingerprintOf(c.customerName(), name, c.Body)
 	s.suspects.mu.Lock()
-	c.verdict = s.suspects.tracker.Judge(c.fingerprint)
-	c.needsIdleEndpoint = s.suspects.tracker.NeedsIdleEndpoint(c.fingerprint)
+	c.verdict = s.suspects.tracker.Judge(c.suspect)
+	c.needsIdleEndpoint = s.suspects.tracker.NeedsIdleEndpoint(c.suspect)
 	s.suspects.mu.Unlock()
 	if c.verdict == quarantine.Refused {
 		return errCrashes()
@@ -157,19 +164,19 @@
 	return nil
 }
 
-// recheckQuarantine refuses a request whose fingerprint reached the limit of crashes
-// while the request waited for an endpoint.
+// recheckQuarantine refuses a request that reached the limit of crashes while it waited
+// for an endpoint.
 func (s *Server) recheckQuarantine(c *call) error {
 	s.suspects.mu.Lock()
 	defer s.suspects.mu.Unlock()
-	if s.suspects.tracker.Judge(c.fingerprint) == quarantine.Refused {
+	if s.suspects.tracker.Judge(c.suspect) == quarantine.Refused {
 		return errCrashes()
 	}
 	return nil
 }
 
 func errCrashes() error {
-	return resultcode.New(resultcode.RequestCrashes, "this request has repeatedly crashed endpoints")
+	return resultcode.New(resultcode.RequestCrashes, "this request, or others whose prompt begins like this one, repeatedly crashed endpoints")
 }
 
 func containsFold(list []string, name string) bool {
--- a/internal/coordination/entry/fake_replica_test.go
+++ b/internal/coordination/entry/fake_replica_test.go
@@ -68,6 +68,7 @@
 	claims        *claim.Table
 	session       *statev1.Session
 	suspects      []*statev1.Suspect
+	cleared       [][]byte
 	crashes       []string // crash identifiers in the reports
 	requestsSeen  uint32
 	// proposalFault chooses the fault of each proposal; "" means success.
@@ -147,6 +148,8 @@
 		return &statev1.Result{Claim: r.claims.Begin(op.ClaimBegin, now, live)}
 	case *statev1.Command_ClaimFinish:
 		r.claims.Finish(uint64(now), op.ClaimFinish)
+	case *statev1.Command_SuspectsCleared:
+		r.cleared = append(r.cleared, op.SuspectsCleared.Fingerprints...)
 	case *statev1.Command_SuspectReport:
 		r.crashes = append(r.crashes, op.SuspectReport.Crash)
 		for _, f := range op.SuspectReport.Fingerprints {
@@ -188,6 +191,12 @@
 	return withLock(r, func() *statev1.Session { return r.session })
 }
 
+func (r *fakeReplica) setSuspects(list ...*statev1.Suspect) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.suspects = list
+}
+
 func (r *fakeReplica) Suspects() []*statev1.Suspect {
 	return withLock(r, func() []*statev1.Suspect { return r.suspects })
 }
--- a/internal/coordination/entry/scenario_test.go
+++ b/internal/coordination/entry/scenario_test.go
@@ -253,6 +253,35 @@
 	})
 }
 
+// Guards against requests with one system message that crash endpoints and are never
+// equal: the next one must be refused. Also guards against blame for a system message
+// with which a request completes.
+func TestQuarantineOfACommonPrompt(t *testing.T) {
+	runScenario(t, testConfig(), func(t *testing.T, w *fixture) {
+		request := func(id, system string) *Request {
+			r := w.request(id, "chat", "a", id)
+			r.Body = fmt.Appendf(nil, `{"messages":[{"role":"system","content":%q},{"role":"user","content":%q}]}`, system, id)
+			return r
+		}
+		beginning := func(system string) []byte {
+			c, err := w.server.resolve(request("probe", system))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return c.suspect.Beginnings[0][:]
+		}
+		w.replica.setSuspects(&statev1.Suspect{Fingerprint: beginning("deadly"), Alone: 2}, &statev1.Suspect{Fingerprint: beginning("harmless"), InCompany: 2})
+		time.Sleep(time.Second)
+		_, code := w.serve(context.Background(), request("1", "deadly"))
+		want(t, "deadly", code, resultcode.RequestCrashes)
+		_, code = w.serve(context.Background(), request("2", "harmless"))
+		want(t, "harmless", code, resultcode.OK)
+		time.Sleep(time.Second)
+		cleared := withLock(w.replica, func() [][]byte { return w.replica.cleared })
+		want(t, "cleared", fmt.Sprintf("%x", cleared), fmt.Sprintf("%x", [][]byte{beginning("harmless")}))
+	})
+}
+
 // Guards against a request that is sent although identical requests crashed
 // endpoints while it waited, so that it would be refused now.
 func TestQuarantineWhileWaiting(t *testing.T) {
@@ -265,7 +294,7 @@
 		}
 		want(t, "verdict", w.server.checkQuarantine(c), nil)
 		setSuspect := func(alone, withOthers uint32) {
-			s := &statev1.Suspect{Fingerprint: c.fingerprint[:], Alone: alone, InCompany: withOthers}
+			s := &statev1.Suspect{Fingerprint: c.suspect.Request[:], Alone: alone, InCompany: withOthers}
 			withLock(w.replica, func() bool { w.replica.suspects = []*statev1.Suspect{s}; return true })
 			time.Sleep(200 * time.Millisecond)
 		}
--- a/internal/coordination/entry/serve.go
+++ b/internal/coordination/entry/serve.go
@@ -49,7 +49,7 @@
 	adapter  string
 	prefixes []uint64
 
-	fingerprint       quarantine.Fingerprint
+	suspect           quarantine.Identity // what crashes are counted for
 	verdict           quarantine.Verdict
 	needsIdleEndpoint bool // if it has to run exclusively, only on an endpoint without requests of other entries
 	hold              quota.Hold
--- a/internal/coordination/entry/suspects.go
+++ b/internal/coordination/entry/suspects.go
@@ -23,7 +23,7 @@
 func (s *Server) trackAttempt(c *call, a *attempt) {
 	s.suspects.mu.Lock()
 	defer s.suspects.mu.Unlock()
-	s.suspects.tracker.Begin(a.to.Name, a.number, c.fingerprint)
+	s.suspects.tracker.Begin(a.to.Name, a.number, c.suspect)
 }
 
 func (s *Server) markAlive(endpoint string) {
@@ -36,10 +36,11 @@
 func (s *Server) endAttempt(c *call, a *attempt, err error) {
 	s.suspects.mu.Lock()
 	var crash quarantine.Crash
+	var cleared *statev1.SuspectsCleared
 	crashed := false
 	switch {
 	case err == nil:
-		s.suspects.tracker.Succeeded(a.to.Name, a.number)
+		cleared = s.suspects.tracker.Succeeded(a.to.Name, a.number)
 	case lostConnection(c, err):
 		crash, crashed = s.suspects.tracker.Lost(s.now(), a.to.Name, a.number)
 	default:
@@ -49,6 +50,9 @@
 	if crashed {
 		go s.reportCrash(c, a, crash)
 	}
+	if cleared != nil {
+		go s.proposeEvidence(&statev1.Command{Op: &statev1.Command_SuspectsCleared{SuspectsCleared: cleared}})
+	}
 }
 
 // lostConnection reports whether the connection broke as it does when the endpoint
@@ -88,21 +92,26 @@
 	_, err := load(ctx, a.to)
 	cancel()
 	s.suspects.mu.Lock()
-	suspected := s.suspects.tracker.Suspected(crash.Fingerprints[0])
+	suspected := s.suspects.tracker.Suspected(crash.Requests[0])
 	s.suspects.mu.Unlock()
 	weak := s.schedule.othersRunning(crash.Endpoint) || err == nil && !suspected
 	report := crash.Report(crashID(a), weak)
-	s.observer.Crashed(crash.Endpoint, len(crash.Fingerprints))
-	s.log.Warn("endpoint crashed", "endpoint", crash.Endpoint, "suspects", len(crash.Fingerprints), "answers", err == nil)
-	command := &statev1.Command{Op: &statev1.Command_SuspectReport{SuspectReport: report}}
+	s.observer.Crashed(crash.Endpoint, len(crash.Requests))
+	s.log.Warn("endpoint crashed", "endpoint", crash.Endpoint, "suspects", len(crash.Requests), "answers", err == nil)
+	s.proposeEvidence(&statev1.Command{Op: &statev1.Command_SuspectReport{SuspectReport: report}})
+}
+
+// proposeEvidence proposes what this entry learned about a suspect, with retries.
+func (s *Server) proposeEvidence(c *statev1.Command) {
+	var err error
 	for range reportAttempts {
 		ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
-		_, err := s.replica.Propose(ctx, command)
+		_, err = s.replica.Propose(ctx, c)
 		cancel()
 		if err == nil {
 			return
 		}
 		time.Sleep(claimRetryInterval)
 	}
-	s.log.Warn("could not report the suspects of a crash", "endpoint", crash.Endpoint)
+	s.log.Warn("evidence on suspects not reported", "error", err)
 }
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -6,13 +6,17 @@
 // suspects. The counts of crashes are kept in the replicated state; this package
 // builds the reports and evaluates the counts.
 //
+// Crashes are counted for the whole request and for each beginning of its prompt,
+// since requests that crash endpoints may have only that in common. Harmless requests
+// share the beginning of another one's prompt, too: a request with it that completes
+// clears the beginning at all entries.
+//
 // It is deterministic and not safe for concurrent use. Times are durations
 // since the start of the process.
 package quarantine
 
 import (
 	"crypto/sha256"
-	"encoding/binary"
 	"fmt"
 	"slices"
 	"time"
@@ -37,23 +41,6 @@
 	maxCleared = 4096
 )
 
-// Fingerprint identifies identical requests of one customer on one route.
-type Fingerprint [sha256.Size]byte
-
-// FingerprintOf returns the hash of customer, route and body. Customer and route
-// are preceded by their lengths, so that the boundaries are unambiguous.
-func FingerprintOf(customer, route string, body []byte) Fingerprint {
-	h := sha256.New()
-	for _, part := range []string{customer, route} {
-		var length [8]byte
-		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
-		h.Write(length[:])
-		h.Write([]byte(part))
-	}
-	h.Write(body)
-	return Fingerprint(h.Sum(nil))
-}
-
 // Verdict says how a request has to be treated.
 type Verdict int
 
@@ -69,8 +56,8 @@
 
 // Crash describes the crash of an endpoint and the requests that ran on it.
 type Crash struct {
-	Endpoint     string
-	Fingerprints []Fingerprint
+	Endpoint string
+	Requests []Identity
 	// OthersRunning means that further requests ran there shortly before the crash
 	// and ended without a visible connection loss.
 	OthersRunning bool
@@ -82,10 +69,13 @@
 // known request does not count as one that this request alone caused.
 func (c Crash) Report(id string, othersRan bool) *statev1.SuspectReport {
 	r := &statev1.SuspectReport{Endpoint: c.Endpoint, Crash: id}
-	for _, f := range c.Fingerprints {
-		r.Fingerprints = append(r.Fingerprints, slices.Clone(f[:]))
+	for _, q := range c.Requests {
+		r.Fingerprints = append(r.Fingerprints, slices.Clone(q.Request[:]))
+		for _, b := range q.Beginnings {
+			r.Beginnings = append(r.Beginnings, slices.Clone(b[:]))
+		}
 	}
-	if (othersRan || c.OthersRunning) && len(c.Fingerprints) == 1 {
+	if (othersRan || c.OthersRunning) && len(c.Requests) == 1 {
 		other := sha256.Sum256(fmt.Append(nil, "others on ", c.Endpoint, id))
 		r.Fingerprints = append(r.Fingerprints, other[:])
 	}
@@ -109,8 +99,8 @@
 
 // endpointState is what is known of the requests on one endpoint.
 type endpointState struct {
-	running   map[uint64]Fingerprint
-	lost      []Fingerprint // connection losses that may belong to one crash
+	running   map[uint64]Identity
+	lost      []Identity    // connection losses that may belong to one crash
 	firstLoss time.Duration // time of the first loss
 	// lastEnd is the time at which a request last ended without success or loss,
 	// for example because no response came. The same crash may have caused that.
@@ -142,8 +132,17 @@
 	}
 }
 
-// Judge returns how a request has to be treated.
-func (t *Tracker) Judge(f Fingerprint) Verdict {
+// Judge returns how a request has to be treated: as the strictest of what crashes
+// were counted for.
+func (t *Tracker) Judge(q Identity) Verdict {
+	v := t.judgeRequest(q.Request)
+	for _, b := range q.Beginnings {
+		v = max(v, t.judgeBeginning(b))
+	}
+	return v
+}
+
+func (t *Tracker) judgeRequest(f Fingerprint) Verdict {
 	c, suspected := t.suspects[f]
 	if !suspected {
 		return Allowed
@@ -157,27 +156,49 @@
 	return Exclusive
 }
 
+// judgeBeginning is milder than judgeRequest: one crash is no reason to treat all
+// requests with a common beginning as suspects.
+func (t *Tracker) judgeBeginning(f Fingerprint) Verdict {
+	c, suspected := t.suspects[f]
+	switch {
+	case !suspected, t.cleared[f] == c:
+		return Allowed
+	case c.alone >= crashesToRefuse:
+		return Refused
+	case c.alone+c.withOthers >= crashesToIsolate:
+		return Exclusive
+	default:
+		return Allowed
+	}
+}
+
 // NeedsIdleEndpoint reports whether an exclusive request needs an endpoint that
 // runs no requests of any entry. After a single crash it does not.
-func (t *Tracker) NeedsIdleEndpoint(f Fingerprint) bool {
-	c := t.suspects[f]
-	return c.alone+c.withOthers >= crashesToIsolate && t.cleared[f] != c
+func (t *Tracker) NeedsIdleEndpoint(q Identity) bool {
+	c := t.suspects[q.Request]
+	if c.alone+c.withOthers >= crashesToIsolate && t.cleared[q.Request] != c {
+		return true
+	}
+	return slices.ContainsFunc(q.Beginnings, func(b Fingerprint) bool { return t.judgeBeginning(b) != Allowed })
 }
 
 // Suspected reports whether any crash is counted against a request.
-func (t *Tracker) Suspected(f Fingerprint) bool {
-	_, suspected := t.suspects[f]
-	return suspected
+func (t *Tracker) Suspected(q Identity) bool {
+	_, suspected := t.suspects[q.Request]
+	return suspected || slices.ContainsFunc(q.Beginnings, func(b Fingerprint) bool {
+		_, suspected := t.suspects[b]
+		return suspected
+	})
 }
 
 // Begin records that a request runs on an endpoint.
-func (t *Tracker) Begin(endpoint string, id uint64, f Fingerprint) {
+func (t *Tracker) Begin(endpoint string, id uint64, q Identity) {
 	s := t.endpoints[endpoint]
 	if s == nil {
-		s = &endpointState{running: make(map[uint64]Fingerprint)}
+		s = &endpointState{running: make(map[uint64]Identity)}
 		t.endpoints[endpoint] = s
 	}
-	s.running[id] = f
+	s.running[id] = q
 }
 
 // MarkAlive records that the endpoint responds: earlier losses were not a crash.
@@ -189,21 +210,42 @@
 
 // Succeeded records that a request completed. A suspect then runs without
 // restriction until a further crash is counted against it. Earlier losses at the
-// endpoint were not a crash.
-func (t *Tracker) Succeeded(endpoint string, id uint64) {
+// endpoint were not a crash. It returns the command that clears the beginnings of
+// the prompt at all entries, or nil if none of them is suspected.
+func (t *Tracker) Succeeded(endpoint string, id uint64) *statev1.SuspectsCleared {
 	s := t.endpoints[endpoint]
 	if s == nil {
-		return
+		return nil
 	}
-	f, running := s.running[id]
+	q, running := s.running[id]
 	if !running {
-		return
-	}
-	if c, suspected := t.suspects[f]; suspected && (len(t.cleared) < maxCleared) {
-		t.cleared[f] = c
+		return nil
 	}
 	s.lost = nil
 	delete(s.running, id)
+	t.clear(q.Request)
+	var out *statev1.SuspectsCleared
+	for _, b := range q.Beginnings {
+		if !t.clear(b) {
+			continue
+		}
+		if out == nil {
+			out = &statev1.SuspectsCleared{}
+		}
+		out.Fingerprints = append(out.Fingerprints, slices.Clone(b[:]))
+	}
+	return out
+}
+
+// clear ends the suspicion that rests on the crashes counted so far. It reports
+// whether there was one.
+func (t *Tracker) clear(f Fingerprint) bool {
+	c, suspected := t.suspects[f]
+	if !suspected || t.cleared[f] == c || len(t.cleared) >= maxCleared {
+		return false
+	}
+	t.cleared[f] = c
+	return true
 }
 
 // Ended records that a request ended without telling whether its endpoint is
@@ -229,7 +271,7 @@
 	if s == nil {
 		return Crash{}, false
 	}
-	f, running := s.running[id]
+	q, running := s.running[id]
 	if !running {
 		return Crash{}, false
 	}
@@ -239,8 +281,8 @@
 	if len(s.lost) == 0 {
 		s.firstLoss = now
 	}
-	if !slices.Contains(s.lost, f) {
-		s.lost = append(s.lost, f)
+	if !slices.ContainsFunc(s.lost, func(l Identity) bool { return l.Request == q.Request }) {
+		s.lost = append(s.lost, q)
 	}
 	delete(s.running, id)
 	return s.crash(now, endpoint)
@@ -251,7 +293,7 @@
 	if len(s.running) > 0 || len(s.lost) == 0 {
 		return Crash{}, false
 	}
-	c := Crash{Endpoint: endpoint, Fingerprints: s.lost}
+	c := Crash{Endpoint: endpoint, Requests: s.lost}
 	c.OthersRunning = s.anyEnded && now-s.lastEnd <= lossWindow
 	s.lost = nil
 	return c, now-s.firstLoss <= lossWindow
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,7 +53,7 @@
 		}
 		pickEndpoint := func(alone bool) string {
 			for _, e := range []string{"e1", "e2", "e3", "e4"} {
-				if rs := runningOn[e]; len(rs) == 0 || !alone && len(rs) < 3 && tracker.Judge(FingerprintOf("a", "r", []byte(rs[0].body))) != Exclusive {
+				if rs := runningOn[e]; len(rs) == 0 || !alone && len(rs) < 3 && tracker.Judge(RequestIdentity("a", "r", []byte(rs[0].body))) != Exclusive {
 					return e
 				}
 			}
@@ -62,7 +64,7 @@
 				id++
 				crashes := rapid.IntRange(0, 2).Draw(t, "crashes") == 0
 				body := fmt.Sprintf("%v%d", crashes, rapid.IntRange(0, 2).Draw(t, "body"))
-				f := FingerprintOf("a", "r", []byte(body))
+				f := RequestIdentity("a", "r", []byte(body))
 				verdict := tracker.Judge(f)
 				if verdict == Refused && !crashes {
 					t.Fatalf("harmless request %s was refused", body)
@@ -124,7 +126,7 @@
 // counting a crash as caused by one request alone when others may have caused it.
 func TestNoCrash(t *testing.T) {
 	tr := New()
-	a, b := Fingerprint{1}, Fingerprint{2}
+	a, b := Identity{Request: Fingerprint{1}}, Identity{Request: Fingerprint{2}}
 	tr.Begin("e", 1, a)
 	tr.Begin("e", 2, b)
 	if _, crashed := tr.Lost(0, "e", 1); crashed {
@@ -141,11 +143,11 @@
 	if !crashed || len(c.Report("x", false).Fingerprints) != 2 {
 		t.Fatal("a request that ran beside another counts as alone on its endpoint")
 	}
-	tr.SetSuspects([]*statev1.Suspect{{Fingerprint: a[:], InCompany: 1}})
+	tr.SetSuspects([]*statev1.Suspect{{Fingerprint: a.Request[:], InCompany: 1}})
 	if tr.Judge(a) != Exclusive || tr.NeedsIdleEndpoint(a) {
 		t.Fatal("after one crash beside others, a request must be exclusive but not wait for an idle endpoint")
 	}
-	tr.SetSuspects([]*statev1.Suspect{{Fingerprint: a[:], InCompany: 5}})
+	tr.SetSuspects([]*statev1.Suspect{{Fingerprint: a.Request[:], InCompany: 5}})
 	if tr.Judge(a) != Exclusive || !tr.NeedsIdleEndpoint(a) {
 		t.Fatal("after several crashes beside others, a request must be exclusive on an idle endpoint")
 	}
@@ -160,21 +162,85 @@
 // after the other, and are never equal.
 func TestRequestsWithACommonPromptAreQuarantined(t *testing.T) {
 	tr := New()
-	body := func(n int) []byte {
-		return fmt.Appendf(nil, `{"messages":[{"role":"system","content":"deadly"},{"role":"user","content":"question %d"}]}`, n)
+	identity := func(system string, n int) Identity {
+		return PromptIdentity("customer", "route", fmt.Appendf(nil, `{"messages":[{"role":"system","content":%q},{"role":"user","content":"question %d"}]}`, system, n))
 	}
-	var suspects []*statev1.Suspect
-	for n := range 6 {
-		f := FingerprintOf("customer", "route", body(n))
+	counted := map[Fingerprint]*statev1.Suspect{}
+	count := func(f []byte) {
+		s := counted[Fingerprint(f)]
+		if s == nil {
+			s = &statev1.Suspect{Fingerprint: f}
+			counted[Fingerprint(f)] = s
+		}
+		s.Alone++
+	}
+	crash := func(n int) {
+		t.Helper()
 		endpoint := fmt.Sprint("e", n)
-		tr.Begin(endpoint, uint64(n), f)
-		if _, crashed := tr.Lost(time.Duration(n)*time.Second, endpoint, uint64(n)); !crashed {
+		tr.Begin(endpoint, uint64(n), identity("deadly", n))
+		c, crashed := tr.Lost(time.Duration(n)*time.Second, endpoint, uint64(n))
+		if !crashed {
 			t.Fatalf("the crash of %s was not detected", endpoint)
 		}
-		suspects = append(suspects, &statev1.Suspect{Fingerprint: f[:], Alone: 1})
-		tr.SetSuspects(suspects)
+		report := c.Report("x", false)
+		for _, f := range slices.Concat(report.GetFingerprints(), report.GetBeginnings()) {
+			count(f)
+		}
+		tr.SetSuspects(slices.Collect(maps.Values(counted)))
+	}
+	crash(0)
+	if tr.Judge(identity("deadly", 1)) != Allowed {
+		t.Fatal("after one crash, other requests with the same system message are restricted")
+	}
+	crash(1)
+	if tr.Judge(identity("deadly", 2)) != Refused {
+		t.Fatal("two endpoints crashed under requests with the same system message, and the next such request is not refused")
+	}
+	if tr.Judge(identity("harmless", 2)) != Allowed {
+		t.Fatal("a request with another system message is restricted")
+	}
+}
+
+// Guards against refusing the harmless requests that share the beginning of their
+// prompt with one that crashes endpoints: the completion of one of them clears it at
+// this entry, and is to be reported to the others.
+func TestCompletedRequestsClearTheBeginningOfTheirPrompt(t *testing.T) {
+	tr := New()
+	harmless := PromptIdentity("customer", "route", []byte(`{"messages":[{"content":"common"},{"content":"a"}]}`))
+	deadly := PromptIdentity("customer", "route", []byte(`{"messages":[{"content":"common"},{"content":"b"}]}`))
+	tr.Begin("e", 1, harmless)
+	tr.SetSuspects([]*statev1.Suspect{{Fingerprint: deadly.Request[:], Alone: 2}, {Fingerprint: deadly.Beginnings[0][:], InCompany: 2}})
+	if tr.Judge(harmless) != Exclusive || !tr.NeedsIdleEndpoint(harmless) || !tr.Suspected(harmless) {
+		t.Fatal("after two crashes beside others, a request with the common beginning does not wait for an idle endpoint")
+	}
+	cleared := tr.Succeeded("e", 1)
+	if len(cleared.GetFingerprints()) != 1 || Fingerprint(cleared.GetFingerprints()[0]) != deadly.Beginnings[0] {
+		t.Fatalf("cleared %v, want the common beginning", cleared)
+	}
+	if tr.Judge(harmless) != Allowed || tr.Judge(deadly) != Refused {
+		t.Fatalf("harmless %v, deadly %v", tr.Judge(harmless), tr.Judge(deadly))
 	}
-	if tr.Judge(FingerprintOf("customer", "route", body(6))) == Allowed {
-		t.Fatal("six endpoints crashed under requests with the same system message, and the next such request runs without restriction")
+	tr.Begin("e", 2, harmless)
+	if again := tr.Succeeded("e", 2); again != nil {
+		t.Fatalf("a beginning that is cleared already is reported again: %v", again)
+	}
+}
+
+// Guards against identities that confuse beginnings with requests, and against blame
+// for the last message, which is different in each request.
+func TestBeginningsLeaveOutTheLastMessage(t *testing.T) {
+	of := func(customer, body string) Identity { return PromptIdentity(customer, "route", []byte(body)) }
+	three := of("a", `{"messages":[{"content":"x"},{"content":"y"},{"content":"z"}]}`)
+	two := of("a", `{"messages":[{"content":"x"},{"content":"y"}]}`)
+	if len(three.Beginnings) != 2 || len(two.Beginnings) != 1 || three.Beginnings[0] != two.Beginnings[0] {
+		t.Fatalf("beginnings %x and %x", three.Beginnings, two.Beginnings)
+	}
+	if other := of("b", `{"messages":[{"content":"x"},{"content":"y"}]}`); other.Beginnings[0] == two.Beginnings[0] {
+		t.Fatal("two customers share a beginning")
+	}
+	for _, body := range []string{"", "{", `{"messages":"x"}`, `{"messages":[{"content":"x"}]}`} {
+		if q := of("a", body); len(q.Beginnings) != 0 {
+			t.Fatalf("body %q has beginnings %x", body, q.Beginnings)
+		}
 	}
 }
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -209,7 +209,7 @@
 		{AnswerIncomplete, "answer_incomplete", http.StatusBadGateway, Ran, RetrySameKey, "The endpoint's answer ended before its length or end marker."},
 		{AnswerMismatch, "answer_mismatch", http.StatusBadGateway, MayHaveRun, RetrySameKey, "The endpoint sent the answer to another request."},
 		{StreamBroken, "stream_broken", http.StatusBadGateway, Ran, RetryLater, "The stream broke and could not be resumed."},
-		{RequestCrashes, "request_crashes_endpoints", http.StatusUnprocessableEntity, Ran, RetryLater, "Endpoints crashed while running this request; it is refused for a limited time."},
+		{RequestCrashes, "request_crashes_endpoints", http.StatusUnprocessableEntity, Ran, RetryLater, "Endpoints crashed while running this request, or others whose prompt begins like it; it is refused for a limited time."},
 		{ModelLoading, "model_loading", http.StatusServiceUnavailable, NotRun, RetryLater, "The model is not loaded yet and was not ready before the deadline."},
 		{EndpointUnreachable, "endpoint_unreachable", http.StatusBadGateway, NotRun, RetryLater, "No connection to an endpoint could be made; nothing was sent."},
 		{PromptPartCrashes, "prompt_part_crashes_endpoints", http.StatusServiceUnavailable, NotRun, RetryLater, "Endpoints crashed when they began to answer requests with a part of this prompt; requests with it are refused for a limited time."},
--- a/internal/state/fleet/machine.go
+++ b/internal/state/fleet/machine.go
@@ -112,6 +112,9 @@
 	case *statev1.Command_SuspectReport:
 		m.suspects.report(m.now, op.SuspectReport)
 		return &statev1.Result{}
+	case *statev1.Command_SuspectsCleared:
+		m.suspects.clear(op.SuspectsCleared.GetFingerprints())
+		return &statev1.Result{}
 	default:
 		return refuse(resultcode.BadRequest, "the command holds no operation that this version knows")
 	}
--- a/internal/state/fleet/rules_test.go
+++ b/internal/state/fleet/rules_test.go
@@ -118,6 +118,47 @@
 	}
 }
 
+// Guards against a beginning of prompts that is blamed for repeats of one request, that
+// counts as alone although another request ran, or that stays suspected after a request
+// with it completed.
+func TestBeginningsOfPromptsAreSuspects(t *testing.T) {
+	m := New()
+	report := func(crash, request string, beginnings ...string) {
+		r := &statev1.SuspectReport{Endpoint: "e1", Crash: crash, Fingerprints: [][]byte{[]byte(request)}}
+		for _, b := range beginnings {
+			r.Beginnings = append(r.Beginnings, []byte(b))
+		}
+		m.Apply(1, &statev1.Command{Op: &statev1.Command_SuspectReport{SuspectReport: r}})
+	}
+	check := func(want string) {
+		t.Helper()
+		_, list := m.Suspects()
+		got := map[string]string{}
+		for _, s := range list {
+			got[string(s.GetFingerprint())] = fmt.Sprint(s.GetAlone(), s.GetInCompany())
+		}
+		if fmt.Sprint(got) != want {
+			t.Fatalf("suspects %v, want %v", got, want)
+		}
+	}
+	report("c1", "p", "x")
+	report("c2", "p", "x")
+	check("map[p:2 0 x:1 0]")
+	report("c3", "q", "x", "y")
+	check("map[p:2 0 q:1 0 x:2 0 y:1 0]")
+	report("c3", "r", "z")
+	m = restored(t, m)
+	check("map[p:2 0 q:0 1 r:0 1 x:1 1 y:0 1 z:0 1]")
+	report("c2", "s")
+	check("map[p:1 1 q:0 1 r:0 1 s:0 1 x:1 1 y:0 1 z:0 1]")
+	version, _ := m.Suspects()
+	m.Apply(2, &statev1.Command{Op: &statev1.Command_SuspectsCleared{SuspectsCleared: &statev1.SuspectsCleared{Fingerprints: [][]byte{[]byte("x"), []byte("unknown")}}}})
+	check("map[p:1 1 q:0 1 r:0 1 s:0 1 y:0 1 z:0 1]")
+	if after, _ := m.Suspects(); after != version+1 {
+		t.Fatalf("version %d after the beginning was cleared, want %d", after, version+1)
+	}
+}
+
 // Guards against an unbounded history or unbounded request results, and against
 // deltas from versions that are no longer in the history.
 func TestHistoryAndRequestsAreBounded(t *testing.T) {
--- a/internal/state/fleet/suspects.go
+++ b/internal/state/fleet/suspects.go
@@ -15,15 +15,27 @@
 )
 
 // crash holds the fingerprints of the requests that were running on an endpoint
-// when it crashed.
+// when it crashed, and those of the beginnings of their prompts.
 type crash struct {
 	id           string
 	fingerprints [][]byte
+	beginnings   [][]byte
 	expires      uint64
 }
 
-// suspects counts, for each request fingerprint, the crashes during which the
-// request was running. Both lists are ordered by expiry: new crashes and changed
+// alone reports whether one request was running.
+func (c *crash) alone() bool { return len(c.fingerprints) == 1 }
+
+// weight returns what the crash adds to the counts of its suspects.
+func (c *crash) weight() (alone, inCompany int) {
+	if c.alone() {
+		return 1, 0
+	}
+	return 0, 1
+}
+
+// suspects counts, for each request fingerprint and each beginning of a prompt, the
+// crashes during which such a request was running. Both lists are ordered by expiry: new crashes and changed
 // suspects go to the end.
 type suspects struct {
 	version       uint64
@@ -47,32 +59,68 @@
 		s.byCrash[c.id] = c
 		s.crashes = append(s.crashes, c)
 	}
-	before := len(c.fingerprints)
-	for _, f := range r.GetFingerprints() {
-		if !slices.ContainsFunc(c.fingerprints, func(g []byte) bool { return string(f) == string(g) }) {
-			c.fingerprints = append(c.fingerprints, f)
-		}
-	}
-	if len(c.fingerprints) == before {
+	wasAlone := c.alone()
+	counted := slices.Concat(c.fingerprints, c.beginnings)
+	requests := addMissing(&c.fingerprints, r.GetFingerprints())
+	fresh := slices.DeleteFunc(slices.Clone(r.GetBeginnings()), func(b []byte) bool { return s.repeats(c, b) })
+	beginnings := addMissing(&c.beginnings, fresh)
+	if len(requests)+len(beginnings) == 0 {
 		return
 	}
-	if before == 1 {
-		s.count(now, c.fingerprints[0], -1, 1)
-	}
-	for _, f := range c.fingerprints[before:] {
-		if len(c.fingerprints) == 1 {
-			s.count(now, f, 1, 0)
-		} else {
-			s.count(now, f, 0, 1)
+	if wasAlone && !c.alone() {
+		for _, f := range counted {
+			s.count(now, f, -1, 1)
 		}
 	}
+	alone, inCompany := c.weight()
+	for _, f := range requests {
+		s.count(now, f, alone, inCompany)
+	}
+	for _, b := range beginnings {
+		s.count(now, b, alone, inCompany).Request = c.fingerprints[0]
+	}
 	s.evictOldest()
 	s.version++
 }
 
+// repeats reports whether a beginning was counted before for a request of this crash.
+// A request that is sent again and again is itself the suspect, not its beginning.
+func (s *suspects) repeats(c *crash, beginning []byte) bool {
+	counted := s.byFingerprint[string(beginning)].GetRequest()
+	return len(counted) != 0 && slices.ContainsFunc(c.fingerprints, func(f []byte) bool { return string(f) == string(counted) })
+}
+
+// addMissing appends the fingerprints that the list does not have, and returns them.
+func addMissing(list *[][]byte, more [][]byte) [][]byte {
+	before := len(*list)
+	for _, f := range more {
+		if !slices.ContainsFunc(*list, func(g []byte) bool { return string(f) == string(g) }) {
+			*list = append(*list, f)
+		}
+	}
+	return (*list)[before:]
+}
+
+// clear ends suspicions. A fingerprint that is not suspected is ignored.
+func (s *suspects) clear(fingerprints [][]byte) {
+	before := len(s.order)
+	for _, f := range fingerprints {
+		old := s.byFingerprint[string(f)]
+		if old == nil {
+			continue
+		}
+		delete(s.byFingerprint, string(f))
+		s.order = slices.DeleteFunc(s.order, func(o *statev1.Suspect) bool { return o == old })
+	}
+	if len(s.order) != before {
+		s.version++
+	}
+}
+
 // count adds to the counts of a suspect and moves it to the end of the order. It
-// replaces the suspect instead of modifying it, since callers of list share it.
-func (s *suspects) count(now uint64, fingerprint []byte, alone, inCompany int) {
+// replaces the suspect instead of modifying it, since callers of list share it, and
+// returns the new one.
+func (s *suspects) count(now uint64, fingerprint []byte, alone, inCompany int) *statev1.Suspect {
 	old := s.byFingerprint[string(fingerprint)]
 	if old != nil {
 		s.order = slices.DeleteFunc(s.order, func(o *statev1.Suspect) bool { return o == old })
@@ -82,9 +130,11 @@
 		Alone:       uint32(max(0, int(old.GetAlone())+alone)),
 		InCompany:   uint32(int(old.GetInCompany()) + inCompany),
 		ExpiresMs:   now + suspicionMs,
+		Request:     old.GetRequest(),
 	}
 	s.byFingerprint[string(fingerprint)] = next
 	s.order = append(s.order, next)
+	return next
 }
 
 func (s *suspects) evictOldest() {
@@ -124,7 +174,7 @@
 func (s *suspects) save() *statev1.SuspectTable {
 	out := &statev1.SuspectTable{Version: s.version, Suspects: s.list()}
 	for _, c := range s.crashes {
-		out.Crashes = append(out.Crashes, &statev1.CrashRecord{Crash: c.id, Fingerprints: c.fingerprints, ExpiresMs: c.expires})
+		out.Crashes = append(out.Crashes, &statev1.CrashRecord{Crash: c.id, Fingerprints: c.fingerprints, Beginnings: c.beginnings, ExpiresMs: c.expires})
 	}
 	return out
 }
@@ -137,7 +187,7 @@
 		s.byFingerprint[string(p.GetFingerprint())] = p
 	}
 	for _, r := range saved.GetCrashes() {
-		c := &crash{id: r.GetCrash(), fingerprints: r.GetFingerprints(), expires: r.GetExpiresMs()}
+		c := &crash{id: r.GetCrash(), fingerprints: r.GetFingerprints(), beginnings: r.GetBeginnings(), expires: r.GetExpiresMs()}
 		s.crashes = append(s.crashes, c)
 		s.byCrash[c.id] = c
 	}
