directory: the age of a quarantine grows on control VMs, too

Cause: a control VM kept the leader's list of suspects as the message that it had received, with the ages of that moment, and passed it on unchanged. A new leader that took the quarantine over from it, or an entry that came later, saw the last crash as young as it was then. With a change of the leader every few minutes a quarantine never ended.

Change: the list is kept decoded, with times, and is encoded with the ages of the moment at which it is passed on.

Before: TestQuarantineAgesOnControlVMs failed ("the last crash was 0s ago, want 5m0s"). After: it passes. It also checks that a control VM without a list sends none.

--- a/internal/coordination/directory/relaystate.go
+++ b/internal/coordination/directory/relaystate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	"github.com/radishloom/radishloom/internal/coordination/suspect"
 )
 
 const (
@@ -23,7 +24,9 @@
 	shares       *Shares
 	peers        []string
 	peersVersion uint64
-	suspects     *peerv1.SuspectList
+	// suspects is the leader's list, suspectsVersion its version, zero before the first.
+	suspects        []suspect.Suspect
+	suspectsVersion uint64
 	// catalogVersion is the leader's, which this VM may not have applied yet.
 	catalogVersion uint64
 	// confirmedAt is when the call was sent that the leader answered last.
@@ -109,7 +112,8 @@
 		r.entriesVersion++
 	}
 	out := &peerv1.FollowRequest{
-		Vm: vm, Epoch: r.list.epoch, EndpointsVersion: r.list.version, PeersVersion: r.peersVersion, HoldMs: uint32(hold.Milliseconds()), Suspects: r.suspects,
+		Vm: vm, Epoch: r.list.epoch, EndpointsVersion: r.list.version, PeersVersion: r.peersVersion, HoldMs: uint32(hold.Milliseconds()),
+		Suspects: encodeSuspects(now, r.suspectsVersion, r.suspects),
 	}
 	demand, spent := r.shares.TakeReport()
 	for name, tokens := range demand {
@@ -159,7 +163,7 @@
 	r.catalogVersion = in.GetCatalogVersion()
 	suspectsChanged := in.GetSuspects() != nil
 	if suspectsChanged {
-		r.suspects = in.GetSuspects()
+		r.suspects, r.suspectsVersion = DecodeSuspects(now, in.GetSuspects()), in.GetSuspects().GetVersion()
 	}
 	r.leaderEntriesVersion = in.GetEntriesVersion()
 	for _, entry := range in.GetMoved() {
@@ -191,7 +195,7 @@
 
 // hasChanges reports whether there are newer lists than those that an entry has.
 func (r *relayState) hasChanges(in *peerv1.WatchRequest) bool {
-	if r.suspects != nil && in.GetSuspectsVersion() != r.suspects.GetVersion() {
+	if r.suspectsVersion != 0 && in.GetSuspectsVersion() != r.suspectsVersion {
 		return true
 	}
 	epoch, version := in.GetEpoch(), in.GetEndpointsVersion()
@@ -201,8 +205,8 @@
 // respond returns the response for an entry, without the catalog and the members.
 func (r *relayState) respond(now time.Duration, in *peerv1.WatchRequest) (*peerv1.WatchResponse, error) {
 	out := &peerv1.WatchResponse{LiveEntries: uint32(r.shares.EntryCount())}
-	if r.suspects.GetVersion() != in.GetSuspectsVersion() {
-		out.Suspects = r.suspects
+	if r.suspectsVersion != 0 && r.suspectsVersion != in.GetSuspectsVersion() {
+		out.Suspects = encodeSuspects(now, r.suspectsVersion, r.suspects)
 	}
 	if r.peersVersion != in.GetPeersVersion() {
 		out.Peers, out.PeersVersion = r.peers, r.peersVersion
--- a/internal/coordination/directory/suspects.go
+++ b/internal/coordination/directory/suspects.go
@@ -133,7 +133,7 @@
 // takeOverSuspectsLocked adds what an earlier leader had put into quarantine, as a
 // follower still knows it.
 func (s *Server) takeOverSuspectsLocked(list *peerv1.SuspectList) {
-	if list == nil || list.GetVersion()>>termBits == s.mu.term {
+	if list.GetVersion() == 0 || list.GetVersion()>>termBits == s.mu.term {
 		return
 	}
 	s.mu.suspects.Merge(DecodeSuspects(s.now(), list))
--- a/internal/coordination/directory/suspects_test.go
+++ b/internal/coordination/directory/suspects_test.go
@@ -121,6 +121,37 @@
 	})
 }
 
+// Guards against a quarantine that never ends, because a control VM passes it on with the
+// age that it had when the control VM got it, and against a control VM that has no list
+// yet and ends the quarantine of an entry.
+func TestQuarantineAgesOnControlVMs(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		s := newLeader(1)
+		crashTwice(t, s)
+		relay := newRelayState()
+		known := watchRequest("entry")
+		known.SuspectsVersion = 1
+		if out, err := relay.respond(s.now(), known); err != nil || out.GetSuspects() != nil {
+			t.Fatalf("a control VM without a list replaces that of an entry by %v, error %v", out.GetSuspects(), err)
+		}
+		if _, err := relay.apply(s.now(), s.now(), followLeader(t, s, relay.takeReport(s.now(), "c", 0))); err != nil {
+			t.Fatal(err)
+		}
+		const kept = 5 * time.Minute
+		time.Sleep(kept)
+		toLeader := relay.takeReport(s.now(), "c", 0).GetSuspects()
+		toEntry, err := relay.respond(s.now(), watchRequest("entry"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, list := range []*peerv1.SuspectList{toLeader, toEntry.GetSuspects()} {
+			if age := time.Duration(list.GetSuspects()[0].GetLastCrashMs()) * time.Millisecond; age < kept || age > kept+time.Second {
+				t.Fatalf("the last crash was %v ago, want %v", age, kept)
+			}
+		}
+	})
+}
+
 // fakeQuarantineStore is the replicated state of the control VMs.
 type fakeQuarantineStore struct {
 	mu   sync.Mutex
