suspect: a quarantine that was taken over returns with the next crash

Cause: a trait whose quarantine has ended returns with its next crash, but only at the leader that decided the quarantine. Merge did not record the traits that it takes over, so after a change of the leader two more crashes were needed.

Change: Evaluate and Merge enter a trait through one function.

Before: TestQuarantineTakenOverReturnsWithTheNextCrash failed ("in quarantine after the next crash: []"). After: it passes, with the other tests of the package.

--- a/internal/coordination/suspect/suspect.go
+++ b/internal/coordination/suspect/suspect.go
@@ -229,7 +229,7 @@
 func (r *Register) Merge(list []Suspect) {
 	for _, s := range list {
 		if known := r.quarantined[s.Trait]; s.Quarantined && (known == nil || known.Last < s.Last) {
-			r.quarantined[s.Trait] = &Suspect{Trait: s.Trait, Quarantined: true, Crashes: s.Crashes, Last: s.Last}
+			r.quarantine(Suspect{Trait: s.Trait, Quarantined: true, Crashes: s.Crashes, Last: s.Last})
 		}
 	}
 	for i := range r.crashes {
@@ -249,11 +249,7 @@
 		}
 		for _, s := range best {
 			s.Quarantined = true
-			r.quarantined[s.Trait] = &s
-			if len(r.former) >= maxFormer {
-				clear(r.former)
-			}
-			r.former[s.Trait] = true
+			r.quarantine(s)
 			out = append(out, s)
 		}
 		for i := range r.crashes {
@@ -262,6 +258,14 @@
 	}
 }
 
+func (r *Register) quarantine(s Suspect) {
+	r.quarantined[s.Trait] = &s
+	if len(r.former) >= maxFormer {
+		clear(r.former)
+	}
+	r.former[s.Trait] = true
+}
+
 func (r *Register) expire(now time.Duration) {
 	maps.DeleteFunc(r.pending, func(_ string, l *losses) bool { return now-l.last > lossTime })
 	r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return now-c.at > evidenceTime })
--- a/internal/coordination/suspect/suspect_test.go
+++ b/internal/coordination/suspect/suspect_test.go
@@ -284,6 +284,23 @@
 	}
 }
 
+// Guards against a trait that, after a change of the leader, gets a second chance to
+// crash engines once its quarantine has ended: the next crash must bring it back.
+func TestQuarantineTakenOverReturnsWithTheNextCrash(t *testing.T) {
+	r := New()
+	r.Merge([]Suspect{{Trait: "part/x", Quarantined: true, Crashes: 2, Last: 0}})
+	now := QuarantineTime + time.Second
+	r.Evaluate(now)
+	if got := inQuarantine(r); len(got) != 0 {
+		t.Fatalf("in quarantine after it has ended: %v", got)
+	}
+	loseAll(r, now, "e", traits("x", "y"))
+	r.Evaluate(now + answerTime)
+	if got := inQuarantine(r); !slices.Equal(got, traits("x")) {
+		t.Fatalf("in quarantine after the next crash: %v", got)
+	}
+}
+
 // Guards against losses of many different requests that use up the leader's memory.
 func TestEvidenceIsBounded(t *testing.T) {
 	r := New()
