suspect: an old list does not bring back a quarantine that was lifted

Seen: in the review of the hand-over between leaders. A server that left or a key that was withdrawn coming back after a restart is on the operators' list; this is the same for a quarantine.

Cause: the leader takes over the quarantine from each follower whose list is of an earlier term. A control VM that was suspended while an operator lifted a quarantine brought it back with its old list.

Change: Merge passes over traits that were lifted, or that answers carried, after their last crash.

Before: TestLiftedQuarantineIsNotTakenOverAgain failed ("in quarantine again: [part/x]"). After: it passes, with the other tests of suspect and directory.

--- a/internal/coordination/suspect/suspect.go
+++ b/internal/coordination/suspect/suspect.go
@@ -225,10 +225,15 @@
 	return true
 }
 
-// Merge adds traits that another register had in quarantine.
+// Merge adds traits that another register had in quarantine, unless they were lifted,
+// or answers with them began, since their last crash.
 func (r *Register) Merge(list []Suspect) {
 	for _, s := range list {
-		if known := r.quarantined[s.Trait]; s.Quarantined && (known == nil || known.Last < s.Last) {
+		at, carried := r.carried[s.Trait]
+		if !s.Quarantined || carried && at > s.Last {
+			continue
+		}
+		if known := r.quarantined[s.Trait]; known == nil || known.Last < s.Last {
 			r.quarantine(Suspect{Trait: s.Trait, Quarantined: true, Crashes: s.Crashes, Last: s.Last})
 		}
 	}
--- a/internal/coordination/suspect/suspect_test.go
+++ b/internal/coordination/suspect/suspect_test.go
@@ -284,6 +284,21 @@
 	}
 }
 
+// Guards against a control VM that was suspended and, with its old list, brings back a
+// quarantine that an operator has lifted since.
+func TestLiftedQuarantineIsNotTakenOverAgain(t *testing.T) {
+	r := New()
+	old := []Suspect{{Trait: "part/x", Quarantined: true, Crashes: 2, Last: time.Second}}
+	r.Merge(old)
+	if !r.Lift(2*time.Second, "part/x") {
+		t.Fatal("not in quarantine after it was taken over")
+	}
+	r.Merge(old)
+	if got := inQuarantine(r); len(got) != 0 {
+		t.Fatalf("in quarantine again: %v", got)
+	}
+}
+
 // Guards against a trait that, after a change of the leader, gets a second chance to
 // crash engines once its quarantine has ended: the next crash must bring it back.
 func TestQuarantineTakenOverReturnsWithTheNextCrash(t *testing.T) {
