suspect, forward: a lost request counts when it was lost, not when it is reported

Cause: a report of lost requests had no ages. What entries kept while there was no leader arrived together and counted as one crash, since crashes within 0.3 s do.

Change: an entry keeps the time of each loss, and the report has its age.

Before: TestLossesCountWhenTheyHappened needs the age that the report did not have. After: it passes; TestEvidenceNamesPartsBeforeTheAnswerOnly checks that the age grows while a report cannot be sent. The tests of suspect, forward and directory passed with the race detector.

--- a/internal/coordination/directory/suspects.go
+++ b/internal/coordination/directory/suspects.go
@@ -47,7 +47,7 @@
 	for _, part := range l.GetParts() {
 		traits = append(traits, suspect.PartTrait(part))
 	}
-	s.mu.suspects.RecordLoss(now, e.ID, traits)
+	s.mu.suspects.RecordLoss(now, now-time.Duration(l.GetAgeMs())*time.Millisecond, e.ID, traits)
 	if !s.isEngineLocked(e.Endpoint) {
 		s.mu.suspects.RecordCrash(e.ID)
 		return
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -363,14 +363,14 @@
 	if status, _, _, err := w.do("/once/x", nil); err != nil || status != http.StatusBadGateway {
 		t.Fatalf("status %d, error %v", status, err)
 	}
-	lost := w.server.takeEvidence().GetLost()
+	lost := w.takeReport().GetLost()
 	if len(lost) != 1 || lost[0].GetEndpoint() == "" {
 		t.Fatalf("lost requests: %+v", lost)
 	}
 	if status, _, _, err := w.do("/often/x", nil); err != nil || status != 200 {
 		t.Fatalf("status %d, error %v", status, err)
 	}
-	if other := w.server.takeEvidence().GetLost(); len(other) != 0 {
+	if other := w.takeReport().GetLost(); len(other) != 0 {
 		t.Fatalf("an error response counts as a lost request: %+v", other)
 	}
 	w.quarantine(suspect.RequestTrait(lost[0].GetFingerprint()))
@@ -391,12 +391,12 @@
 func TestCompletedRequestIsReported(t *testing.T) {
 	w := newFixture(t, reply{err: errMayHaveRun}, reply{status: 200, header: sealed(), body: "ok", length: 2})
 	_, _, _, _ = w.do("/once/x", nil)
-	trait := string(suspect.RequestTrait(w.server.takeEvidence().GetLost()[0].GetFingerprint()))
+	trait := string(suspect.RequestTrait(w.takeReport().GetLost()[0].GetFingerprint()))
 	w.server.setSuspects(&peerv1.SuspectList{Version: 1, Suspects: []*peerv1.CrashSuspect{{Trait: trait, Crashes: 1}}})
 	if status, _, _, err := w.do("/once/x", nil); err != nil || status != 200 {
 		t.Fatalf("status %d, error %v", status, err)
 	}
-	if carried := w.server.takeEvidence().GetCarried(); len(carried) != 1 || carried[0].GetTrait() != trait {
+	if carried := w.takeReport().GetCarried(); len(carried) != 1 || carried[0].GetTrait() != trait {
 		t.Fatalf("reported: %v", carried)
 	}
 }
@@ -456,20 +456,27 @@
 	}
 }
 
+// takeReport takes the report of evidence for the leader.
+func (w *fixture) takeReport() *peerv1.EvidenceReport {
+	r, _ := w.server.takeEvidence()
+	return r
+}
+
 // Guards against evidence that blames the parts of streams that had begun, and
 // against evidence that is lost when the leader does not answer.
 func TestEvidenceNamesPartsBeforeTheAnswerOnly(t *testing.T) {
 	w := newFixture(t, reply{err: errMayHaveRun}, reply{status: 200, header: sealed(), body: "id: 1\n\n", truncated: true, length: -1})
 	_, _, _, _ = w.do("/stream/x", map[string]string{"Model": "m", "Parts": "a,b"})
 	_, _, _, _ = w.do("/stream/y", map[string]string{"Model": "m", "Parts": "a,c"})
-	report := w.server.takeEvidence()
+	report, unreported := w.server.takeEvidence()
 	if lost := report.GetLost(); len(lost) != 2 || fmt.Sprint(lost[0].GetParts()) != "[a b]" || len(lost[1].GetParts()) != 0 {
 		t.Fatalf("lost requests: %v", lost)
 	}
-	w.server.giveBackEvidence(report)
+	time.Sleep(10 * time.Millisecond)
+	w.server.giveBackEvidence(unreported)
 	w.server.setSuspects(&peerv1.SuspectList{Suspects: []*peerv1.CrashSuspect{{Trait: string(suspect.PartTrait("c"))}, {Trait: string(suspect.PartTrait("b"))}}})
-	again := w.server.takeEvidence()
-	if len(again.GetLost()) != 2 {
+	again := w.takeReport()
+	if lost := again.GetLost(); len(lost) != 2 || lost[0].GetAgeMs() < 10 {
 		t.Fatalf("lost requests in the report after a failed one: %v", again.GetLost())
 	}
 	if carried := again.GetCarried(); len(carried) != 1 || carried[0].GetTrait() != string(suspect.PartTrait("c")) {
--- a/internal/coordination/forward/suspects.go
+++ b/internal/coordination/forward/suspects.go
@@ -32,7 +32,7 @@
 	// changed is closed and replaced with each list of suspects.
 	changed chan struct{}
 	// lost are the requests that wait to be reported to the leader.
-	lost []*peerv1.LostRequest
+	lost []lostRequest
 	// carried holds the suspects with which an answer began, and when, until that is
 	// reported; reported holds when it was for the last time.
 	carried, reported map[suspect.Trait]time.Duration
@@ -50,6 +50,14 @@
 	until             time.Duration
 }
 
+// lostRequest is a request that lost the connection to its endpoint.
+type lostRequest struct {
+	at          time.Duration
+	fingerprint uint64
+	endpoint    string
+	parts       []string // empty if the answer had begun
+}
+
 func newEvidence() evidence {
 	return evidence{
 		carried: map[suspect.Trait]time.Duration{}, reported: map[suspect.Trait]time.Duration{},
@@ -118,20 +126,26 @@
 }
 
 // take returns and removes what is to be reported.
-func (e *evidence) take(now time.Duration) *peerv1.EvidenceReport {
-	r := &peerv1.EvidenceReport{Lost: e.lost}
+func (e *evidence) take(now time.Duration) (*peerv1.EvidenceReport, []lostRequest) {
+	r := &peerv1.EvidenceReport{}
+	for _, l := range e.lost {
+		r.Lost = append(r.Lost, &peerv1.LostRequest{
+			Fingerprint: l.fingerprint, Endpoint: l.endpoint, Parts: l.parts, AgeMs: uint64((now - l.at).Milliseconds()),
+		})
+	}
 	for t, at := range e.carried {
 		r.Carried = append(r.Carried, &peerv1.CarriedTrait{Trait: string(t), AgeMs: uint64((now - at).Milliseconds())})
 	}
+	lost := e.lost
 	e.lost = nil
 	clear(e.carried)
-	return r
+	return r, lost
 }
 
 // giveBack adds lost requests that could not be reported to the next report. What
 // began is reported again when the leader asks again.
-func (e *evidence) giveBack(r *peerv1.EvidenceReport) {
-	e.lost = append(r.GetLost(), e.lost...)
+func (e *evidence) giveBack(lost []lostRequest) {
+	e.lost = append(lost, e.lost...)
 	e.lost = e.lost[:min(len(e.lost), maxLostRequests)]
 	clear(e.reported)
 }
@@ -179,11 +193,11 @@
 	default:
 		return
 	}
-	lost := &peerv1.LostRequest{Fingerprint: c.fingerprint(), Endpoint: endpoint}
+	s := c.server
+	lost := lostRequest{at: s.now(), fingerprint: c.fingerprint(), endpoint: endpoint}
 	if !c.answerBegun() {
-		lost.Parts = partIDs(c.req.Prefix)
+		lost.parts = partIDs(c.req.Prefix)
 	}
-	s := c.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.mu.evidence.lost) < maxLostRequests {
@@ -268,17 +282,18 @@
 	s.mu.evidence.setSuspects(directory.DecodeSuspects(s.now(), list))
 }
 
-// takeEvidence returns and removes what is to be reported to the leader.
-func (s *Server) takeEvidence() *peerv1.EvidenceReport {
+// takeEvidence returns and removes what is to be reported to the leader, and the lost
+// requests in it.
+func (s *Server) takeEvidence() (*peerv1.EvidenceReport, []lostRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.mu.evidence.take(s.now())
 }
 
-// giveBackEvidence adds a report that failed to the next one.
-func (s *Server) giveBackEvidence(r *peerv1.EvidenceReport) {
+// giveBackEvidence adds the lost requests of a report that failed to the next one.
+func (s *Server) giveBackEvidence(lost []lostRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mu.evidence.giveBack(r)
+	s.mu.evidence.giveBack(lost)
 	s.mu.evidence.signal()
 }
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -123,11 +123,11 @@
 			return
 		case <-s.mu.evidence.ready:
 		}
-		r := s.takeEvidence()
+		r, lost := s.takeEvidence()
 		if _, err := w.cfg.Directory.Report(ctx, w.controls.loadAddress(), r); err != nil {
 			s.log.Info("evidence not reported", "lost", len(r.GetLost()), "carried", len(r.GetCarried()), "error", err.Error())
 			sleep(ctx, watchRetryDelay)
-			s.giveBackEvidence(r)
+			s.giveBackEvidence(lost)
 		}
 	}
 }
--- a/internal/coordination/suspect/suspect.go
+++ b/internal/coordination/suspect/suspect.go
@@ -120,7 +120,8 @@
 // losses are the traits of requests that lost their connection to an endpoint, which
 // may have crashed.
 type losses struct {
-	first, last time.Duration
+	first, last time.Duration // when connections were lost
+	heard       time.Duration // when the last report of one arrived
 	traits      []Trait
 }
 
@@ -143,21 +144,23 @@
 }
 
 // RecordLoss records the traits of a request that lost its connection to an endpoint
-// before its answer began.
-func (r *Register) RecordLoss(now time.Duration, endpoint string, traits []Trait) {
+// at lostAt, before its answer began.
+func (r *Register) RecordLoss(now, lostAt time.Duration, endpoint string, traits []Trait) {
 	for i := range r.crashes {
-		if c := &r.crashes[i]; c.endpoint == endpoint && now-c.at <= lossTime {
+		if c := &r.crashes[i]; c.endpoint == endpoint && lostAt-c.at <= lossTime {
 			c.traits = addTraits(c.traits, traits)
 			r.updateExplained(c)
 			return
 		}
 	}
 	l := r.pending[endpoint]
-	if l == nil || now-l.last > lossTime {
-		l = &losses{first: now}
+	if l == nil || lostAt-l.last > lossTime {
+		l = &losses{first: lostAt, last: lostAt}
 		r.pending[endpoint] = l
 	}
-	l.last = now
+	l.first = min(l.first, lostAt)
+	l.last = max(l.last, lostAt)
+	l.heard = now
 	l.traits = addTraits(l.traits, traits)
 }
 
@@ -308,7 +311,7 @@
 }
 
 func (r *Register) expire(now time.Duration) {
-	maps.DeleteFunc(r.pending, func(_ string, l *losses) bool { return now-l.last > lossTime })
+	maps.DeleteFunc(r.pending, func(_ string, l *losses) bool { return now-l.heard > lossTime })
 	r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return now-c.at > evidenceTime })
 	maps.DeleteFunc(r.quarantined, func(_ Trait, s *Suspect) bool { return now-s.Last > QuarantineTime })
 }
--- a/internal/coordination/suspect/suspect_test.go
+++ b/internal/coordination/suspect/suspect_test.go
@@ -21,7 +21,7 @@
 // loseAll records the crash of an endpoint with the given requests.
 func loseAll(r *Register, now time.Duration, endpoint string, requests ...[]Trait) {
 	for _, lost := range requests {
-		r.RecordLoss(now, endpoint, lost)
+		r.RecordLoss(now, now, endpoint, lost)
 	}
 	r.RecordCrash(endpoint)
 }
@@ -113,7 +113,7 @@
 	for _, q := range s.running[e] {
 		switch {
 		case crash && (q.begins > now || q.deadly):
-			s.register.RecordLoss(now, name, q.traits)
+			s.register.RecordLoss(now, now, name, q.traits)
 		case q.begins > now:
 			waiting = append(waiting, q)
 		default:
@@ -227,13 +227,29 @@
 	}
 }
 
+// Guards against crashes that count as one because their losses were reported together,
+// after a time without a leader.
+func TestLossesCountWhenTheyHappened(t *testing.T) {
+	r := New()
+	const reportedAt = 5 * time.Second
+	for i, lostAt := range []time.Duration{2 * time.Second, 3 * time.Second} {
+		endpoint := fmt.Sprint("e", i)
+		r.RecordLoss(reportedAt, lostAt, endpoint, traits("x", endpoint))
+		r.RecordCrash(endpoint)
+	}
+	r.Evaluate(reportedAt)
+	if got := inQuarantine(r); !slices.Equal(got, traits("x")) {
+		t.Fatalf("in quarantine: %v", got)
+	}
+}
+
 // Guards against blame for broken connections to an endpoint that still runs.
 func TestLossesAtRunningEndpointAreNoCrash(t *testing.T) {
 	r := New()
 	for i := range 5 {
 		now := time.Duration(i) * time.Second
 		endpoint := fmt.Sprint(i)
-		r.RecordLoss(now, endpoint, traits("a"))
+		r.RecordLoss(now, now, endpoint, traits("a"))
 		r.RecordAlive(endpoint, now) // asked before the loss was known
 		if !r.Pending(endpoint) {
 			t.Fatal("a report that was asked for before the loss cleared it")
@@ -260,7 +276,7 @@
 			lost = append(lost, []Trait{RequestTrait(uint64(100*(i+1) + other))})
 		}
 		loseAll(r, last, fmt.Sprint("e", i), lost...)
-		r.RecordLoss(last, "e0", []Trait{RequestTrait(7)}) // lost twice at the same endpoint
+		r.RecordLoss(last, last, "e0", []Trait{RequestTrait(7)}) // lost twice at the same endpoint
 		r.Evaluate(last)
 		if want, got := i > 0, inQuarantine(r); want != slices.Equal(got, []Trait{RequestTrait(1)}) || !want && len(got) != 0 {
 			t.Fatalf("after %d crashes: %v", i+1, got)
