directory: losses wait until a new leader has the platform's list

Cause: a leader passes over losses at endpoints that it does not know, and it knows none before its first list. It accepted the report, so the entry did not send it again.

Before: TestLossesWaitForTheListOfANewLeader failed ("report before the first list: error <nil>"). After: it passes, with the tests of directory and forward.

--- a/internal/coordination/directory/suspects.go
+++ b/internal/coordination/directory/suspects.go
@@ -7,12 +7,17 @@
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	"github.com/radishloom/radishloom/internal/coordination/suspect"
+	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
 // ErrEndpointGone is wrapped by the error of a call that was refused because the
 // incarnation of the endpoint that was called no longer runs.
 var ErrEndpointGone = errors.New("the endpoint no longer runs")
 
+// errNotListed is returned by a new leader that cannot tell yet which endpoints a report
+// is about. The entry reports again.
+var errNotListed = resultcode.New(resultcode.NoLeader, "the leader does not have the platform's list yet")
+
 // termBits is the position of the leader's term in the version of a list of
 // suspects.
 const termBits = 32
@@ -24,6 +29,9 @@
 	if s.mu.term == 0 {
 		return nil, notLeading()
 	}
+	if !s.mu.listed {
+		return nil, errNotListed
+	}
 	now := s.now()
 	for _, c := range r.GetCarried() {
 		s.mu.suspects.RecordCarried(now-time.Duration(c.GetAgeMs())*time.Millisecond, suspect.Trait(c.GetTrait()))
--- a/internal/coordination/directory/suspects_test.go
+++ b/internal/coordination/directory/suspects_test.go
@@ -15,6 +15,7 @@
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/coordination/suspect"
+	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/catalog"
 	"github.com/radishloom/radishloom/internal/virtualtime"
 )
@@ -147,6 +148,21 @@
 	})
 }
 
+// Guards against losses that a new leader accepts and drops, because it does not know
+// their endpoints before it has the platform's list.
+func TestLossesWaitForTheListOfANewLeader(t *testing.T) {
+	s := New(Config{Log: slog.New(slog.DiscardHandler)})
+	setTerm(s, 1)
+	report := &peerv1.EvidenceReport{Lost: []*peerv1.LostRequest{{Endpoint: "e1", Parts: []string{"x"}}}}
+	if _, err := s.Report(t.Context(), report); resultcode.Of(err) != resultcode.NoLeader {
+		t.Fatalf("report before the first list: error %v", err)
+	}
+	s.setList(1, []Endpoint{{ID: "e1", Service: "models"}}, 0, nil)
+	if _, err := s.Report(t.Context(), report); err != nil || len(s.mu.suspects.List()) == 0 {
+		t.Fatalf("report after the first list: suspects %v, error %v", s.mu.suspects.List(), err)
+	}
+}
+
 // Guards against a quarantine that never ends, because a control VM passes it on with the
 // age that it had when the control VM got it, and against a control VM that has no list
 // yet and ends the quarantine of an entry.
