forward: reports that answers begin reach the next leader, too

Cause: when a report failed, the entry kept the lost requests in it but dropped the suspects with which answers had begun, and sent an empty report instead. What had been reported to one leader was not repeated to the next, which takes over the suspicions but not what cleared them, and holds requests with harmless parts meanwhile.

Change: what a failed report had waits for the next one, all of it; the first list of a new term ends the memory of what was reported.

--- a/internal/coordination/directory/suspects.go
+++ b/internal/coordination/directory/suspects.go
@@ -138,10 +138,13 @@
 // suspectsVersionLocked returns the version of the list of suspects.
 func (s *Server) suspectsVersionLocked() uint64 { return s.mu.term<<termBits + s.mu.suspectsVersion }
 
+// SuspectsTerm returns the term of the leader whose list it is.
+func SuspectsTerm(list *peerv1.SuspectList) uint64 { return list.GetVersion() >> termBits }
+
 // takeOverSuspectsLocked adds what an earlier leader had put into quarantine, as a
 // follower still knows it.
 func (s *Server) takeOverSuspectsLocked(list *peerv1.SuspectList) {
-	if list.GetVersion() == 0 || list.GetVersion()>>termBits == s.mu.term {
+	if list.GetVersion() == 0 || SuspectsTerm(list) == s.mu.term {
 		return
 	}
 	now := s.now()
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -458,8 +458,7 @@
 
 // takeReport takes the report of evidence for the leader.
 func (w *fixture) takeReport() *peerv1.EvidenceReport {
-	r, _ := w.server.takeEvidence()
-	return r
+	return w.server.takeEvidence().encode(w.server.now())
 }
 
 // Guards against evidence that blames the parts of streams that had begun, and
@@ -468,8 +467,8 @@
 	w := newFixture(t, reply{err: errMayHaveRun}, reply{status: 200, header: sealed(), body: "id: 1\n\n", truncated: true, length: -1})
 	_, _, _, _ = w.do("/stream/x", map[string]string{"Model": "m", "Parts": "a,b"})
 	_, _, _, _ = w.do("/stream/y", map[string]string{"Model": "m", "Parts": "a,c"})
-	report, unreported := w.server.takeEvidence()
-	if lost := report.GetLost(); len(lost) != 2 || fmt.Sprint(lost[0].GetParts()) != "[a b]" || len(lost[1].GetParts()) != 0 {
+	unreported := w.server.takeEvidence()
+	if lost := unreported.encode(w.server.now()).GetLost(); len(lost) != 2 || fmt.Sprint(lost[0].GetParts()) != "[a b]" || len(lost[1].GetParts()) != 0 {
 		t.Fatalf("lost requests: %v", lost)
 	}
 	time.Sleep(10 * time.Millisecond)
@@ -484,6 +483,27 @@
 	}
 }
 
+// Guards against the report of a harmless part that is dropped while there is no
+// leader, or that the next leader does not get: it would hold requests with that part.
+func TestReportsOfAnswersReachTheNextLeader(t *testing.T) {
+	w := newFixture(t, reply{status: 200, header: sealed(), body: "id: 1\n\n", length: -1})
+	setTerm := func(term uint64) {
+		w.server.setSuspects(&peerv1.SuspectList{Version: term << 32, Suspects: []*peerv1.CrashSuspect{{Trait: string(suspect.PartTrait("a"))}}})
+	}
+	check := func(what string) {
+		t.Helper()
+		if carried := w.takeReport().GetCarried(); len(carried) != 1 || carried[0].GetTrait() != string(suspect.PartTrait("a")) {
+			t.Fatalf("%s: %v", what, carried)
+		}
+	}
+	setTerm(1)
+	_, _, _, _ = w.do("/stream/x", map[string]string{"Model": "m", "Parts": "a,b"})
+	w.server.giveBackEvidence(w.server.takeEvidence())
+	check("in the report after a failed one")
+	setTerm(2)
+	check("in the report to the next leader")
+}
+
 // Requests with an unknown key or route, or before the first catalog, must be refused
 // with the right status.
 func TestRefusalStatuses(t *testing.T) {
--- a/internal/coordination/forward/suspects.go
+++ b/internal/coordination/forward/suspects.go
@@ -27,15 +27,17 @@
 // evidence is what an entry knows about requests that may crash endpoints. It is
 // guarded by Server.mu.
 type evidence struct {
-	// suspects are those of the leader. Requests with a quarantined one are refused.
+	// suspects are those of the leader of a term. Requests with a quarantined one are
+	// refused.
 	suspects map[suspect.Trait]listedSuspect
+	term     uint64
 	// changed is closed and replaced with each list of suspects.
 	changed chan struct{}
-	// lost are the requests that wait to be reported to the leader.
-	lost []lostRequest
-	// carried holds the suspects with which an answer began, and when, until that is
-	// reported; reported holds when it was for the last time.
-	carried, reported map[suspect.Trait]time.Duration
+	// news waits to be reported to the leader.
+	news
+	// reported holds when an answer with a suspect began that was reported last to this
+	// leader.
+	reported map[suspect.Trait]time.Duration
 	// begun holds when an answer to a request with a part last began; older is what it
 	// was before it became full.
 	begun, older map[string]time.Duration
@@ -60,8 +62,9 @@
 
 func newEvidence() evidence {
 	return evidence{
-		carried: map[suspect.Trait]time.Duration{}, reported: map[suspect.Trait]time.Duration{},
-		begun: map[string]time.Duration{}, ready: make(chan struct{}, 1), changed: make(chan struct{}),
+		news:     news{carried: map[suspect.Trait]time.Duration{}},
+		reported: map[suspect.Trait]time.Duration{},
+		begun:    map[string]time.Duration{}, ready: make(chan struct{}, 1), changed: make(chan struct{}),
 	}
 }
 
@@ -98,10 +101,15 @@
 	e.signal()
 }
 
-// setSuspects replaces the suspects of the leader.
-func (e *evidence) setSuspects(list []suspect.Suspect) {
+// setSuspects replaces the suspects by those of the leader of a term. A new leader does
+// not know what was reported to an earlier one.
+func (e *evidence) setSuspects(term uint64, list []suspect.Suspect) {
 	close(e.changed)
 	e.changed = make(chan struct{})
+	if term != e.term {
+		e.term = term
+		clear(e.reported)
+	}
 	e.suspects = make(map[suspect.Trait]listedSuspect, len(list))
 	for _, s := range list {
 		e.suspects[s.Trait] = listedSuspect{quarantined: s.Quarantined, held: s.Held, until: s.Last + suspect.QuarantineTime}
@@ -125,29 +133,40 @@
 	}
 }
 
-// take returns and removes what is to be reported.
-func (e *evidence) take(now time.Duration) (*peerv1.EvidenceReport, []lostRequest) {
+// news is what an entry has to report to the leader.
+type news struct {
+	lost []lostRequest
+	// carried holds the suspects with which an answer began, and when.
+	carried map[suspect.Trait]time.Duration
+}
+
+func (n news) encode(now time.Duration) *peerv1.EvidenceReport {
 	r := &peerv1.EvidenceReport{}
-	for _, l := range e.lost {
+	for _, l := range n.lost {
 		r.Lost = append(r.Lost, &peerv1.LostRequest{
 			Fingerprint: l.fingerprint, Endpoint: l.endpoint, Parts: l.parts, AgeMs: uint64((now - l.at).Milliseconds()),
 		})
 	}
-	for t, at := range e.carried {
+	for t, at := range n.carried {
 		r.Carried = append(r.Carried, &peerv1.CarriedTrait{Trait: string(t), AgeMs: uint64((now - at).Milliseconds())})
 	}
-	lost := e.lost
-	e.lost = nil
-	clear(e.carried)
-	return r, lost
+	return r
 }
 
-// giveBack adds lost requests that could not be reported to the next report. What
-// began is reported again when the leader asks again.
-func (e *evidence) giveBack(lost []lostRequest) {
-	e.lost = append(lost, e.lost...)
+// take returns and removes what is to be reported.
+func (e *evidence) take() news {
+	n := e.news
+	e.news = news{carried: map[suspect.Trait]time.Duration{}}
+	return n
+}
+
+// giveBack adds what could not be reported to the next report.
+func (e *evidence) giveBack(n news) {
+	e.lost = append(n.lost, e.lost...)
 	e.lost = e.lost[:min(len(e.lost), maxLostRequests)]
-	clear(e.reported)
+	for t, at := range n.carried {
+		e.carried[t] = max(e.carried[t], at)
+	}
 }
 
 // fingerprint returns a hash that is equal for equal requests of one customer.
@@ -279,21 +298,20 @@
 func (s *Server) setSuspects(list *peerv1.SuspectList) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mu.evidence.setSuspects(directory.DecodeSuspects(s.now(), list))
+	s.mu.evidence.setSuspects(directory.SuspectsTerm(list), directory.DecodeSuspects(s.now(), list))
 }
 
-// takeEvidence returns and removes what is to be reported to the leader, and the lost
-// requests in it.
-func (s *Server) takeEvidence() (*peerv1.EvidenceReport, []lostRequest) {
+// takeEvidence returns and removes what is to be reported to the leader.
+func (s *Server) takeEvidence() news {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.mu.evidence.take(s.now())
+	return s.mu.evidence.take()
 }
 
-// giveBackEvidence adds the lost requests of a report that failed to the next one.
-func (s *Server) giveBackEvidence(lost []lostRequest) {
+// giveBackEvidence adds what could not be reported to the next report.
+func (s *Server) giveBackEvidence(n news) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mu.evidence.giveBack(lost)
+	s.mu.evidence.giveBack(n)
 	s.mu.evidence.signal()
 }
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -123,11 +123,11 @@
 			return
 		case <-s.mu.evidence.ready:
 		}
-		r, lost := s.takeEvidence()
-		if _, err := w.cfg.Directory.Report(ctx, w.controls.loadAddress(), r); err != nil {
-			s.log.Info("evidence not reported", "lost", len(r.GetLost()), "carried", len(r.GetCarried()), "error", err.Error())
+		n := s.takeEvidence()
+		if _, err := w.cfg.Directory.Report(ctx, w.controls.loadAddress(), n.encode(s.now())); err != nil {
+			s.log.Info("evidence not reported", "lost", len(n.lost), "carried", len(n.carried), "error", err.Error())
 			sleep(ctx, watchRetryDelay)
-			s.giveBackEvidence(lost)
+			s.giveBackEvidence(n)
 		}
 	}
 }
