forward, suspect: hash a request once; tests speak of crashing parts

The hash is kept in the call. No behaviour changes; the tests of forward, suspect, quarantine, entry and directory passed with the race detector.

--- a/internal/coordination/entry/scenario_test.go
+++ b/internal/coordination/entry/scenario_test.go
@@ -270,10 +270,10 @@
 			}
 			return c.suspect.Beginnings[0][:]
 		}
-		w.replica.setSuspects(&statev1.Suspect{Fingerprint: beginning("deadly"), Alone: 2}, &statev1.Suspect{Fingerprint: beginning("harmless"), InCompany: 2})
+		w.replica.setSuspects(&statev1.Suspect{Fingerprint: beginning("crashing"), Alone: 2}, &statev1.Suspect{Fingerprint: beginning("harmless"), InCompany: 2})
 		time.Sleep(time.Second)
-		_, code := w.serve(context.Background(), request("1", "deadly"))
-		want(t, "deadly", code, resultcode.RequestCrashes)
+		_, code := w.serve(context.Background(), request("1", "crashing"))
+		want(t, "crashing", code, resultcode.RequestCrashes)
 		_, code = w.serve(context.Background(), request("2", "harmless"))
 		want(t, "harmless", code, resultcode.OK)
 		time.Sleep(time.Second)
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -86,6 +86,8 @@
 	relay        *relay
 	waited       time.Duration // total time in queues for slots
 	holdLimit    time.Duration // until when the request may be held; zero before it is
+	hash         uint64        // of the request, once hashed
+	hashed       bool
 	lastErr      *resultcode.Error
 	// endpointLeaving is set if the endpoint of the current send stated that it is
 	// leaving.
--- a/internal/coordination/forward/suspects.go
+++ b/internal/coordination/forward/suspects.go
@@ -169,14 +169,24 @@
 	}
 }
 
-// fingerprint returns a hash that is equal for equal requests of one customer.
+// trait returns the trait of requests that are equal to this one, of one customer.
+func (c *call) trait() suspect.Trait {
+	return suspect.RequestTrait(c.fingerprint())
+}
+
+// fingerprint returns a hash that is equal for equal requests of one customer. It is
+// computed once, since a body may have megabytes.
 func (c *call) fingerprint() uint64 {
+	if c.hashed {
+		return c.hash
+	}
 	h := xxhash.New()
 	for _, part := range []string{c.customerName(), c.req.Method, c.req.Target, string(c.req.Body)} {
 		_, _ = h.WriteString(part) // never fails
 		_, _ = h.Write([]byte{0})
 	}
-	return h.Sum64()
+	c.hash, c.hashed = h.Sum64(), true
+	return c.hash
 }
 
 // answerBegun reports whether a part of the response's body has been passed on.
@@ -200,7 +210,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.mu.evidence.suspects) > 0 {
-		s.mu.evidence.answer(suspect.RequestTrait(c.fingerprint()), s.now())
+		s.mu.evidence.answer(c.trait(), s.now())
 	}
 }
 
@@ -235,7 +245,7 @@
 	if len(suspects) == 0 {
 		return nil
 	}
-	if suspects[suspect.RequestTrait(c.fingerprint())].quarantined {
+	if suspects[c.trait()].quarantined {
 		return resultcode.New(resultcode.RequestCrashes, "the request is under quarantine: endpoints crashed while they ran it")
 	}
 	for _, p := range c.req.Prefix {
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -177,7 +177,7 @@
 	crash := func(n int) {
 		t.Helper()
 		endpoint := fmt.Sprint("e", n)
-		tr.Begin(endpoint, uint64(n), identity("deadly", n))
+		tr.Begin(endpoint, uint64(n), identity("crashing", n))
 		c, crashed := tr.Lost(time.Duration(n)*time.Second, endpoint, uint64(n))
 		if !crashed {
 			t.Fatalf("the crash of %s was not detected", endpoint)
@@ -189,11 +189,11 @@
 		tr.SetSuspects(slices.Collect(maps.Values(counted)))
 	}
 	crash(0)
-	if tr.Judge(identity("deadly", 1)) != Allowed {
+	if tr.Judge(identity("crashing", 1)) != Allowed {
 		t.Fatal("after one crash, other requests with the same system message are restricted")
 	}
 	crash(1)
-	if tr.Judge(identity("deadly", 2)) != Refused {
+	if tr.Judge(identity("crashing", 2)) != Refused {
 		t.Fatal("two endpoints crashed under requests with the same system message, and the next such request is not refused")
 	}
 	if tr.Judge(identity("harmless", 2)) != Allowed {
@@ -207,18 +207,18 @@
 func TestCompletedRequestsClearTheBeginningOfTheirPrompt(t *testing.T) {
 	tr := New()
 	harmless := PromptIdentity("customer", "route", []byte(`{"messages":[{"content":"common"},{"content":"a"}]}`))
-	deadly := PromptIdentity("customer", "route", []byte(`{"messages":[{"content":"common"},{"content":"b"}]}`))
+	crashing := PromptIdentity("customer", "route", []byte(`{"messages":[{"content":"common"},{"content":"b"}]}`))
 	tr.Begin("e", 1, harmless)
-	tr.SetSuspects([]*statev1.Suspect{{Fingerprint: deadly.Request[:], Alone: 2}, {Fingerprint: deadly.Beginnings[0][:], InCompany: 2}})
+	tr.SetSuspects([]*statev1.Suspect{{Fingerprint: crashing.Request[:], Alone: 2}, {Fingerprint: crashing.Beginnings[0][:], InCompany: 2}})
 	if tr.Judge(harmless) != Exclusive || !tr.NeedsIdleEndpoint(harmless) || !tr.Suspected(harmless) {
 		t.Fatal("after two crashes beside others, a request with the common beginning does not wait for an idle endpoint")
 	}
 	cleared := tr.Succeeded("e", 1)
-	if len(cleared.GetFingerprints()) != 1 || Fingerprint(cleared.GetFingerprints()[0]) != deadly.Beginnings[0] {
+	if len(cleared.GetFingerprints()) != 1 || Fingerprint(cleared.GetFingerprints()[0]) != crashing.Beginnings[0] {
 		t.Fatalf("cleared %v, want the common beginning", cleared)
 	}
-	if tr.Judge(harmless) != Allowed || tr.Judge(deadly) != Refused {
-		t.Fatalf("harmless %v, deadly %v", tr.Judge(harmless), tr.Judge(deadly))
+	if tr.Judge(harmless) != Allowed || tr.Judge(crashing) != Refused {
+		t.Fatalf("harmless %v, crashing %v", tr.Judge(harmless), tr.Judge(crashing))
 	}
 	tr.Begin("e", 2, harmless)
 	if again := tr.Succeeded("e", 2); again != nil {
--- a/internal/coordination/suspect/suspect_test.go
+++ b/internal/coordination/suspect/suspect_test.go
@@ -38,44 +38,44 @@
 
 // simRequest is a request of the simulation. Its answer begins at a time.
 type simRequest struct {
-	traits []Trait
-	begins time.Duration
-	deadly bool
+	traits   []Trait
+	begins   time.Duration
+	crashing bool
 }
 
-// sim sends requests to endpoints by lot. Some have the deadly part and crash their
+// sim sends requests to endpoints by lot. Some have the crashing part and crash their
 // endpoint when their answer would begin, which ends all requests there.
 type sim struct {
-	rand       *rand.Rand
-	register   *Register
-	endpoints  int
-	perSecond  float64 // requests
-	deadlyRate float64 // of them, a second
-	first      bool    // the deadly part is the first one of the prompt
-	common     int     // different second parts
-	running    map[int][]simRequest
-	downUntil  map[int]time.Duration
-	begunAt    map[Trait]time.Duration
-	crashedAt  []time.Duration
-	sent       int
-	lateDeadly int // deadly requests that were sent later than contactTime after the fifth crash
+	rand         *rand.Rand
+	register     *Register
+	endpoints    int
+	perSecond    float64 // requests
+	crashingRate float64 // of them, a second
+	first        bool    // the crashing part is the first one of the prompt
+	common       int     // different second parts
+	running      map[int][]simRequest
+	downUntil    map[int]time.Duration
+	begunAt      map[Trait]time.Duration
+	crashedAt    []time.Duration
+	sent         int
+	lateCrashing int // crashing requests that were sent later than contactTime after the fifth crash
 }
 
 const (
-	deadlyPart  = "deadly"
-	contactTime = 3 * time.Second
-	simStep     = 20 * time.Millisecond
+	crashingPart = "crashing"
+	contactTime  = 3 * time.Second
+	simStep      = 20 * time.Millisecond
 )
 
 func (s *sim) newRequest(now time.Duration) simRequest {
 	s.sent++
-	q := simRequest{begins: now + time.Duration(1+s.rand.IntN(10))*simStep, deadly: s.rand.Float64() < s.deadlyRate/s.perSecond}
+	q := simRequest{begins: now + time.Duration(1+s.rand.IntN(10))*simStep, crashing: s.rand.Float64() < s.crashingRate/s.perSecond}
 	first, second := fmt.Sprint("first", s.rand.IntN(3)), fmt.Sprint("second", s.rand.IntN(s.common))
 	switch {
-	case q.deadly && s.first:
-		first = deadlyPart
-	case q.deadly:
-		second = deadlyPart
+	case q.crashing && s.first:
+		first = crashingPart
+	case q.crashing:
+		second = crashingPart
 	}
 	q.traits = append(traits(first, second, fmt.Sprint("own", s.sent)), RequestTrait(uint64(s.sent)))
 	return q
@@ -86,12 +86,12 @@
 	for range max(1, n) {
 		q := s.newRequest(now)
 		e := s.rand.IntN(s.endpoints)
-		if now < s.downUntil[e] || q.deadly && slices.Contains(inQuarantine(s.register), PartTrait(deadlyPart)) {
+		if now < s.downUntil[e] || q.crashing && slices.Contains(inQuarantine(s.register), PartTrait(crashingPart)) {
 			continue
 		}
 		s.running[e] = append(s.running[e], q)
-		if q.deadly && len(s.crashedAt) >= 5 && now > s.crashedAt[4]+contactTime {
-			s.lateDeadly++
+		if q.crashing && len(s.crashedAt) >= 5 && now > s.crashedAt[4]+contactTime {
+			s.lateCrashing++
 		}
 	}
 }
@@ -107,12 +107,12 @@
 
 // run lets the requests of an endpoint begin their answers.
 func (s *sim) run(now time.Duration, e int) {
-	crash := slices.ContainsFunc(s.running[e], func(q simRequest) bool { return q.deadly && q.begins <= now })
+	crash := slices.ContainsFunc(s.running[e], func(q simRequest) bool { return q.crashing && q.begins <= now })
 	name := fmt.Sprint(e, "/", s.downUntil[e])
 	var waiting []simRequest
 	for _, q := range s.running[e] {
 		switch {
-		case crash && (q.begins > now || q.deadly):
+		case crash && (q.begins > now || q.crashing):
 			s.register.RecordLoss(now, now, name, q.traits)
 		case q.begins > now:
 			waiting = append(waiting, q)
@@ -133,11 +133,11 @@
 // Guards against a part that crashes one endpoint after another, and against the
 // quarantine of harmless parts that are lost with it. Not more than three requests
 // with the part may be sent later than contactTime after the fifth crash.
-func TestDeadlyPartIsFoundWithinFiveCrashes(t *testing.T) { rapid.Check(t, checkAttribution(false)) }
+func TestCrashingPartIsFoundWithinFiveCrashes(t *testing.T) { rapid.Check(t, checkAttribution(false)) }
 
 // Guards against evidence that is lost with each leader: the same must hold while the
 // leader changes again and again.
-func TestDeadlyPartIsFoundWhileLeadersChange(t *testing.T) { rapid.Check(t, checkAttribution(true)) }
+func TestCrashingPartIsFoundWhileLeadersChange(t *testing.T) { rapid.Check(t, checkAttribution(true)) }
 
 // checkAttribution runs the simulation. If leaders change, each one has the list of
 // suspects of the one before, but not its evidence.
@@ -146,10 +146,10 @@
 		s := &sim{
 			rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), register: New(),
 			endpoints: rapid.IntRange(6, 60).Draw(t, "endpoints"), perSecond: rapid.Float64Range(50, 400).Draw(t, "requests a second"),
-			first: rapid.Bool().Draw(t, "the deadly part is the first one"), common: rapid.IntRange(3, 60).Draw(t, "second parts"),
+			first: rapid.Bool().Draw(t, "the crashing part is the first one"), common: rapid.IntRange(3, 60).Draw(t, "second parts"),
 			running: map[int][]simRequest{}, downUntil: map[int]time.Duration{}, begunAt: map[Trait]time.Duration{},
 		}
-		s.deadlyRate = rapid.Float64Range(0.5, float64(s.endpoints)/4).Draw(t, "deadly requests a second")
+		s.crashingRate = rapid.Float64Range(0.5, float64(s.endpoints)/4).Draw(t, "crashing requests a second")
 		nextLeader := 15 * time.Second
 		if leadersChange {
 			nextLeader = time.Duration(rapid.IntRange(500, 4000).Draw(t, "first change in ms")) * time.Millisecond
@@ -169,13 +169,13 @@
 			s.answer()
 			s.register.Evaluate(now)
 			for _, q := range inQuarantine(s.register) {
-				if q != PartTrait(deadlyPart) {
+				if q != PartTrait(crashingPart) {
 					t.Fatalf("%s is in quarantine at %v after %d crashes", q, now, len(s.crashedAt))
 				}
 			}
 		}
-		if s.lateDeadly > 3 {
-			t.Fatalf("%d requests with the deadly part were sent later than %v after the fifth of %d crashes", s.lateDeadly, contactTime, len(s.crashedAt))
+		if s.lateCrashing > 3 {
+			t.Fatalf("%d requests with the crashing part were sent later than %v after the fifth of %d crashes", s.lateCrashing, contactTime, len(s.crashedAt))
 		}
 	}
 }
