forward: events end with CRLF line ends, too

Cause: the end of an event was looked for as two LF; an empty line may also be CRLF.

Change: events.go knows both ends; takeEvents and the end of a stream use the same function.

Before: three new cases failed ("stream with CRLF, whole events": connection reset; "resumable stream with CRLF, whole events" and TestStreamWithCRLFResumesAfterLastCompleteEvent: EOF). After: all pass, with the other tests of forward under the race detector; lint passed.

--- a/internal/coordination/forward/close_test.go
+++ b/internal/coordination/forward/close_test.go
@@ -60,6 +60,10 @@
 		complete   bool
 	}{
 		{"stream, whole events", "/stream/x", closingEndpoint{body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"}, true},
+		{"stream with CRLF, whole events", "/stream/x", closingEndpoint{body: "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"}, true},
+		{"stream with CRLF, ends after a line", "/stream/x", closingEndpoint{body: "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n"}, false},
+		{"resumable stream with CRLF, whole events", "/resumed/x", closingEndpoint{body: "id: 1\r\ndata: a\r\n\r\n"}, true},
+		{"resumable stream with CRLF, ends within an event", "/resumed/x", closingEndpoint{body: "id: 1\r\ndata: a\r\n\r\nid: 2\r\nda"}, false},
 		{"stream, ends within an event", "/stream/x", closingEndpoint{body: "id: 1\ndata: a\n\nid: 2\nda"}, false},
 		{"stream, ends after a line", "/stream/x", closingEndpoint{body: "id: 1\ndata: a\n\nid: 2\ndata: b\n"}, false},
 		{"stream, without an event", "/stream/x", closingEndpoint{}, false},
--- /dev/null
+++ b/internal/coordination/forward/events.go
@@ -0,0 +1,22 @@
+package forward
+
+import "bytes"
+
+// eventEnds are the ends of an event of a text/event-stream: an empty line, with LF or
+// CRLF line ends.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// maxEventEnd is the length of the longest of eventEnds in bytes.
+const maxEventEnd = 3
+
+// lastEventEnd returns the position behind the last event in p that is complete, or 0 if
+// there is none.
+func lastEventEnd(p []byte) int {
+	last := 0
+	for _, end := range eventEnds {
+		if at := bytes.LastIndex(p, end); at >= 0 {
+			last = max(last, at+len(end))
+		}
+	}
+	return last
+}
--- a/internal/coordination/forward/relay.go
+++ b/internal/coordination/forward/relay.go
@@ -87,7 +87,7 @@
 func (r *relay) end(resp *exchange.Response) error {
 	// The orderly close of a connection may be that of an endpoint that broke off, so
 	// a stream without other framing is complete only if its last event is.
-	endsWithinEvent := r.closeDelimited && r.isStream(resp) && !bytes.HasSuffix(r.tail, eventEnd)
+	endsWithinEvent := r.closeDelimited && r.isStream(resp) && (len(r.tail) == 0 || lastEventEnd(r.tail) != len(r.tail))
 	if len(r.pending) > 0 || endsWithinEvent {
 		return resultcode.New(resultcode.AnswerIncomplete, "the stream ended within an event")
 	}
@@ -101,8 +101,8 @@
 
 // keepTail keeps the last bytes of p, as many as tell whether an event ends there.
 func (r *relay) keepTail(p []byte) {
-	r.tail = append(r.tail, p[max(0, len(p)-len(eventEnd)):]...)
-	r.tail = r.tail[max(0, len(r.tail)-len(eventEnd)):]
+	r.tail = append(r.tail, p[max(0, len(p)-maxEventEnd):]...)
+	r.tail = r.tail[max(0, len(r.tail)-maxEventEnd):]
 }
 
 func (r *relay) write(p []byte) error {
@@ -138,18 +138,12 @@
 	r.last = at
 }
 
-// eventEnd is the end of an event of a text/event-stream.
-var eventEnd = []byte("\n\n")
-
 // takeEvents returns the complete events and keeps the rest for the next read.
 func (r *relay) takeEvents(p []byte) []byte {
 	r.pending = append(r.pending, p...)
-	at := bytes.LastIndex(r.pending, eventEnd)
-	if at < 0 {
-		return nil
-	}
-	out := bytes.Clone(r.pending[:at+len(eventEnd)])
-	r.pending = append(r.pending[:0], r.pending[at+len(eventEnd):]...)
+	end := lastEventEnd(r.pending)
+	out := bytes.Clone(r.pending[:end])
+	r.pending = append(r.pending[:0], r.pending[end:]...)
 	r.recordLastID(out)
 	return out
 }
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -270,6 +270,22 @@
 	}
 }
 
+// Guards against a stream with CRLF line ends whose events are never recognised as
+// complete.
+func TestStreamWithCRLFResumesAfterLastCompleteEvent(t *testing.T) {
+	w := newFixture(t,
+		reply{status: 200, header: sealed(), body: "id: 1\r\ndata: a\r\n\r\nid: 2\r\nda", truncated: true, length: -1},
+		reply{status: 200, header: sealed(), body: "id: 2\r\ndata: b\r\n\r\n", length: -1},
+	)
+	status, _, body, err := w.do("/resumed/x", map[string]string{"Model": "m"})
+	if err != nil || status != 200 || body != "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n" {
+		t.Fatalf("status %d, body %q, error %v", status, body, err)
+	}
+	if got := w.endpoints.sends()[1].Header.Get("Resume"); got != "1" {
+		t.Fatalf("resumed after %q, want 1", got)
+	}
+}
+
 // A truncated stream that is not resumable must not be sent again and must not look
 // complete to the caller.
 func TestTruncatedStreamIsAborted(t *testing.T) {
