--- a/internal/coordination/directory/suspects.go
+++ b/internal/coordination/directory/suspects.go
@@ -141,8 +141,8 @@
 // SuspectsTerm returns the term of the leader whose list it is.
 func SuspectsTerm(list *peerv1.SuspectList) uint64 { return list.GetVersion() >> termBits }
 
-// takeOverSuspectsLocked adds what an earlier leader had put into quarantine, as a
-// follower still knows it.
+// takeOverSuspectsLocked adds what an earlier leader suspected or had put into
+// quarantine, as a follower still knows it.
 func (s *Server) takeOverSuspectsLocked(list *peerv1.SuspectList) {
 	if list.GetVersion() == 0 || SuspectsTerm(list) == s.mu.term {
 		return
--- a/internal/coordination/forward/suspects.go
+++ b/internal/coordination/forward/suspects.go
@@ -33,8 +33,8 @@
 	term     uint64
 	// changed is closed and replaced with each list of suspects.
 	changed chan struct{}
-	// news waits to be reported to the leader.
-	news
+	// findings wait to be reported to the leader.
+	findings
 	// reported holds when an answer with a suspect began that was reported last to this
 	// leader.
 	reported map[suspect.Trait]time.Duration
@@ -62,7 +62,7 @@
 
 func newEvidence() evidence {
 	return evidence{
-		news:     news{carried: map[suspect.Trait]time.Duration{}},
+		findings: findings{carried: map[suspect.Trait]time.Duration{}},
 		reported: map[suspect.Trait]time.Duration{},
 		begun:    map[string]time.Duration{}, ready: make(chan struct{}, 1), changed: make(chan struct{}),
 	}
@@ -133,38 +133,38 @@
 	}
 }
 
-// news is what an entry has to report to the leader.
-type news struct {
+// findings are what an entry has to report to the leader.
+type findings struct {
 	lost []lostRequest
 	// carried holds the suspects with which an answer began, and when.
 	carried map[suspect.Trait]time.Duration
 }
 
-func (n news) encode(now time.Duration) *peerv1.EvidenceReport {
+func (f findings) encode(now time.Duration) *peerv1.EvidenceReport {
 	r := &peerv1.EvidenceReport{}
-	for _, l := range n.lost {
+	for _, l := range f.lost {
 		r.Lost = append(r.Lost, &peerv1.LostRequest{
 			Fingerprint: l.fingerprint, Endpoint: l.endpoint, Parts: l.parts, AgeMs: uint64((now - l.at).Milliseconds()),
 		})
 	}
-	for t, at := range n.carried {
+	for t, at := range f.carried {
 		r.Carried = append(r.Carried, &peerv1.CarriedTrait{Trait: string(t), AgeMs: uint64((now - at).Milliseconds())})
 	}
 	return r
 }
 
 // take returns and removes what is to be reported.
-func (e *evidence) take() news {
-	n := e.news
-	e.news = news{carried: map[suspect.Trait]time.Duration{}}
-	return n
+func (e *evidence) take() findings {
+	f := e.findings
+	e.findings = findings{carried: map[suspect.Trait]time.Duration{}}
+	return f
 }
 
 // giveBack adds what could not be reported to the next report.
-func (e *evidence) giveBack(n news) {
-	e.lost = append(n.lost, e.lost...)
+func (e *evidence) giveBack(f findings) {
+	e.lost = append(f.lost, e.lost...)
 	e.lost = e.lost[:min(len(e.lost), maxLostRequests)]
-	for t, at := range n.carried {
+	for t, at := range f.carried {
 		e.carried[t] = max(e.carried[t], at)
 	}
 }
@@ -312,16 +312,16 @@
 }
 
 // takeEvidence returns and removes what is to be reported to the leader.
-func (s *Server) takeEvidence() news {
+func (s *Server) takeEvidence() findings {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.mu.evidence.take()
 }
 
 // giveBackEvidence adds what could not be reported to the next report.
-func (s *Server) giveBackEvidence(n news) {
+func (s *Server) giveBackEvidence(f findings) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mu.evidence.giveBack(n)
+	s.mu.evidence.giveBack(f)
 	s.mu.evidence.signal()
 }
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -123,11 +123,11 @@
 			return
 		case <-s.mu.evidence.ready:
 		}
-		n := s.takeEvidence()
-		if _, err := w.cfg.Directory.Report(ctx, w.controls.loadAddress(), n.encode(s.now())); err != nil {
-			s.log.Info("evidence not reported", "lost", len(n.lost), "carried", len(n.carried), "error", err.Error())
+		f := s.takeEvidence()
+		if _, err := w.cfg.Directory.Report(ctx, w.controls.loadAddress(), f.encode(s.now())); err != nil {
+			s.log.Info("evidence not reported", "lost", len(f.lost), "carried", len(f.carried), "error", err.Error())
 			sleep(ctx, watchRetryDelay)
-			s.giveBackEvidence(n)
+			s.giveBackEvidence(f)
 		}
 	}
 }
