suspect: times before the start of the process are kept

Seen: in the review of takeover.go. Times are durations since the start of the process, so what a young process learns about earlier crashes and answers has negative times.

Cause: two places took a missing time for zero, which is later than these: the time of an inherited crash, and the last answer with a trait. An answer after the crash did not clear its traits; with only the first place fixed, an answer before the crash cleared them.

Before: TestInheritedCrashKeepsItsTime failed without either change ("answer at -500ms: cleared false"), and with only the first ("answer at -2s: cleared true"). After: it passes, with the other tests of the package under the race detector.

--- a/internal/coordination/suspect/suspect.go
+++ b/internal/coordination/suspect/suspect.go
@@ -210,7 +210,9 @@
 	if len(r.carried) >= maxFormer {
 		clear(r.carried)
 	}
-	r.carried[t] = max(r.carried[t], at)
+	if known, carried := r.carried[t]; !carried || at > known {
+		r.carried[t] = at
+	}
 	if q := r.quarantined[t]; q != nil && at > q.Last {
 		delete(r.quarantined, t)
 	}
--- a/internal/coordination/suspect/suspect_test.go
+++ b/internal/coordination/suspect/suspect_test.go
@@ -334,6 +334,23 @@
 	}
 }
 
+// Guards against a leader whose process started after what it learns about, so that
+// times are negative: an answer before an inherited crash must not clear its traits,
+// and one after it must.
+func TestInheritedCrashKeepsItsTime(t *testing.T) {
+	for _, test := range []struct {
+		answer  time.Duration
+		cleared bool
+	}{{-2 * time.Second, false}, {-500 * time.Millisecond, true}} {
+		r := New()
+		r.Merge(500*time.Millisecond, []Suspect{{Trait: "part/x", Crashes: 1, Last: -time.Second}})
+		r.RecordCarried(test.answer, "part/x")
+		if cleared := len(r.counts()) == 0; cleared != test.cleared {
+			t.Errorf("answer at %v: cleared %v, want %v", test.answer, cleared, test.cleared)
+		}
+	}
+}
+
 // Guards against a trait that, after a change of the leader, gets a second chance to
 // crash engines once its quarantine has ended: the next crash must bring it back.
 func TestQuarantineTakenOverReturnsWithTheNextCrash(t *testing.T) {
--- a/internal/coordination/suspect/takeover.go
+++ b/internal/coordination/suspect/takeover.go
@@ -38,7 +38,7 @@
 	if len(open) == 0 {
 		return
 	}
-	c := crash{endpoint: inherited}
+	c := crash{endpoint: inherited, at: open[0].Last}
 	if i := slices.IndexFunc(r.crashes, func(c crash) bool { return c.endpoint == inherited }); i >= 0 {
 		c = r.crashes[i]
 		r.crashes = slices.Delete(r.crashes, i, i+1)
