fleet: a report of a crash without requests is ignored

Cause: report takes the first request of a crash for that of its beginnings. A report with beginnings and no request, which only a faulty process would send, stopped the state machine on every control VM.

Before: TestReportWithoutRequestsIsIgnored panicked (index out of range). After: it passes, with the other tests of the package.

--- a/internal/state/fleet/rules_test.go
+++ b/internal/state/fleet/rules_test.go
@@ -159,6 +159,15 @@
 	}
 }
 
+// Guards against a malformed report that stops every control VM.
+func TestReportWithoutRequestsIsIgnored(t *testing.T) {
+	m := New()
+	m.Apply(1, &statev1.Command{Op: &statev1.Command_SuspectReport{SuspectReport: &statev1.SuspectReport{Endpoint: "e1", Crash: "c1", Beginnings: [][]byte{[]byte("x")}}}})
+	if _, list := m.Suspects(); len(list) != 0 {
+		t.Fatalf("suspects %v", list)
+	}
+}
+
 // Guards against an unbounded history or unbounded request results, and against
 // deltas from versions that are no longer in the history.
 func TestHistoryAndRequestsAreBounded(t *testing.T) {
--- a/internal/state/fleet/suspects.go
+++ b/internal/state/fleet/suspects.go
@@ -35,8 +35,8 @@
 }
 
 // suspects counts, for each request fingerprint and each beginning of a prompt, the
-// crashes during which such a request was running. Both lists are ordered by expiry: new crashes and changed
-// suspects go to the end.
+// crashes during which such a request was running. Both lists are ordered by expiry:
+// new crashes and changed suspects go to the end.
 type suspects struct {
 	version       uint64
 	byFingerprint map[string]*statev1.Suspect
@@ -51,8 +51,11 @@
 
 // report adds fingerprints to a crash. Several entries may report the same crash;
 // a request that was first counted as running alone is then recounted as running
-// with others.
+// with others. A report without requests is ignored.
 func (s *suspects) report(now uint64, r *statev1.SuspectReport) {
+	if len(r.GetFingerprints()) == 0 {
+		return
+	}
 	c := s.byCrash[r.GetCrash()]
 	if c == nil {
 		c = &crash{id: r.GetCrash(), expires: now + suspicionMs}
