directory, fleet: open suspicions are kept in the replicated state, too

Cause: seven engines crash from 7.4 to 7.6 s, which is one crash for the verdict. The next one falls into the restart of all control VMs at 11.0 s, which forgets the first. The part is known at 17.4 s, after the tenth crash, and sound requests wait for engines that are empty.

Ruled out: the quarantine itself was lost (it was saved and read back once there was one); the rule that crashes within 0.3 s count as one (without it a rack that fails puts common parts into quarantine).

Change: the leader saves the whole list of suspects, at most twice a second for open suspicions and at once for a verdict. A new leader takes them over as one crash, as it does from its followers.

Before: TestOpenSuspicionsOutliveARestartOfAllControlVMs failed ("saved after one crash: []"). After: it passes, with TestQuarantineIsSavedBeforeOpenSuspicions and the tests of directory and fleet under the race detector.

Seven crashes before the first verdict stay possible.

--- a/internal/coordination/directory/quarantine.go
+++ b/internal/coordination/directory/quarantine.go
@@ -9,15 +9,18 @@
 )
 
 const (
-	// quarantineSaveInterval is the shortest time between two saves for later crashes
+	// suspicionSaveInterval is the shortest time between two saves for open suspicions:
+	// their list changes with each answer that clears a part.
+	suspicionSaveInterval = 500 * time.Millisecond
+	// quarantineAgeInterval is the shortest time between two saves for later crashes
 	// under a quarantine that is saved already.
-	quarantineSaveInterval = time.Minute
-	// quarantineRetryDelay is the pause after a quarantine could not be saved.
+	quarantineAgeInterval = time.Minute
+	// quarantineRetryDelay is the pause after a save that failed.
 	quarantineRetryDelay = 500 * time.Millisecond
 )
 
-// QuarantineStore keeps the quarantine in the replicated state. The memory of the
-// leader and its followers does not survive a restart of all control VMs.
+// QuarantineStore keeps the quarantine, and open suspicions, in the replicated state. The
+// memory of the leader and its followers does not survive a restart of all control VMs.
 type QuarantineStore interface {
 	// Quarantine returns what this VM has applied. A leader has applied all that
 	// earlier leaders saved.
@@ -29,40 +32,81 @@
 
 // quarantineSave is what the replicated state is known to have.
 type quarantineSave struct {
-	// lastCrash holds the time of the last crash of each saved trait.
-	lastCrash map[suspect.Trait]time.Duration
-	inFlight  bool
-	next      time.Duration // when the next attempt may begin
+	traits   map[suspect.Trait]savedTrait
+	inFlight bool
+	// next is when the next save may begin, nextSuspicion when one may begin for open
+	// suspicions only.
+	next, nextSuspicion time.Duration
 }
 
-// outdated reports whether the quarantine in a list differs from what is saved.
-func (q *quarantineSave) outdated(list []suspect.Suspect) bool {
-	if len(list) != len(q.lastCrash) {
-		return true
+// savedTrait is a trait as it was saved.
+type savedTrait struct {
+	quarantined bool
+	lastCrash   time.Duration
+}
+
+// due reports whether a list of suspects is to be saved now.
+func (q *quarantineSave) due(now time.Duration, list []suspect.Suspect) bool {
+	if q.inFlight || now < q.next {
+		return false
+	}
+	return q.quarantineChanged(list) || now >= q.nextSuspicion && q.suspicionsChanged(list)
+}
+
+func (q *quarantineSave) quarantineChanged(list []suspect.Suspect) bool {
+	n := 0
+	for _, t := range list {
+		if !t.Quarantined {
+			continue
+		}
+		n++
+		if saved := q.traits[t.Trait]; !saved.quarantined || t.Last-saved.lastCrash >= quarantineAgeInterval {
+			return true
+		}
 	}
+	return n != q.count(true)
+}
+
+func (q *quarantineSave) suspicionsChanged(list []suspect.Suspect) bool {
+	n := 0
 	for _, t := range list {
-		saved, known := q.lastCrash[t.Trait]
-		if !known || t.Last-saved >= quarantineSaveInterval {
+		if t.Quarantined {
+			continue
+		}
+		n++
+		if saved, known := q.traits[t.Trait]; !known || saved.quarantined || t.Last > saved.lastCrash {
 			return true
 		}
 	}
-	return false
+	return n != q.count(false)
+}
+
+// count returns how many of the saved traits are, or are not, under quarantine.
+func (q *quarantineSave) count(quarantined bool) int {
+	n := 0
+	for _, t := range q.traits {
+		if t.quarantined == quarantined {
+			n++
+		}
+	}
+	return n
 }
 
 func (q *quarantineSave) record(list []suspect.Suspect) {
-	q.lastCrash = make(map[suspect.Trait]time.Duration, len(list))
+	q.traits = make(map[suspect.Trait]savedTrait, len(list))
 	for _, t := range list {
-		q.lastCrash[t.Trait] = t.Last
+		q.traits[t.Trait] = savedTrait{quarantined: t.Quarantined, lastCrash: t.Last}
 	}
 }
 
-// restoreQuarantineLocked takes over the quarantine that earlier leaders saved.
+// restoreQuarantineLocked takes over the quarantine and the open suspicions that earlier
+// leaders saved.
 func (s *Server) restoreQuarantineLocked(stored []*statev1.QuarantinedTrait) {
 	now := s.now()
 	list := make([]suspect.Suspect, 0, len(stored))
 	for _, t := range stored {
 		list = append(list, suspect.Suspect{
-			Trait: suspect.Trait(t.GetTrait()), Quarantined: true, Crashes: int(t.GetCrashes()),
+			Trait: suspect.Trait(t.GetTrait()), Quarantined: !t.GetOpen(), Crashes: int(t.GetCrashes()),
 			Last: now - time.Duration(t.GetLastCrashMs())*time.Millisecond,
 		})
 	}
@@ -71,19 +115,20 @@
 	s.evaluateSuspectsLocked()
 }
 
-// saveQuarantine begins to save the quarantine if it has changed.
+// saveQuarantine begins to save the list of suspects if it has changed.
 func (s *Server) saveQuarantine(ctx context.Context) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, save := s.now(), &s.mu.quarantineSave
-	list := quarantinedOnly(s.mu.listedSuspects)
-	if save.inFlight || now < save.next || !save.outdated(list) {
+	list := s.mu.listedSuspects
+	if !save.due(now, list) {
 		return
 	}
 	declared := &statev1.PutQuarantine{Term: s.mu.term}
 	for _, t := range list {
 		declared.Traits = append(declared.Traits, &statev1.QuarantinedTrait{
-			Trait: string(t.Trait), Crashes: uint32(t.Crashes), LastCrashMs: uint64(max(0, now-t.Last).Milliseconds()),
+			Trait: string(t.Trait), Crashes: uint32(t.Crashes), Open: !t.Quarantined,
+			LastCrashMs: uint64(max(0, now-t.Last).Milliseconds()),
 		})
 	}
 	save.inFlight = true
@@ -99,6 +144,7 @@
 	defer s.mu.Unlock()
 	save := &s.mu.quarantineSave
 	save.inFlight = false
+	save.nextSuspicion = s.now() + suspicionSaveInterval
 	if err != nil {
 		save.next = s.now() + quarantineRetryDelay
 		s.cfg.Log.Warn("quarantine not saved", "term", term, "traits", len(list), "error", err)
@@ -109,13 +155,3 @@
 		save.record(list)
 	}
 }
-
-func quarantinedOnly(list []suspect.Suspect) []suspect.Suspect {
-	var out []suspect.Suspect
-	for _, s := range list {
-		if s.Quarantined {
-			out = append(out, s)
-		}
-	}
-	return out
-}
--- a/internal/coordination/directory/suspects_test.go
+++ b/internal/coordination/directory/suspects_test.go
@@ -148,6 +148,64 @@
 	})
 }
 
+// Guards against open suspicions that are forgotten when all control VMs restart: one
+// more crash must suffice.
+func TestOpenSuspicionsOutliveARestartOfAllControlVMs(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		store := &fakeQuarantineStore{}
+		before := newLeader(1)
+		before.cfg.Quarantine = store
+		crash(t, before, "e1")
+		before.saveQuarantine(t.Context())
+		synctest.Wait()
+		if stored, err := store.Quarantine(t.Context()); err != nil || len(stored) == 0 || !stored[0].GetOpen() {
+			t.Fatalf("saved after one crash: %v, error %v", stored, err)
+		}
+
+		after := newLeader(1)
+		after.cfg.Quarantine = store
+		if err := after.startTerm(t.Context(), 2); err != nil {
+			t.Fatal(err)
+		}
+		after.setList(2, before.mu.list, 0, nil)
+		crash(t, after, "e2")
+		after.evaluateSuspects()
+		if list := after.mu.listedSuspects; len(list) == 0 || !list[0].Quarantined || list[0].Trait != suspect.PartTrait("x") {
+			t.Fatalf("suspects %v, want the part x in quarantine", list)
+		}
+	})
+}
+
+// Guards against a quarantine that waits behind saves of open suspicions, and against a
+// save for each answer that clears a part.
+func TestQuarantineIsSavedBeforeOpenSuspicions(t *testing.T) {
+	x := suspect.Suspect{Trait: suspect.PartTrait("x"), Crashes: 1}
+	y := suspect.Suspect{Trait: suspect.PartTrait("y"), Crashes: 1}
+	quarantined := suspect.Suspect{Trait: x.Trait, Quarantined: true, Crashes: 2, Last: time.Second}
+	save := quarantineSave{nextSuspicion: suspicionSaveInterval}
+	save.record([]suspect.Suspect{x, y})
+	for _, c := range []struct {
+		name string
+		now  time.Duration
+		list []suspect.Suspect
+		want bool
+	}{
+		{"a suspicion is cleared within the interval", suspicionSaveInterval - 1, []suspect.Suspect{x}, false},
+		{"a suspicion is cleared", suspicionSaveInterval, []suspect.Suspect{x}, true},
+		{"a suspicion comes within the interval", suspicionSaveInterval - 1, []suspect.Suspect{x, y, {Trait: "z"}}, false},
+		{"nothing has changed", suspicionSaveInterval, []suspect.Suspect{y, x}, false},
+		{"a verdict within the interval", suspicionSaveInterval - 1, []suspect.Suspect{quarantined, y}, true},
+	} {
+		if got := save.due(c.now, c.list); got != c.want {
+			t.Errorf("%s: saved %v, want %v", c.name, got, c.want)
+		}
+	}
+	save.record([]suspect.Suspect{quarantined})
+	if !save.due(0, nil) {
+		t.Error("a quarantine that ended within the interval is not saved")
+	}
+}
+
 // Guards against losses that a new leader accepts and drops, because it does not know
 // their endpoints before it has the platform's list.
 func TestLossesWaitForTheListOfANewLeader(t *testing.T) {
--- a/internal/state/fleet/quarantine.go
+++ b/internal/state/fleet/quarantine.go
@@ -9,13 +9,16 @@
 	}
 }
 
-// Quarantine returns what is under quarantine, with the times since the last crashes
-// at the present fleet time. The caller may keep the result.
+// Quarantine returns what is under quarantine or suspected, with the times since the
+// last crashes at the present fleet time. The caller may keep the result.
 func (m *Machine) Quarantine() []*statev1.QuarantinedTrait {
 	elapsed := m.now - m.quarantine.GetDeclaredMs()
 	var out []*statev1.QuarantinedTrait
 	for _, t := range m.quarantine.GetDeclared().GetTraits() {
-		out = append(out, &statev1.QuarantinedTrait{Trait: t.GetTrait(), Crashes: t.GetCrashes(), LastCrashMs: t.GetLastCrashMs() + elapsed})
+		out = append(out, &statev1.QuarantinedTrait{
+			Trait: t.GetTrait(), Crashes: t.GetCrashes(), Open: t.GetOpen(),
+			LastCrashMs: t.GetLastCrashMs() + elapsed,
+		})
 	}
 	return out
 }
--- a/internal/state/fleet/quarantine_test.go
+++ b/internal/state/fleet/quarantine_test.go
@@ -14,12 +14,12 @@
 // late command of a deposed leader that brings back what was lifted.
 func TestQuarantineKeepsItsAgeAndTheLatestTermWins(t *testing.T) {
 	m := New()
-	m.Apply(1, at(5_000, putQuarantine(3, &statev1.QuarantinedTrait{Trait: "part/a", Crashes: 2, LastCrashMs: 700})))
+	m.Apply(1, at(5_000, putQuarantine(3, &statev1.QuarantinedTrait{Trait: "part/a", Crashes: 2, LastCrashMs: 700, Open: true})))
 	m.Apply(2, at(9_000, &statev1.Command{Op: &statev1.Command_Stamp{Stamp: &statev1.Stamp{}}}))
 	m = restored(t, m)
 	m.Apply(3, at(10_000, putQuarantine(2)))
 	got := m.Quarantine()
-	if len(got) != 1 || got[0].GetTrait() != "part/a" || got[0].GetCrashes() != 2 || got[0].GetLastCrashMs() != 5_700 {
+	if len(got) != 1 || got[0].GetTrait() != "part/a" || got[0].GetCrashes() != 2 || got[0].GetLastCrashMs() != 5_700 || !got[0].GetOpen() {
 		t.Fatalf("quarantine %v, want part/a with its last crash 5.7 s ago", got)
 	}
 	m.Apply(4, putQuarantine(4))
