forward: a resumable stream that ends with its connection before an event is not complete

A stream that other endpoints may resume, with neither a length nor chunks, whose endpoint breaks off behind the head with an orderly close, is passed on as complete and empty. An endpoint that crashes as it begins to answer does that.

Cause: the rule for streams that end with their connection was applied only where the caller sees the same end of the connection. A stream that may be resumed is passed on in chunks, so only the pending event was looked at. For the same reason an endpoint that resumed a stream and broke off before its first event ended the stream.

Change: one function decides for both, for each response.

Before: TestAnswerThatEndsWithItsConnection, case "resumable stream, without an event", failed (status 200, body "", complete true). After: it passes, with the other tests of streams.

--- a/internal/coordination/forward/close_test.go
+++ b/internal/coordination/forward/close_test.go
@@ -13,10 +13,12 @@
 )
 
 // closingEndpoint answers each request with a body that has neither a length nor
-// chunks, and ends it with an orderly close or with a reset.
+// chunks, unless its header says otherwise, and ends it with an orderly close or with a
+// reset.
 type closingEndpoint struct {
-	body  string
-	reset bool
+	header string // further lines, each with its end
+	body   string
+	reset  bool
 }
 
 func (e closingEndpoint) listen(t *testing.T) string {
@@ -44,7 +46,7 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSeal: s\r\nId: id-1\r\n\r\n"+e.body)
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSeal: s\r\nId: id-1\r\n"+e.header+"\r\n"+e.body)
 	if e.reset {
 		_ = c.SetLinger(0)
 	}
@@ -69,6 +71,7 @@
 		{"stream, without an event", "/stream/x", closingEndpoint{}, false},
 		{"stream, reset after a whole event", "/stream/x", closingEndpoint{body: "id: 1\ndata: a\n\n", reset: true}, false},
 		{"resumable stream, ends within an event", "/resumed/x", closingEndpoint{body: "id: 1\ndata: a\n\nid: 2\nda"}, false},
+		{"resumable stream, without an event", "/resumed/x", closingEndpoint{}, false},
 		{"plain, whole", "/once/x", closingEndpoint{body: "answer"}, true},
 		{"plain, reset", "/once/x", closingEndpoint{body: "answer", reset: true}, false},
 	} {
--- a/internal/coordination/forward/relay.go
+++ b/internal/coordination/forward/relay.go
@@ -33,7 +33,7 @@
 	closeDelimited bool
 	pending        []byte
 	lastID         string
-	// tail holds the last bytes that were passed on.
+	// tail holds the last bytes of the current response that were passed on.
 	tail []byte
 	// first and last are the times from the arrival of the request to the first and
 	// to the latest write; pause is the longest time between two writes.
@@ -65,7 +65,7 @@
 
 // copy passes the body on. It returns an error if the response is not complete.
 func (r *relay) copy(resp *exchange.Response) error {
-	r.pending = r.pending[:0]
+	r.pending, r.tail = r.pending[:0], r.tail[:0]
 	buf := make([]byte, readSize)
 	for {
 		n, err := resp.Body.Read(buf)
@@ -85,15 +85,22 @@
 }
 
 func (r *relay) end(resp *exchange.Response) error {
-	// The orderly close of a connection may be that of an endpoint that broke off, so
-	// a stream without other framing is complete only if its last event is.
-	endsWithinEvent := r.closeDelimited && r.isStream(resp) && (len(r.tail) == 0 || lastEventEnd(r.tail) != len(r.tail))
-	if len(r.pending) > 0 || endsWithinEvent {
+	if r.isStream(resp) && r.endsWithinEvent(resp) {
 		return resultcode.New(resultcode.AnswerIncomplete, "the stream ended within an event")
 	}
 	return resp.Body.Close()
 }
 
+// endsWithinEvent reports whether the body ended before its last event was complete.
+// The orderly close of a connection may be that of an endpoint that broke off, so a
+// stream without other framing has at least one event.
+func (r *relay) endsWithinEvent(resp *exchange.Response) bool {
+	if len(r.pending) > 0 {
+		return true
+	}
+	return resp.CloseDelimited && (len(r.tail) == 0 || lastEventEnd(r.tail) != len(r.tail))
+}
+
 // isStream reports whether a response is a stream of events.
 func (r *relay) isStream(resp *exchange.Response) bool {
 	return r.call.route.Kind == catalog.Streaming && resp.Status == http.StatusOK
