forward: a stream in chunks that ends within an event is not complete

The users' pages say that a stream that ends inside an event has been broken off; that was checked only for streams that end with their connection.

Cause: the end of the chunks was taken for the end of the stream, as the end of the connection was before.

Change: a response of type text/event-stream without an announced length is complete only if its last event is. With an announced length the caller has the whole body in any case, so nothing changes there.

Before: TestAnswerThatEndsWithItsConnection, case "stream in chunks, ends within an event", failed (complete true). After: it passes, with the other tests of the package.

--- a/internal/coordination/forward/close_test.go
+++ b/internal/coordination/forward/close_test.go
@@ -52,9 +52,11 @@
 	}
 }
 
-// Guards against answers that end with their connection and look complete to the
-// caller although the endpoint broke off: a stream whose last event is not whole,
-// and any answer that ends with a reset.
+// chunkedEvents is the header of a stream of events in chunks.
+const chunkedEvents = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+
+// Guards against answers that look complete to the caller although the endpoint broke
+// off: a stream whose last event is not whole, and any answer that ends with a reset.
 func TestAnswerThatEndsWithItsConnection(t *testing.T) {
 	for _, test := range []struct {
 		name, path string
@@ -72,6 +74,7 @@
 		{"stream, reset after a whole event", "/stream/x", closingEndpoint{body: "id: 1\ndata: a\n\n", reset: true}, false},
 		{"resumable stream, ends within an event", "/resumed/x", closingEndpoint{body: "id: 1\ndata: a\n\nid: 2\nda"}, false},
 		{"resumable stream, without an event", "/resumed/x", closingEndpoint{}, false},
+		{"stream in chunks, ends within an event", "/stream/x", closingEndpoint{header: chunkedEvents, body: "b\r\nid: 1\ndata:\r\n0\r\n\r\n"}, false},
 		{"plain, whole", "/once/x", closingEndpoint{body: "answer"}, true},
 		{"plain, reset", "/once/x", closingEndpoint{body: "answer", reset: true}, false},
 	} {
--- a/internal/coordination/forward/events.go
+++ b/internal/coordination/forward/events.go
@@ -1,6 +1,13 @@
 package forward
 
-import "bytes"
+import (
+	"bytes"
+	"mime"
+	"net/http"
+)
+
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
 
 // eventEnds are the ends of an event of a text/event-stream: an empty line, with LF or
 // CRLF line ends.
@@ -20,3 +27,9 @@
 	}
 	return last
 }
+
+// hasEvents reports whether a response with this header is a stream of events.
+func hasEvents(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && mediaType == eventStreamType
+}
--- a/internal/coordination/forward/relay.go
+++ b/internal/coordination/forward/relay.go
@@ -93,12 +93,18 @@
 
 // endsWithinEvent reports whether the body ended before its last event was complete.
 // The orderly close of a connection may be that of an endpoint that broke off, so a
-// stream without other framing has at least one event.
+// stream without other framing has at least one event. A body that has its announced
+// length is complete.
 func (r *relay) endsWithinEvent(resp *exchange.Response) bool {
-	if len(r.pending) > 0 {
+	switch {
+	case len(r.pending) > 0:
 		return true
+	case len(r.tail) == 0:
+		return resp.CloseDelimited
+	case resp.CloseDelimited, resp.ContentLength < 0 && hasEvents(resp.Header):
+		return lastEventEnd(r.tail) != len(r.tail)
 	}
-	return resp.CloseDelimited && (len(r.tail) == 0 || lastEventEnd(r.tail) != len(r.tail))
+	return false
 }
 
 // isStream reports whether a response is a stream of events.
