--- a/internal/coordination/forward/close_test.go
+++ b/internal/coordination/forward/close_test.go
@@ -21,7 +21,8 @@
 	reset  bool
 }
 
-func (e closingEndpoint) listen(t *testing.T) string {
+// listenRaw serves each connection with a function and returns the address.
+func listenRaw(t *testing.T, serve func(*net.TCPConn)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -33,12 +34,26 @@
 			if err != nil {
 				return
 			}
-			go e.serve(c.(*net.TCPConn))
+			go serve(c.(*net.TCPConn))
 		}
 	}()
 	return l.Addr().String()
 }
 
+// newConnectedFixture returns an entry whose endpoints have the same address and are
+// called over connections.
+func newConnectedFixture(t *testing.T, address string) *fixture {
+	w := newFixture(t)
+	client := httpclient.New(httpclient.Options{})
+	t.Cleanup(client.Close)
+	w.server.cfg.Client = client
+	w.server.SetEndpoints([]pool.Endpoint{
+		{Endpoint: directory.Endpoint{ID: "p1", Service: "plain", Address: address, Slots: 4}},
+		{Endpoint: directory.Endpoint{ID: "e1", Service: "models", Address: address, Slots: 4, Models: []directory.Resident{{Model: "m"}}}},
+	})
+	return w
+}
+
 func (e closingEndpoint) serve(c *net.TCPConn) {
 	defer func() { _ = c.Close() }()
 	r, err := http.ReadRequest(bufio.NewReader(c))
@@ -79,15 +94,7 @@
 		{"plain, reset", "/once/x", closingEndpoint{body: "answer", reset: true}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			w := newFixture(t)
-			client := httpclient.New(httpclient.Options{})
-			t.Cleanup(client.Close)
-			w.server.cfg.Client = client
-			address := test.endpoint.listen(t)
-			w.server.SetEndpoints([]pool.Endpoint{
-				{Endpoint: directory.Endpoint{ID: "p1", Service: "plain", Address: address, Slots: 4}},
-				{Endpoint: directory.Endpoint{ID: "e1", Service: "models", Address: address, Slots: 4, Models: []directory.Resident{{Model: "m"}}}},
-			})
+			w := newConnectedFixture(t, listenRaw(t, test.endpoint.serve))
 			status, _, body, err := w.do(test.path, map[string]string{"Model": "m"})
 			if complete := status == http.StatusOK && err == nil; complete != test.complete {
 				t.Fatalf("status %d, body %q, error %v: complete %v, want %v", status, body, err, complete, test.complete)
