httpserver, forward: an answer without framing that breaks off is reset for its caller, too

Callers would see: a body that has neither a length nor chunks, cut short by a reset or a crash of the endpoint, ends with an orderly close and looks complete.

Cause: the entry resets the caller's connection by a method that only a TCP connection has. On a VM callers are accepted by httpserver, whose connections hide it, so the connection was closed in order. The test of served callers with another server, on which the method exists: a stand-in that was closer to the code than to the VM.

The same cause elsewhere: no other caller of that method outside of stand-ins and the soak's proxy.

Change: connections of httpserver have a method Reset, and forward asks for it. Tests that check what callers see over connections serve them with httpserver.

Before: TestAnswerThatEndsWithItsConnection failed in six cases, "plain, reset" and "stream, ends within an event" among them (complete true). After: all pass, with the other tests of forward and httpserver under the race detector.

--- a/internal/coordination/forward/close_test.go
+++ b/internal/coordination/forward/close_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"testing"
@@ -10,6 +12,7 @@
 	"github.com/radishloom/radishloom/internal/coordination/directory"
 	"github.com/radishloom/radishloom/internal/coordination/pool"
 	"github.com/radishloom/radishloom/internal/transport/httpclient"
+	"github.com/radishloom/radishloom/internal/transport/httpserver"
 )
 
 // closingEndpoint answers each request with a body that has neither a length nor
@@ -40,10 +43,28 @@
 	return l.Addr().String()
 }
 
-// newConnectedFixture returns an entry whose endpoints have the same address and are
-// called over connections.
+// serveCallers serves an entry's callers with the limits of a VM and returns the address.
+func serveCallers(t *testing.T, h http.Handler) string {
+	s, err := httpserver.New(httpserver.Config{Address: "127.0.0.1:0", Handler: h, DisableHealthChecks: true, Logger: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Start(context.Background()) }()
+	t.Cleanup(func() {
+		_ = s.Stop(context.Background())
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return s.Addr().String()
+}
+
+// newConnectedFixture returns an entry that serves callers as a VM does, and whose
+// endpoints have the same address and are called over connections.
 func newConnectedFixture(t *testing.T, address string) *fixture {
 	w := newFixture(t)
+	w.url = "http://" + serveCallers(t, w.server)
 	client := httpclient.New(httpclient.Options{})
 	t.Cleanup(client.Close)
 	w.server.cfg.Client = client
--- a/internal/coordination/forward/relay.go
+++ b/internal/coordination/forward/relay.go
@@ -184,8 +184,9 @@
 // resetConnection closes a connection with a reset. After an orderly close, a
 // close-delimited response would look complete.
 func resetConnection(conn net.Conn) {
-	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = tcp.SetLinger(0) // the connection is closed in any case
+	if c, ok := conn.(interface{ Reset() error }); ok {
+		_ = c.Reset() // the connection is closed in any case
+		return
 	}
 	_ = conn.Close()
 }
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -184,7 +184,7 @@
 	t         *testing.T
 	endpoints *fakeEndpoints
 	server    *Server
-	http      *httptest.Server
+	url       string
 	log       *bytes.Buffer
 }
 
@@ -204,15 +204,16 @@
 		{Endpoint: directory.Endpoint{ID: "e2", Service: "models", Address: "e2:1", Slots: 4, Models: models}},
 	})
 	w.server.SetShares(map[string]directory.Share{"c": {Fraction: 1, Level: 1000}}, 1)
-	w.http = httptest.NewServer(w.server)
-	t.Cleanup(w.http.Close)
+	server := httptest.NewServer(w.server)
+	t.Cleanup(server.Close)
+	w.url = server.URL
 	return w
 }
 
 // do sends one request. The error is that of the exchange or of reading the body.
 func (w *fixture) do(path string, header map[string]string) (status int, h http.Header, body string, err error) {
 	w.t.Helper()
-	r, err := http.NewRequest(http.MethodPost, w.http.URL+path, strings.NewReader("body"))
+	r, err := http.NewRequest(http.MethodPost, w.url+path, strings.NewReader("body"))
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -574,7 +575,7 @@
 // refuse it at once and close the connection, and must not read until the limit.
 func TestAnnouncedBodyOverLimitIsRefusedAtOnce(t *testing.T) {
 	w := newFixture(t)
-	c, err := net.Dial("tcp", w.http.Listener.Addr().String())
+	c, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/httpserver/listener.go
+++ b/internal/transport/httpserver/listener.go
@@ -165,3 +165,13 @@
 	}
 	return c.Conn.Close()
 }
+
+// Reset closes the connection with a reset, so that a response that only the close of
+// the connection ends does not look complete.
+func (c *countedConn) Reset() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed already
+	}
+	c.once.Do(func() { c.listener.count.Add(-1) })
+	return c.Conn.Close()
+}
