httpserver: a planned stop answers callers that use TLS, too

From the operators' list: during a planned stop under load, requests that had just been accepted were cut off without an answer.

Cause: net/http closes an idle connection by itself. Without TLS the listener's connection then takes over; a *tls.Conn sends its alert first, and no answer can follow it.

Ruled out: refusing idle connections before the shutdown of net/http, from its hook for connection states. A connection that becomes idle between the two is still closed with an alert.

Change: TLS is part of the listener's connection, below net/http.

Left: a connection that is in its handshake, or sends no request for 5 s after it, when the server stops.

--- a/internal/transport/httpserver/guard.go
+++ b/internal/transport/httpserver/guard.go
@@ -19,6 +19,7 @@
 	if !claimConn(r) {
 		panic(http.ErrAbortHandler) // net/http closes the connection without a response
 	}
+	setTLS(r)
 	control := http.NewResponseController(w)
 	s.extendWriteDeadline(control)
 	// net/http writes the end of the response after the handler has returned.
--- a/internal/transport/httpserver/idle.go
+++ b/internal/transport/httpserver/idle.go
@@ -44,6 +44,12 @@
 
 func (s *connState) refused() bool { return s.use.Load() == connRefused }
 
+// halfCloser is a connection that can end its output and go on with its input.
+type halfCloser interface {
+	net.Conn
+	CloseWrite() error
+}
+
 // idleCloser closes the idle connections of a server that stops. A request may be on
 // its way on such a connection. Its caller finds a response that says that it was not
 // run; a caller without a request finds the connection closed.
@@ -69,16 +75,17 @@
 	if i.response == nil || c.state.refused() {
 		return c.state.refused()
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || !c.listener.plaintext || !c.state.refuse() {
+	half, ok := c.Conn.(halfCloser)
+	if !ok || !c.takesRefusal() || !c.state.refuse() {
 		return false
 	}
-	i.refuseLocked(tcp)
+	i.refuseLocked(half)
 	return true
 }
 
-// refuseNew refuses a connection that was not accepted before the server stopped.
-func (i *idleCloser) refuseNew(c *net.TCPConn) {
+// refuseNew refuses a connection that was not accepted before the server stopped. Its
+// TLS handshake is done.
+func (i *idleCloser) refuseNew(c halfCloser) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.response == nil {
@@ -89,7 +96,7 @@
 }
 
 // refuseLocked sends the refusal. end closes the connection later.
-func (i *idleCloser) refuseLocked(c *net.TCPConn) {
+func (i *idleCloser) refuseLocked(c halfCloser) {
 	// The send buffer of an idle connection is empty, so the write does not block. A
 	// caller that has closed the connection needs no response.
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
--- a/internal/transport/httpserver/listener.go
+++ b/internal/transport/httpserver/listener.go
@@ -1,8 +1,11 @@
 package httpserver
 
 import (
+	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -30,18 +33,22 @@
 type limitListener struct {
 	net.Listener
 	limit int64
-	// userTimeout is TCP_USER_TIMEOUT of accepted connections.
-	userTimeout time.Duration
-	plaintext   bool
-	count       atomic.Int64
-	refusing    atomic.Int64
-	refusal     []byte
-	idle        idleCloser
+	// writeTimeout bounds the writes of a handshake and is TCP_USER_TIMEOUT of accepted
+	// connections.
+	writeTimeout time.Duration
+	tls          *tls.Config // nil without TLS
+	log          *slog.Logger
+	count        atomic.Int64
+	refusing     atomic.Int64
+	refusal      []byte
+	idle         idleCloser
+	// handshakes are those of connections that are refused because the server stops.
+	handshakes sync.WaitGroup
 }
 
-func newLimitListener(l net.Listener, limits Limits, plain bool) *limitListener {
+func newLimitListener(l net.Listener, limits Limits, c *tls.Config, log *slog.Logger) *limitListener {
 	return &limitListener{
-		Listener: l, limit: int64(limits.OpenConnections), userTimeout: limits.WriteTimeout, plaintext: plain,
+		Listener: l, limit: int64(limits.OpenConnections), writeTimeout: limits.WriteTimeout, tls: serverTLS(c), log: log,
 		refusal: closingResponse(resultcode.New(resultcode.VMOverloaded, "this VM has too many open connections")),
 	}
 }
@@ -66,7 +73,7 @@
 		}
 		if l.count.Add(1) <= l.limit {
 			l.setUserTimeout(c)
-			return &countedConn{Conn: c, listener: l}, nil
+			return newCountedConn(c, l), nil
 		}
 		l.count.Add(-1)
 		l.refuse(c)
@@ -76,7 +83,7 @@
 // Close implements net.Listener. Connections that wait to be accepted are refused
 // first: the kernel would reset them, although a request may have been sent on them.
 func (l *limitListener) Close() error {
-	if tcp, ok := l.Listener.(*net.TCPListener); ok && l.plaintext {
+	if tcp, ok := l.Listener.(*net.TCPListener); ok {
 		l.refuseBacklog(tcp)
 	}
 	return l.Listener.Close()
@@ -100,12 +107,32 @@
 		if err != nil {
 			return
 		}
-		l.idle.refuseNew(c)
+		l.refuseNew(c)
+	}
+}
+
+// refuseNew refuses a connection that was not accepted before the server stopped. With
+// TLS it returns before the handshake; handshakes tells when that is done.
+func (l *limitListener) refuseNew(tcp *net.TCPConn) {
+	if l.tls == nil {
+		l.idle.refuseNew(tcp)
+		return
 	}
+	l.handshakes.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), refusalTimeout)
+		defer cancel()
+		c := tls.Server(tcp, l.tls)
+		if err := c.HandshakeContext(ctx); err != nil {
+			l.log.Debug("TLS handshake failed", "remote", tcp.RemoteAddr().String(), "error", err)
+			_ = tcp.Close() // no request can have been sent
+			return
+		}
+		l.idle.refuseNew(c)
+	})
 }
 
 // setUserTimeout makes the kernel close a connection whose caller acknowledges no
-// data for userTimeout. Otherwise an unreachable caller would hold its stream
+// data for writeTimeout. Otherwise an unreachable caller would hold its stream
 // until the send buffer is full, because a write deadline takes effect only then.
 func (l *limitListener) setUserTimeout(c net.Conn) {
 	tcp, ok := c.(*net.TCPConn)
@@ -118,15 +145,15 @@
 	}
 	// Without the option the write deadline ends the connection, only later.
 	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(l.userTimeout.Milliseconds()))
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(l.writeTimeout.Milliseconds()))
 	})
 }
 
 // refuse sends the refusal and closes the connection. With TLS the connection is
 // only closed, because a response would need a handshake first.
 func (l *limitListener) refuse(c net.Conn) {
-	if !l.plaintext || l.refusing.Add(1) > maxRefusals {
-		if l.plaintext {
+	if l.tls != nil || l.refusing.Add(1) > maxRefusals {
+		if l.tls == nil {
 			l.refusing.Add(-1)
 		}
 		_ = c.Close()
@@ -147,31 +174,3 @@
 		_, _ = io.Copy(io.Discard, c)
 	}()
 }
-
-// countedConn decrements the count of open connections when it is closed.
-type countedConn struct {
-	net.Conn
-	listener *limitListener
-	once     sync.Once
-	state    connState
-}
-
-// Close implements net.Conn. While the server stops, an idle connection is refused
-// first and closed by idleCloser.
-func (c *countedConn) Close() error {
-	c.once.Do(func() { c.listener.count.Add(-1) })
-	if c.listener.idle.take(c) {
-		return nil
-	}
-	return c.Conn.Close()
-}
-
-// Reset closes the connection with a reset, so that a response that only the close of
-// the connection ends does not look complete.
-func (c *countedConn) Reset() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // fails only if the connection is closed already
-	}
-	c.once.Do(func() { c.listener.count.Add(-1) })
-	return c.Conn.Close()
-}
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -119,7 +119,7 @@
 		}
 	}
 	s := &Server{config: c, limits: c.Limits.withDefaults()}
-	s.listener = newLimitListener(l, s.limits, c.TLS == nil)
+	s.listener = newLimitListener(l, s.limits, c.TLS, c.Logger)
 	s.kratos = s.newKratos()
 	return s, nil
 }
@@ -136,9 +136,6 @@
 		kratos.Address(s.listener.Addr().String()),
 		kratos.Filter(func(http.Handler) http.Handler { return http.HandlerFunc(s.serve) }),
 	}
-	if s.config.TLS != nil {
-		options = append(options, kratos.TLSConfig(s.config.TLS))
-	}
 	k := kratos.NewServer(options...)
 	// A header larger than HeaderBytes is refused by this package with a result
 	// code; net/http stops reading one larger than twice that.
@@ -157,7 +154,13 @@
 func (s *Server) Addr() net.Addr { return s.listener.Addr() }
 
 // Endpoint implements transport.Endpointer.
-func (s *Server) Endpoint() (*url.URL, error) { return s.kratos.Endpoint() }
+func (s *Server) Endpoint() (*url.URL, error) {
+	u, err := s.kratos.Endpoint()
+	if err == nil && s.config.TLS != nil {
+		u.Scheme = "https" // kratos does not know of the listener's TLS
+	}
+	return u, err
+}
 
 // Start implements transport.Server and returns when the server is stopped. The
 // end of ctx does not cancel requests, so that Stop can let them finish.
@@ -171,8 +174,8 @@
 
 // Stop implements transport.Server. It stops accepting connections, waits for
 // in-flight requests until the grace period or ctx ends, and then closes the
-// remaining connections. Idle connections without TLS get a refusal before they are
-// closed, for a request that may be on its way. A kratos application needs a
+// remaining connections. Idle connections, and those that wait to be accepted, get a
+// refusal before they are closed, for a request that may be on its way. A kratos application needs a
 // StopTimeout longer than the grace period.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Drain()
@@ -182,6 +185,7 @@
 	err := s.kratos.Shutdown(ctx)
 	// Shutdown does not close the listener of a server that was never started.
 	_ = s.listener.Close()
+	s.listener.handshakes.Wait()
 	if err == nil || errors.Is(err, net.ErrClosed) {
 		s.listener.idle.end(ctx)
 		return nil
--- a/internal/transport/httpserver/server_test.go
+++ b/internal/transport/httpserver/server_test.go
@@ -27,7 +27,14 @@
 
 func start(t *testing.T, l Limits, h http.HandlerFunc) *Server {
 	t.Helper()
-	s, err := New(Config{Address: "127.0.0.1:0", Limits: l, Handler: h})
+	return startConfig(t, Config{Limits: l, Handler: h})
+}
+
+// startConfig starts a server on a free port.
+func startConfig(t *testing.T, c Config) *Server {
+	t.Helper()
+	c.Address = "127.0.0.1:0"
+	s, err := New(c)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -324,6 +331,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if u, err := s.Endpoint(); err != nil || u.Scheme != "https" {
+		t.Errorf("endpoint %v, error %v", u, err)
+	}
 	go s.Start(context.Background()) // ends with Stop
 	defer s.Stop(context.Background())
 	client := sample.Client()
