--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -19,8 +19,8 @@
 // TLS is part of it, and not wrapped around it as net/http does: net/http closes an idle
 // *tls.Conn with an alert, after which no refusal can be sent.
 type countedConn struct {
-	net.Conn          // a *tls.Conn with TLS
-	accepted net.Conn // without TLS
+	net.Conn          // the accepted connection, or a *tls.Conn on it
+	accepted net.Conn // the accepted connection
 	listener *limitListener
 	// tlsState is set after the TLS handshake.
 	tlsState atomic.Pointer[tls.ConnectionState]
@@ -58,7 +58,7 @@
 	}
 	state := secure.ConnectionState()
 	c.tlsState.Store(&state)
-	return nil
+	return c.SetWriteDeadline(time.Time{})
 }
 
 // refusePlaintext answers a caller that did not begin with a TLS record.
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -175,8 +175,8 @@
 // Stop implements transport.Server. It stops accepting connections, waits for
 // in-flight requests until the grace period or ctx ends, and then closes the
 // remaining connections. Idle connections, and those that wait to be accepted, get a
-// refusal before they are closed, for a request that may be on its way. A kratos application needs a
-// StopTimeout longer than the grace period.
+// refusal before they are closed, for a request that may be on its way. A kratos
+// application needs a StopTimeout longer than the grace period.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Drain()
 	ctx, cancel := context.WithTimeout(ctx, s.limits.Grace)
