directory: a counter of a test is atomic

Read on the last look: TestListIsReadSoonerAfterARestart reads the number of list calls that other goroutines count.

--- a/internal/coordination/directory/poll_test.go
+++ b/internal/coordination/directory/poll_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,11 +85,11 @@
 	began       time.Time
 	restartedAt time.Duration
 	listedAfter time.Duration
-	lists       int
+	lists       atomic.Int64
 }
 
 func (p *restartingPlatform) ListPage(context.Context, string) (Page, error) {
-	p.lists++
+	p.lists.Add(1)
 	id := "before"
 	if time.Since(p.began) >= p.restartedAt+p.listedAfter {
 		id = "after"
@@ -123,7 +124,7 @@
 		for time.Since(p.began) < p.restartedAt {
 			work()
 		}
-		atUsualPace := p.lists
+		atUsualPace := int(p.lists.Load())
 		for !known() {
 			work()
 		}
@@ -134,11 +135,11 @@
 		if most := int(p.restartedAt/listInterval) + 1; atUsualPace > most {
 			t.Errorf("%d calls of the list before the restart, want %d at most", atUsualPace, most)
 		}
-		calls, began := p.lists, time.Now()
+		calls, began := int(p.lists.Load()), time.Now()
 		for time.Since(began) < 10*listInterval {
 			work()
 		}
-		if got := p.lists - calls; got > 11+int(restartListTime/restartListInterval) {
+		if got := int(p.lists.Load()) - calls; got > 11+int(restartListTime/restartListInterval) {
 			t.Errorf("%d calls of the list in %v after that", got, 10*listInterval)
 		}
 	})
