directory: only a report of a restart looks whether the list is due sooner

Each report of an engine went through all engines to see whether one has restarted lately: with thousands of engines and 120 reports a second, under the leader's lock.

Cause: the list is due sooner from the report that shows the restart on, and each call of the list sets the next one. Later reports cannot change that.

Change: only a report with another start time looks. No behaviour changes. TestListIsReadSoonerAfterARestart and the other tests of the package passed with the race detector.

--- a/internal/coordination/directory/poll.go
+++ b/internal/coordination/directory/poll.go
@@ -193,14 +193,17 @@
 		return
 	}
 	s.mu.reports.answered()
-	s.recordProbeLocked(requestedAt, e.ID, s.mu.planner.startedAt(e.ID), r, err)
+	startedBefore := s.mu.planner.startedAt(e.ID)
+	s.recordProbeLocked(requestedAt, e.ID, startedBefore, r, err)
 	if err != nil {
 		s.cfg.Log.Info("engine's report could not be read", "endpoint", e.ID, "error", err)
 		return
 	}
 	before := s.describeLocked(e)
 	s.mu.planner.RecordReport(s.now(), requestedAt, e.ID, r)
-	s.mu.nextList = min(s.mu.nextList, s.now()+s.listIntervalLocked())
+	if r.Started != startedBefore {
+		s.mu.nextList = min(s.mu.nextList, s.now()+s.listIntervalLocked())
+	}
 	if engine := s.mu.planner.engines[e.ID]; engine != nil && s.mu.suspects.Pending(e.ID) {
 		engine.reportWanted = true // the report was asked for before the last loss
 	}
