control, cli: the voters, inactive voters and tolerable losses are shown

Seen: nothing told how many voters a fleet has, which of them are gone and how many more may be lost, so the three hypotheses of the incident could not be told apart.

No decision changes.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -57,9 +57,18 @@
 
 type statusCommand struct{ command }
 
+// quorumColumns returns the number of voters, of inactive voters and of further
+// voters that may be lost. Only the leader knows them.
+func quorumColumns(r *adminv1.StatusResponse) (voters, inactive, tolerable string) {
+	if r.GetVoters() == 0 {
+		return "-", "-", "-"
+	}
+	return fmt.Sprint(r.GetVoters()), fmt.Sprint(r.GetInactiveVoters()), fmt.Sprint(r.GetTolerableLosses())
+}
+
 // run calls every server, since each returns its own state.
 func (statusCommand) run(ctx context.Context, a *app) error {
-	rows := [][]string{row("SERVER", "VM", "LEADER", "TERM", "VERSION", "APPLIED", "READY", "LEASE", "SOFTWARE")}
+	rows := [][]string{row("SERVER", "VM", "LEADER", "TERM", "VERSION", "APPLIED", "READY", "LEASE", "VOTERS", "INACTIVE", "TOLERABLE", "SOFTWARE")}
 	var lastErr error
 	answered := 0
 	for _, s := range a.client.servers {
@@ -72,8 +81,9 @@
 			continue
 		}
 		answered++
+		voters, inactive, tolerable := quorumColumns(r)
 		rows = append(rows, row(s.url, r.GetVm(), r.GetLeaderVm(), r.GetTerm(), r.GetConfigVersion(),
-			r.GetAppliedIndex(), r.GetReady(), r.GetLeaseValid(), r.GetSoftwareVersion()))
+			r.GetAppliedIndex(), r.GetReady(), r.GetLeaseValid(), voters, inactive, tolerable, r.GetSoftwareVersion()))
 		if a.global.Output == "json" {
 			if err := a.printJSON(r); err != nil {
 				return err
--- a/internal/coordination/control/config.go
+++ b/internal/coordination/control/config.go
@@ -97,6 +97,9 @@
 	LeaderChanged(term, leader uint64)
 	// LogSize reports the log entries and bytes applied since the last snapshot.
 	LogSize(entries uint64, bytes int)
+	// QuorumChanged reports the members in this member's log and, on the leader,
+	// which of them are inactive. It is called after each change.
+	QuorumChanged(s *peerv1.QuorumState)
 	// CommitLatency reports the time from the proposal of a command until it is
 	// applied.
 	CommitLatency(d time.Duration)
@@ -157,10 +160,11 @@
 
 type noMetrics struct{}
 
-func (noMetrics) LeaderChanged(uint64, uint64)     {}
-func (noMetrics) LogSize(uint64, int)              {}
-func (noMetrics) CommitLatency(time.Duration)      {}
-func (noMetrics) SnapshotTaken(int, time.Duration) {}
+func (noMetrics) LeaderChanged(uint64, uint64)      {}
+func (noMetrics) LogSize(uint64, int)               {}
+func (noMetrics) QuorumChanged(*peerv1.QuorumState) {}
+func (noMetrics) CommitLatency(time.Duration)       {}
+func (noMetrics) SnapshotTaken(int, time.Duration)  {}
 
 // systemClock reads the clocks of the operating system.
 type systemClock struct{ start time.Time }
--- a/internal/coordination/control/loop.go
+++ b/internal/coordination/control/loop.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/fleet"
@@ -80,9 +81,11 @@
 	// inactiveSince is when the leader first found a voter inactive. It has no
 	// entry for active voters.
 	inactiveSince map[uint64]time.Duration
-	diskFull      bool
-	residency     residency
-	faults        faults
+	// reportedQuorum is the state that Metrics was last told.
+	reportedQuorum *peerv1.QuorumState
+	diskFull       bool
+	residency      residency
+	faults         faults
 	// fatal is set by callbacks to an error after which the daemon must exit.
 	fatal error
 	// snapshotEntries is the constant of the same name; tests set a lower value.
@@ -205,6 +208,7 @@
 	l.retryReads(now)
 	l.retrySnapshotSave(now)
 	l.removeInactiveVoter(now)
+	l.reportQuorum()
 }
 
 // handleAllReady handles the pending work of the Raft core until none is left, and
--- a/internal/coordination/control/server.go
+++ b/internal/coordination/control/server.go
@@ -328,6 +328,7 @@
 			Term:       st.Term,
 			Commit:     st.Commit,
 			Applied:    s.loop.applied,
+			Quorum:     s.loop.quorumState(),
 		}, nil)
 	})
 }
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -53,6 +53,11 @@
 	s.Term = members.GetTerm()
 	s.AppliedIndex = members.GetApplied()
 	s.LeaderId = members.GetLeader()
+	if q := members.GetQuorum(); q.GetLeading() {
+		s.Voters = q.GetVoters()
+		s.InactiveVoters = uint32(len(q.GetInactiveVoters()))
+		s.TolerableLosses = q.GetTolerableLosses()
+	}
 	for _, m := range members.GetMembership().GetMembers() {
 		if m.GetId() == members.GetLeader() {
 			s.LeaderVm = m.GetVm()
--- a/internal/telemetry/control.go
+++ b/internal/telemetry/control.go
@@ -1,8 +1,11 @@
 package telemetry
 
 import (
+	"context"
 	"log/slog"
 	"time"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 )
 
 // ControlMetrics implements control.Metrics: it records the measurements of a
@@ -23,6 +26,19 @@
 	c.Log.Info("leader changed", "term", term, "leader", leader)
 }
 
+// QuorumChanged implements control.Metrics.
+func (c ControlMetrics) QuorumChanged(s *peerv1.QuorumState) {
+	c.Metrics.Quorum(s.GetVoters(), len(s.GetInactiveVoters()), s.GetTolerableLosses())
+	level := slog.LevelInfo
+	if s.GetLeading() && s.GetTolerableLosses() == 0 && s.GetVoters() > 1 {
+		level = slog.LevelWarn
+	}
+	c.Log.Log(context.Background(), level, "quorum changed",
+		"leading", s.GetLeading(), "membership_index", s.GetMembershipIndex(),
+		"voters", s.GetVoters(), "learners", s.GetLearners(),
+		"inactive", s.GetInactiveVoters(), "tolerable_losses", s.GetTolerableLosses())
+}
+
 // LogSize implements control.Metrics.
 func (c ControlMetrics) LogSize(entries uint64, bytes int) { c.Metrics.LogSize(int64(bytes), entries) }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -75,6 +75,9 @@
 	leader         metric.Int64Gauge
 	logBytes       metric.Int64Gauge
 	logEntries     metric.Int64Gauge
+	voters         metric.Int64Gauge
+	inactiveVoters metric.Int64Gauge
+	tolerableLoss  metric.Int64Gauge
 	version        metric.Int64Gauge
 	freshnessLease metric.Int64Gauge
 	openRequests   metric.Int64Gauge
@@ -192,6 +195,9 @@
 	m.leader = i.gauge("radishloom.leader", "", "1 if this VM is the leader of the replicated log.")
 	m.logBytes = i.gauge("radishloom.log.size", "By", "Size of the write-ahead log and its snapshots.")
 	m.logEntries = i.gauge("radishloom.log.entries", "", "Log entries since the last snapshot.")
+	m.voters = i.gauge("radishloom.voters", "", "Voters in this VM's log.")
+	m.inactiveVoters = i.gauge("radishloom.voters.inactive", "", "Voters that do not answer this VM, if it leads.")
+	m.tolerableLoss = i.gauge("radishloom.voters.tolerable.losses", "", "Further voters that may be lost while a majority remains, if this VM leads.")
 	m.version = i.gauge("radishloom.config.version", "", "Configuration version in force at this VM.")
 	m.freshnessLease = i.gauge("radishloom.freshness.lease", "", "1 while the freshness lease is valid.")
 	m.openRequests = i.gauge("radishloom.open.requests", "", "Open requests of callers at this VM.")
@@ -325,6 +331,15 @@
 // Leader records whether this VM is the leader of the replicated log.
 func (m *Metrics) Leader(leads bool) { m.leader.Record(context.Background(), boolToInt(leads)) }
 
+// Quorum records the voters in this VM's log and, on the leader, how many of them
+// are inactive and how many more may be lost.
+func (m *Metrics) Quorum(voters uint32, inactive int, tolerableLosses uint32) {
+	ctx := context.Background()
+	m.voters.Record(ctx, int64(voters))
+	m.inactiveVoters.Record(ctx, int64(inactive))
+	m.tolerableLoss.Record(ctx, int64(tolerableLosses))
+}
+
 // LogSize records the size of the log on disk and the number of its entries since
 // the last snapshot.
 func (m *Metrics) LogSize(bytes int64, entries uint64) {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -46,6 +46,7 @@
 	m.Election()
 	m.Leader(true)
 	m.LogSize(4096, 12)
+	m.Quorum(5, 2, 1)
 	m.Freshness(9, true)
 	m.OpenRequests(3)
 	m.ResponseTime(time.Millisecond)
@@ -66,6 +67,9 @@
 		`radishloom_leader 1`,
 		`radishloom_log_size_bytes 4096`,
 		`radishloom_log_entries 12`,
+		`radishloom_voters 5`,
+		`radishloom_voters_inactive 2`,
+		`radishloom_voters_tolerable_losses 1`,
 		`radishloom_config_version 9`,
 		`radishloom_freshness_lease 1`,
 		`radishloom_open_requests 3`,
