control: the rule for further join requests is part of the loop

Cause: the rounds without a leader, after which a member asks to join again, were counted in Server.joinFleet, so the simulation of the package never played a removed member that comes back: with 9 VMs, one that was frozen and removed stayed outside in the test and would not have in the product.

Change: loop.mustJoin holds the rule, joinFleet and the simulation call it. No behaviour of the product changes.

--- a/internal/coordination/control/catalog_test.go
+++ b/internal/coordination/control/catalog_test.go
@@ -48,10 +48,11 @@
 	})
 }
 
-// leader returns the VM that leads, or nil if there is none.
+// leader returns the VM that leads, or nil if there is none. A suspended or
+// partitioned VM does not count: it may not know yet that another one leads.
 func (s *simulation) leader() *vm {
 	for _, v := range s.vms {
-		if v.loop != nil && v.loop.leading() {
+		if v.loop != nil && !v.suspended && !v.partitioned && v.loop.leading() {
 			return v
 		}
 	}
--- a/internal/coordination/control/join.go
+++ b/internal/coordination/control/join.go
@@ -110,23 +110,13 @@
 func (s *Server) SetPeers(peers []*statev1.Member) { s.peers.Store(&peers) }
 
 // joinFleet makes this member part of a fleet. It bootstraps a fleet if allowed,
-// and otherwise sends join requests to its peers until its own log shows that it
-// votes and that the member it replaces has been removed. Later it sends join
-// requests again whenever no leader has been known for rejoinRounds rounds: it
-// may have been removed while it was down or partitioned, which its own log does
-// not show.
+// and otherwise sends join requests to its peers while loop.mustJoin says so.
 func (s *Server) joinFleet(ctx context.Context) {
-	roundsWithoutLeader := 0
 	for {
-		state, err := callLoop(ctx, s, noLeader("stopped"), func(done func(joinState, error)) {
-			done(s.loop.joinState(), nil)
+		must, err := callLoop(ctx, s, noLeader("stopped"), func(done func(bool, error)) {
+			done(s.loop.mustJoin(), nil)
 		})
-		if state.leader {
-			roundsWithoutLeader = 0
-		} else {
-			roundsWithoutLeader++
-		}
-		if err == nil && (!state.joined || roundsWithoutLeader >= rejoinRounds) {
+		if err == nil && must {
 			s.requestJoin(ctx)
 		}
 		if !s.pause(ctx, joinInterval) {
--- a/internal/coordination/control/loop.go
+++ b/internal/coordination/control/loop.go
@@ -78,6 +78,9 @@
 	// knownMembers are the members that a JoinResponse named. A joining member
 	// needs their addresses, since its own log does not name them yet.
 	knownMembers map[uint64]*statev1.Member
+	// roundsWithoutLeader is the number of calls of mustJoin since a leader was
+	// known.
+	roundsWithoutLeader int
 	// inactiveSince is when the leader first found a voter inactive. It has no
 	// entry for active voters.
 	inactiveSince map[uint64]time.Duration
--- a/internal/coordination/control/loop_test.go
+++ b/internal/coordination/control/loop_test.go
@@ -234,7 +234,7 @@
 // joinAll sends join requests of the members that have not joined to every leader.
 func (s *simulation) joinAll() {
 	for _, v := range s.vms {
-		if v.loop == nil || v.partitioned || v.suspended || v.loop.joined() {
+		if v.loop == nil || v.suspended || !v.loop.mustJoin() || v.partitioned {
 			continue
 		}
 		for _, peer := range s.vms {
--- a/internal/coordination/control/membership.go
+++ b/internal/coordination/control/membership.go
@@ -126,11 +126,18 @@
 	return s.MembershipIndex <= s.Commit && nextChange(s.Membership, l.member, replacedMember(s.Membership, r)) == nil
 }
 
-// joinState decides whether a member sends join requests to its peers.
-type joinState struct{ joined, leader bool }
-
-func (l *loop) joinState() joinState {
-	return joinState{joined: l.joined(), leader: l.core.Status().Leader != 0}
+// mustJoin reports whether this member has to send join requests. It is called
+// once per joinInterval. Its own log shows that it votes and that the member that
+// it replaces has been removed, but not that it was removed itself while it was
+// down or partitioned. So it also asks when it has known no leader for
+// rejoinRounds calls.
+func (l *loop) mustJoin() bool {
+	if l.core.Status().Leader != 0 {
+		l.roundsWithoutLeader = 0
+	} else {
+		l.roundsWithoutLeader++
+	}
+	return !l.joined() || l.roundsWithoutLeader >= rejoinRounds
 }
 
 // removeInactiveVoter removes a voter that has been inactive for
