control: inactive members are removed each by itself

Cause: a new VM has a name and an address of its own, so no join request names the member that it replaces. The only way out of the membership was removeInactiveVoter: it removed nothing while two voters were inactive, began its 8 s again with each other membership change, kept five voters whatever the size of the fleet, and never removed a learner. Voters that are gone for good piled up until one lost disk left no majority. Class of the fault: a condition on all others, and a clock that any event restarts.

Change: the silence of each member is taken from the consensus core, which counts it by itself. The leader removes the one that is silent for longest, after 8 s, or after 1 s if the fleet bears fewer losses than it must or has no room for a new member. Voters are removed down to Config.MinVoters (twice the tolerated losses and one), learners without a limit. The core still refuses a change after which the active voters are no majority.

Ruled out: taking over the place of a dead voter in the join request. The new VM may ask before the former one counts as inactive, or be there first, so the removal by silence is needed anyway and is enough.

--- a/internal/coordination/control/config.go
+++ b/internal/coordination/control/config.go
@@ -70,10 +70,16 @@
 	// member sends join requests again.
 	rejoinRounds = 6
 
-	// voterRemovalDelay is how long a voter may be inactive before it is removed.
-	// It is removed only if the membership has more than minRemainingVoters voters.
-	voterRemovalDelay  = 8 * time.Second
+	// voterRemovalDelay is how long a member may be inactive before it is removed,
+	// so that a restart or a short partition does not cost a voter its place.
+	voterRemovalDelay = 8 * time.Second
+	// urgentRemovalDelay applies while the fleet bears fewer losses than it must,
+	// or has no room for a new member.
+	urgentRemovalDelay = time.Second
+	// minRemainingVoters is the number of voters that stay if Config.MinVoters does
+	// not say it. With fewer than smallestFleet, one loss leaves no majority.
 	minRemainingVoters = 5
+	smallestFleet      = 3
 
 	// formationTimeout is how long a leader refuses changes while the fleet has
 	// fewer than MinVoters voters. A VM that never starts must not block the first
@@ -122,8 +128,10 @@
 	// is empty and every other peer has answered that it belongs to no fleet.
 	Bootstrap bool
 	// MinVoters is the number of voters that a forming fleet needs before it
-	// acknowledges a change. With fewer, losing as many disks as the fleet must
-	// tolerate could lose an acknowledged change. Zero disables the check.
+	// acknowledges a change, and below which no inactive voter is removed. With
+	// fewer, losing as many disks as the fleet must tolerate, a minority of
+	// MinVoters, could lose an acknowledged change. Zero disables the check of a
+	// forming fleet.
 	MinVoters int
 	// Replaces is the identifier of the member that this one replaces when it
 	// joins. If it is zero, a member with the same VM name is replaced.
--- a/internal/coordination/control/loop.go
+++ b/internal/coordination/control/loop.go
@@ -81,9 +81,6 @@
 	// roundsWithoutLeader is the number of calls of mustJoin since a leader was
 	// known.
 	roundsWithoutLeader int
-	// inactiveSince is when the leader first found a voter inactive. It has no
-	// entry for active voters.
-	inactiveSince map[uint64]time.Duration
 	// reportedQuorum is the state that Metrics was last told.
 	reportedQuorum *peerv1.QuorumState
 	diskFull       bool
@@ -210,7 +207,7 @@
 	}
 	l.retryReads(now)
 	l.retrySnapshotSave(now)
-	l.removeInactiveVoter(now)
+	l.removeInactiveMember()
 	l.reportQuorum()
 }
 
--- a/internal/coordination/control/membership.go
+++ b/internal/coordination/control/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"time"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
@@ -140,48 +139,6 @@
 	return !l.joined() || l.roundsWithoutLeader >= rejoinRounds
 }
 
-// removeInactiveVoter removes a voter that has been inactive for
-// voterRemovalDelay, if all other voters are active and at least
-// minRemainingVoters of them remain. A dead voter would count against the
-// majority although another VM has already replaced it. A removed VM that becomes
-// reachable again joins as a new member.
-func (l *loop) removeInactiveVoter(now time.Duration) {
-	s := l.core.Status()
-	if !l.leading() || s.MembershipIndex > s.Commit {
-		l.inactiveSince = nil
-		return
-	}
-	if l.inactiveSince == nil {
-		l.inactiveSince = map[uint64]time.Duration{}
-	}
-	voters, active := 0, 0
-	var lost *statev1.Member
-	for _, m := range s.Membership.GetMembers() {
-		if m.GetLearner() {
-			continue
-		}
-		voters++
-		if m.GetId() == l.member.GetId() || s.Progress[m.GetId()].Active {
-			active++
-			delete(l.inactiveSince, m.GetId())
-			continue
-		}
-		since, known := l.inactiveSince[m.GetId()]
-		if !known {
-			l.inactiveSince[m.GetId()] = now
-		} else if now-since >= voterRemovalDelay {
-			lost = m
-		}
-	}
-	if lost == nil || voters <= minRemainingVoters || active < voters-1 {
-		return
-	}
-	ch := &statev1.MembershipChange{Op: statev1.MembershipOp_MEMBERSHIP_OP_REMOVE, Member: lost}
-	if _, _, err := l.core.ProposeMembership(ch); err == nil {
-		delete(l.inactiveSince, lost.GetId())
-	}
-}
-
 // addKnownMembers stores the members that a JoinResponse names.
 func (l *loop) addKnownMembers(m *statev1.Membership) {
 	for _, x := range m.GetMembers() {
--- a/internal/state/raft/core.go
+++ b/internal/state/raft/core.go
@@ -354,6 +354,9 @@
 	Next  uint64
 	// Active is set if the member responded within the last election timeout.
 	Active bool
+	// SilentTicks is the number of ticks since the member's last response, since
+	// it was added, or since this leader was elected, whichever is latest.
+	SilentTicks int
 	// SendingSnapshot is set while a snapshot is being sent to the member.
 	SendingSnapshot bool
 	Learner         bool
@@ -386,6 +389,7 @@
 			Match:           p.match,
 			Next:            p.next,
 			Active:          c.isActive(p),
+			SilentTicks:     int(c.ticks - p.lastActive),
 			SendingSnapshot: p.state == stateSnapshot,
 			Learner:         !c.isVoter(id),
 		}
