forward, platform: what an endpoint says about further requests is read and logged

Server-Limit and Server-Leaving were read nowhere, Retry-After of an endpoint only in the product's own protocols, so the log could not tell the hypotheses apart.

Change: the codec decodes the three into pool.Advice, the table keeps the last one, and an entry logs each change. No decision changes.

--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -73,6 +73,8 @@
 	// Load is valid if HasLoad is set.
 	Load    pool.Load
 	HasLoad bool
+	// Advice is what the endpoint says about further requests.
+	Advice pool.Advice
 }
 
 // Codec translates between HTTP messages and this package's types.
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -71,6 +71,9 @@
 	s := c.server
 	head := s.cfg.Codec.DecodeResponse(resp.Status, resp.Header)
 	c.endpointLeaving = head.Leaving && head.NotRun
+	if !head.Misdirected {
+		s.recordAdvice(from.EndpointID, head.Advice)
+	}
 	s.step(func(now time.Duration, e *pool.Entry) {
 		if head.HasLoad {
 			e.Table.Observe(now, from.EndpointID, head.Load)
--- a/internal/coordination/pool/table.go
+++ b/internal/coordination/pool/table.go
@@ -91,6 +91,8 @@
 	// missingUntil holds until when a model or model/adapter counts as not
 	// resident.
 	missingUntil map[string]time.Duration
+	// advice is what the endpoint said in its last answer.
+	advice Advice
 }
 
 // Query describes the requirements of a request.
