--- a/internal/coordination/forward/advice.go
+++ b/internal/coordination/forward/advice.go
@@ -10,7 +10,7 @@
 // and logs each change.
 func (s *Server) recordAdvice(endpoint string, a pool.Advice) {
 	changed := false
-	s.step(func(_ time.Duration, e *pool.Entry) { changed = e.Table.RecordAdvice(endpoint, a) })
+	s.step(func(now time.Duration, e *pool.Entry) { changed = e.RecordAdvice(now, endpoint, a) })
 	if !changed {
 		return
 	}
--- a/internal/coordination/pool/entry.go
+++ b/internal/coordination/pool/entry.go
@@ -228,3 +228,12 @@
 // Messages returns the messages to other entries that resulted from the steps
 // since the last call.
 func (e *Entry) Messages() []Envelope { return e.out.drain() }
+
+// RecordAdvice records what an endpoint said in an answer to a request of this
+// entry. It reports whether that differs from what was known.
+func (e *Entry) RecordAdvice(now time.Duration, endpoint string, a Advice) (changed bool) {
+	e.setNow(now)
+	changed = e.Table.RecordAdvice(endpoint, a)
+	e.deliverToSelf()
+	return changed
+}
