pool, forward: the limits that endpoints state hold over all entries

Class of the fault: a signal of back-pressure that is passed through and not acted on.

Change: the newest answer of an endpoint counts, at whichever entry it arrived. An entry that sees a change tells the brokers of the endpoint's models, gives each broker that it asks for slots what it knows at most every 0.7 s, and tells two other entries every 0.7 s, so that the end of a limit arrives where no requests go. At an engine the brokers of its models keep one budget: each deducts what the others grant, which is part of the loads that they exchange. At a plain service 3 entries and 2 for each request a second share the limit. A request that no endpoint can take before its wait ends is refused at once with the new code 4012 endpoint_limited.

Ruled out: a budget for each entry (one request of each of 60 entries exceeds a limit of 3 a second); a fixed part for each model of an engine.

--- a/internal/coordination/forward/slot.go
+++ b/internal/coordination/forward/slot.go
@@ -112,17 +112,16 @@
 	s := c.server
 	granted := make(chan *pool.Reservation, 1)
 	w := &pool.Waiter{Query: &c.query, Target: c.grantTarget(), Deadline: c.queueDeadline(s.now()), Granted: func(t *pool.Reservation) { granted <- t }}
-	var reason pool.UnavailableReason
+	var refusal *resultcode.Error
 	s.step(func(now time.Duration, e *pool.Entry) {
 		s.mu.queue.Add(w)
 		s.mu.queue.Dispatch(now, e.Table)
-		reason = w.UnavailableReason()
-		if reason == pool.NoEndpoints && len(c.query.Exclude) > 0 {
+		if refusal = c.futileWait(now, e.Table, w); refusal != nil {
 			s.mu.queue.Remove(w)
 		}
 	})
-	if reason == pool.NoEndpoints && len(c.query.Exclude) > 0 {
-		return nil, resultcode.New(resultcode.NoEndpoint, "all endpoints of service %q have been tried", c.query.Service)
+	if refusal != nil {
+		return nil, refusal
 	}
 	end := time.NewTimer(w.Deadline - s.now())
 	defer end.Stop()
@@ -143,6 +142,22 @@
 	return nil, c.noSlotError(w.UnavailableReason())
 }
 
+// futileWait returns the error for a request that waiting for a slot at a plain
+// service cannot help, or nil.
+func (c *call) futileWait(now time.Duration, t *pool.Table, w *pool.Waiter) *resultcode.Error {
+	switch w.UnavailableReason() {
+	case pool.NoEndpoints:
+		if len(c.query.Exclude) > 0 {
+			return resultcode.New(resultcode.NoEndpoint, "all endpoints of service %q have been tried", c.query.Service)
+		}
+	case pool.Limited:
+		if t.AvailableAt(now, &c.query) > w.Deadline {
+			return resultcode.New(resultcode.EndpointLimited, "all endpoints of service %q have reached the limits that they state", c.query.Service)
+		}
+	}
+	return nil
+}
+
 // queueDeadline returns the time until which the request may wait for a slot. With
 // a later one, the caller would give up before the first event, or the time left
 // would not suffice for the complete response.
@@ -166,6 +181,8 @@
 		return resultcode.New(resultcode.ModelLoading, "model %q with adapter %q was not loaded before the queue deadline", c.query.Model, c.query.Adapter)
 	case reason == pool.NoEndpoints:
 		return resultcode.New(resultcode.NoEndpoint, "service %q has no reachable endpoint", c.query.Service)
+	case reason == pool.Limited:
+		return resultcode.New(resultcode.EndpointLimited, "all endpoints of service %q have reached the limits that they state", c.query.Service)
 	default:
 		return resultcode.New(resultcode.DeadlineTooClose, "no free slot at service %q before the queue deadline", c.query.Service)
 	}
--- a/internal/coordination/pool/advice.go
+++ b/internal/coordination/pool/advice.go
@@ -1,11 +1,27 @@
 package pool
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+)
 
 // MaxPause is the longest time for which an endpoint's wish for no requests is
 // followed. A longer one would lose the endpoint to a single faulty answer.
 const MaxPause = 10 * time.Minute
 
+// Parameters of the exchange of advice between entries.
+const (
+	// gossipPeers is how many entries get all advice at each refreshInterval.
+	gossipPeers = 2
+	// maxAdvicePerMessage bounds the size of a datagram.
+	maxAdvicePerMessage = 64
+	// endedAdviceTime is how long entries tell each other that an endpoint states
+	// nothing any more.
+	endedAdviceTime = 30 * time.Second
+)
+
 // Advice is what an endpoint says in an answer about the requests that it wants.
 type Advice struct {
 	// Limited is set if the endpoint takes at most RateLimit requests per second
@@ -19,13 +35,89 @@
 	Pause time.Duration
 }
 
-// RecordAdvice records what an endpoint said in an answer that arrived now. It
-// reports whether that differs from the answer before.
-func (t *Table) RecordAdvice(id string, a Advice) (changed bool) {
+// RecordAdvice records what an endpoint said in an answer that arrived at a moment,
+// here or at another entry. The newest answer counts. It reports whether that
+// differs from what was known.
+func (t *Table) RecordAdvice(at time.Duration, id string, a Advice) (changed bool) {
 	e := t.endpoints[id]
-	if e == nil || e.advice == a {
+	if e == nil || (e.advised && at < e.advisedAt) {
 		return false
 	}
-	e.advice = a
+	changed = e.advice != a
+	if a.Limited && !e.advice.Limited {
+		e.budget = limitBudget{refilledAt: at}
+	}
+	if changed {
+		e.advised = true
+	}
+	e.advice, e.advisedAt = a, at
+	return changed
+}
+
+// adviceMessages returns what is known about endpoints that state something, or did
+// so until lately.
+func (t *Table) adviceMessages(now time.Duration) []*peerv1.EndpointAdvice {
+	var out []*peerv1.EndpointAdvice
+	for id, e := range t.endpoints {
+		stated := e.advice.Limited || e.advice.Leaving
+		if !e.advised || (!stated && now-e.advisedAt > endedAdviceTime) {
+			continue
+		}
+		if len(out) == maxAdvicePerMessage {
+			break
+		}
+		out = append(out, e.adviceMessage(now, id))
+	}
+	return out
+}
+
+func (e *endpoint) adviceMessage(now time.Duration, id string) *peerv1.EndpointAdvice {
+	return &peerv1.EndpointAdvice{
+		Endpoint: id, AgeMs: uint32((now - e.advisedAt).Milliseconds()),
+		Limited: e.advice.Limited, RateLimit: e.advice.RateLimit, Leaving: e.advice.Leaving,
+	}
+}
+
+// applyAdvice records what another entry knows.
+func (t *Table) applyAdvice(now time.Duration, list []*peerv1.EndpointAdvice) {
+	for _, a := range list {
+		at := now - milliseconds(int64(a.GetAgeMs()))
+		t.RecordAdvice(at, a.GetEndpoint(), Advice{Limited: a.GetLimited(), RateLimit: a.GetRateLimit(), Leaving: a.GetLeaving()})
+	}
+}
+
+// RecordAdvice records what an endpoint said in an answer to a request of this
+// entry. It reports whether that differs from what was known; the brokers that
+// grant slots at the endpoint are told then.
+func (e *Entry) RecordAdvice(now time.Duration, endpoint string, a Advice) (changed bool) {
+	e.setNow(now)
+	if !e.Table.RecordAdvice(now, endpoint, a) {
+		return false
+	}
+	target := e.Table.endpoints[endpoint]
+	for _, broker := range e.broker.sharingBrokers(target) {
+		m := e.out.messageTo(broker)
+		m.Advice = append(m.Advice, target.adviceMessage(now, endpoint))
+	}
+	e.deliverToSelf()
 	return true
 }
+
+// gossipAdvice tells some other entries all advice. An entry that gets no requests
+// for an endpoint would not learn from answers that a limit has ended.
+func (e *Entry) gossipAdvice(now time.Duration) {
+	if now-e.lastGossip < refreshInterval {
+		return
+	}
+	e.lastGossip = now
+	list := e.Table.adviceMessages(now)
+	if len(list) == 0 {
+		return
+	}
+	for range gossipPeers {
+		to := e.Owners.entries[rand.IntN(len(e.Owners.entries))]
+		if to != e.self.Address {
+			e.out.messageTo(to).Advice = list
+		}
+	}
+}
--- a/internal/coordination/pool/broker.go
+++ b/internal/coordination/pool/broker.go
@@ -216,14 +216,20 @@
 		b.refuse(key, req, resultcode.NoEndpoint, 0)
 	case b.now >= w.Deadline:
 		b.refuse(key, req, resultcode.DeadlineTooClose, 0)
-	case w.reason == Full && b.now > w.Target && b.overloaded(req.key):
-		b.refuse(key, req, resultcode.DeadlineTooClose, retryAfterMin+time.Duration(b.table.rand()*float64(retryAfterSpread)))
+	case w.reason == Limited && b.table.AvailableAt(b.now, w.Query) > w.Deadline:
+		b.refuse(key, req, resultcode.EndpointLimited, b.overloadRetryAfter())
+	case w.reason >= Limited && b.now > w.Target && b.overloaded(req.key):
+		b.refuse(key, req, resultcode.DeadlineTooClose, b.overloadRetryAfter())
 	default:
 		return false
 	}
 	return true
 }
 
+func (b *Broker) overloadRetryAfter() time.Duration {
+	return retryAfterMin + time.Duration(b.table.rand()*float64(retryAfterSpread))
+}
+
 func (b *Broker) setReady(key modelKey, at time.Duration) {
 	b.readyAt[key] = at
 	b.dispatch(key)
@@ -318,7 +324,7 @@
 			b.missing[MissingModel{Service: key.service, Model: key.model, Adapter: w.Query.Adapter}] = true
 		case Full:
 			full = true
-		case None, NoEndpoints:
+		case None, NoEndpoints, Limited:
 		}
 	}
 	b.setWaiting(key, full)
@@ -388,9 +394,13 @@
 }
 
 func (b *Broker) engineLoad(e *endpoint) *peerv1.EngineLoad {
-	return &peerv1.EngineLoad{
+	load := &peerv1.EngineLoad{
 		Endpoint: e.ID, Requests: uint32(e.reserved.Requests), PromptTokens: uint32(e.reserved.PromptTokens), HeldTokens: uint32(e.reserved.HeldTokens), Waiting: b.hasWaiting(e),
 	}
+	if e.advice.Limited {
+		load.Grants = e.grants
+	}
+	return load
 }
 
 // sendChanges sends changed loads to the brokers of the other models at those
@@ -454,7 +464,11 @@
 // applyLoads applies an update of another broker. Slots that became free there
 // may serve requests that wait here.
 func (b *Broker) applyLoads(from Sender, u *peerv1.LoadUpdate) {
-	b.table.loads.Apply(b.now, from, u)
+	for endpoint, grants := range b.table.loads.Apply(b.now, from, u) {
+		if e := b.table.endpoints[endpoint]; e != nil {
+			b.table.spendLimit(b.now, e, float64(grants))
+		}
+	}
 	for _, e := range u.GetEngines() {
 		b.dispatchEndpoint(e.GetEndpoint())
 	}
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -88,6 +88,10 @@
 	// the endpoint is tried again.
 	failures   map[string]int
 	avoidUntil map[string]time.Duration
+	// advice returns what this entry knows about endpoints that state something,
+	// adviceSent when each broker was last sent it.
+	advice     func(now time.Duration) []*peerv1.EndpointAdvice
+	adviceSent map[string]time.Duration
 	now        time.Duration // of the current step
 }
 
@@ -95,6 +99,7 @@
 	return &Client{
 		owners: o, out: out, requests: map[uint64]*SlotRequest{}, grants: map[uint64]*Grant{},
 		brokers: map[string]time.Duration{}, lastListed: map[string]time.Duration{}, failures: map[string]int{}, avoidUntil: map[string]time.Duration{},
+		adviceSent: map[string]time.Duration{},
 	}
 }
 
@@ -111,6 +116,7 @@
 	if !req.awaitingAnswer {
 		req.awaitingAnswer, req.unansweredSince = true, c.now
 	}
+	c.sendAdvice(req.broker)
 	q := req.query
 	c.out.request(req.broker, &peerv1.PlaceRequest{
 		Id: req.id, Service: q.Service, Model: q.Model, Adapter: q.Adapter, Affinity: q.Affinity,
@@ -120,6 +126,18 @@
 	})
 }
 
+// sendAdvice sends a broker what this entry knows about endpoints, at most once in
+// refreshInterval. A broker that has just taken over a model knows nothing.
+func (c *Client) sendAdvice(broker string) {
+	if at, ok := c.adviceSent[broker]; ok && c.now-at < refreshInterval {
+		return
+	}
+	if list := c.advice(c.now); len(list) > 0 {
+		c.out.messageTo(broker).Advice = list
+	}
+	c.adviceSent[broker] = c.now
+}
+
 // cancel withdraws a request. It returns false if the request already has an
 // outcome.
 func (c *Client) cancel(req *SlotRequest) bool {
--- a/internal/coordination/pool/entry.go
+++ b/internal/coordination/pool/entry.go
@@ -67,13 +67,17 @@
 	client *Client
 	broker *Broker
 	out    *outbox
+	// lastGossip is when other entries were last told what endpoints state.
+	lastGossip time.Duration
 }
 
 // NewEntry returns an Entry that knows no other entries.
 func NewEntry(self Sender, dataCentre string) *Entry {
 	out := &outbox{self: self, pending: map[string]*peerv1.PlaceMessage{}}
 	e := &Entry{self: self, Table: NewTable(), Owners: NewOwners(self.Address), out: out}
+	e.Table.owners = e.Owners
 	e.client = newClient(e.Owners, out)
+	e.client.advice = e.Table.adviceMessages
 	e.client.dataCentre = dataCentre
 	e.broker = newBroker(e.Table, e.Owners, out)
 	return e
@@ -172,6 +176,8 @@
 	if len(m.GetRequests()) > 0 || len(m.GetReports()) > 0 || m.GetHeld() != nil {
 		e.broker.markSeen(from)
 	}
+	// Advice comes first: what it says binds the answers to the requests.
+	e.Table.applyAdvice(e.broker.now, m.GetAdvice())
 	for _, r := range m.GetReports() {
 		e.broker.handleReport(from, r)
 	}
@@ -195,6 +201,7 @@
 	e.setNow(now)
 	e.client.tick()
 	e.broker.tick()
+	e.gossipAdvice(now)
 	e.deliverToSelf()
 }
 
@@ -228,12 +235,3 @@
 // Messages returns the messages to other entries that resulted from the steps
 // since the last call.
 func (e *Entry) Messages() []Envelope { return e.out.drain() }
-
-// RecordAdvice records what an endpoint said in an answer to a request of this
-// entry. It reports whether that differs from what was known.
-func (e *Entry) RecordAdvice(now time.Duration, endpoint string, a Advice) (changed bool) {
-	e.setNow(now)
-	changed = e.Table.RecordAdvice(endpoint, a)
-	e.deliverToSelf()
-	return changed
-}
--- a/internal/coordination/pool/loads.go
+++ b/internal/coordination/pool/loads.go
@@ -46,6 +46,8 @@
 	updatedAt time.Duration
 	usage     map[string]Usage // by endpoint
 	waiting   map[string]bool  // endpoints at which its requests wait
+	// grants counts the slots that it granted at endpoints that state a limit.
+	grants map[string]uint64
 }
 
 // Loads holds what other brokers have reserved at engines.
@@ -64,16 +66,18 @@
 }
 
 // Apply applies an update. Updates that are not newer than the last one are
-// ignored.
-func (l *Loads) Apply(now time.Duration, from Sender, u *peerv1.LoadUpdate) {
+// ignored. It returns how many slots the peer has granted since its last update, by
+// endpoint that states a limit.
+func (l *Loads) Apply(now time.Duration, from Sender, u *peerv1.LoadUpdate) (granted map[string]uint64) {
 	p := l.peers[from]
 	if p == nil {
-		p = &peerLoads{usage: map[string]Usage{}, waiting: map[string]bool{}}
+		p = &peerLoads{usage: map[string]Usage{}, waiting: map[string]bool{}, grants: map[string]uint64{}}
 		l.peers[from] = p
 	}
 	if u.GetSeq() <= p.seq {
-		return
+		return nil
 	}
+	granted = map[string]uint64{}
 	p.seq, p.updatedAt = u.GetSeq(), now
 	if u.GetFull() {
 		l.reset(p)
@@ -85,7 +89,26 @@
 		}
 		l.set(p, e.GetEndpoint(), usage)
 		l.setWaiting(p, e.GetEndpoint(), e.GetWaiting())
+		if n := p.countGrants(e); n > 0 {
+			granted[e.GetEndpoint()] = n
+		}
+	}
+	return granted
+}
+
+// countGrants returns the slots that the peer granted at an endpoint since its last
+// update, or zero if the peer did not count them then.
+func (p *peerLoads) countGrants(e *peerv1.EngineLoad) uint64 {
+	last, known := p.grants[e.GetEndpoint()]
+	if e.GetGrants() == 0 {
+		delete(p.grants, e.GetEndpoint())
+		return 0
+	}
+	p.grants[e.GetEndpoint()] = e.GetGrants()
+	if !known || e.GetGrants() < last {
+		return 0
 	}
+	return e.GetGrants() - last
 }
 
 // set replaces a peer's usage of an endpoint.
--- a/internal/coordination/pool/owners.go
+++ b/internal/coordination/pool/owners.go
@@ -27,11 +27,13 @@
 	downUntil map[string]time.Duration // until when an entry is excluded
 	// cached holds the candidates of each model, including entries that are down.
 	cached map[modelKey][]string
+	// ranks holds this entry's rank at each endpoint that was asked for.
+	ranks map[string]int
 }
 
 // NewOwners returns Owners that know only this entry.
 func NewOwners(self string) *Owners {
-	return &Owners{self: self, entries: []string{self}, downUntil: map[string]time.Duration{}, cached: map[modelKey][]string{}}
+	return &Owners{self: self, entries: []string{self}, downUntil: map[string]time.Duration{}, cached: map[modelKey][]string{}, ranks: map[string]int{}}
 }
 
 // SetEntries replaces the list of entries. This entry is always part of it.
@@ -41,6 +43,7 @@
 		o.entries = append(o.entries, o.self)
 	}
 	clear(o.cached)
+	clear(o.ranks)
 }
 
 // BrokerOf returns the broker of a model.
--- a/internal/coordination/pool/queue.go
+++ b/internal/coordination/pool/queue.go
@@ -61,15 +61,15 @@
 // Len returns the number of waiters.
 func (q *Queue) Len() int { return len(q.waiters) }
 
-// maxFullPerDispatch is the number of waiters that may find every engine full
-// before a dispatch stops trying. Waiters behind the first such one may need
+// maxFullPerDispatch is the number of waiters that may find every engine full, or
+// at its limit, before a dispatch stops trying. Waiters behind the first such one may need
 // other adapters or less memory, but most of them need the same engines.
 const maxFullPerDispatch = 6
 
-// anyOnTime reports whether a request that found every endpoint full can still
-// be on time.
+// anyOnTime reports whether a request that found every endpoint full, or at its
+// limit, can still be on time.
 func (q *Queue) anyOnTime(now time.Duration) bool {
-	return slices.ContainsFunc(q.waiters, func(w *Waiter) bool { return w.reason == Full && now <= w.Target })
+	return slices.ContainsFunc(q.waiters, func(w *Waiter) bool { return w.reason >= Limited && now <= w.Target })
 }
 
 // Dispatch grants slots to waiters in their order: first to those that can
@@ -83,7 +83,7 @@
 func (q *Queue) grantEligible(now time.Duration, t *Table, eligible func(*Waiter) bool) {
 	var granted []*Waiter
 	var reservations []*Reservation
-	full := 0
+	full, lastReason := 0, None
 	kept := q.waiters[:0]
 	for _, w := range q.waiters {
 		if !eligible(w) {
@@ -91,7 +91,7 @@
 			continue
 		}
 		if full >= maxFullPerDispatch {
-			w.reason = Full
+			w.reason = lastReason
 			kept = append(kept, w)
 			continue
 		}
@@ -99,8 +99,9 @@
 		w.reason = why
 		if reservation == nil {
 			kept = append(kept, w)
-			if why == Full {
+			if why >= Limited {
 				full++
+				lastReason = why
 			}
 			continue
 		}
--- a/internal/coordination/pool/table.go
+++ b/internal/coordination/pool/table.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -91,8 +90,15 @@
 	// missingUntil holds until when a model or model/adapter counts as not
 	// resident.
 	missingUntil map[string]time.Duration
-	// advice is what the endpoint said in its last answer.
-	advice Advice
+	// advice is what the endpoint said in the newest answer that is known, which
+	// arrived at advisedAt. advised is set once an answer said anything.
+	advice    Advice
+	advised   bool
+	advisedAt time.Duration
+	// budget counts against the limit in advice. grants is the number of slots that
+	// this entry granted here.
+	budget limitBudget
+	grants uint64
 }
 
 // Query describes the requirements of a request.
@@ -139,13 +145,16 @@
 	NoModel
 	// NoAdapter: endpoints have the model, but none has the adapter.
 	NoAdapter
-	// Full: every endpoint that could take the request is at its limit.
+	// Limited: every endpoint that could take the request has reached the limit
+	// that it states.
+	Limited
+	// Full: every endpoint that could take the request is full.
 	Full
 )
 
 // String returns the text used in error messages.
 func (r UnavailableReason) String() string {
-	return [...]string{"nothing", "an endpoint", "a model", "an adapter", "a slot"}[r]
+	return [...]string{"nothing", "an endpoint", "a model", "an adapter", "the limit of an endpoint", "a slot"}[r]
 }
 
 // Result says how an endpoint handled a request.
@@ -183,6 +192,8 @@
 	// other brokers.
 	changed map[string]bool
 	rand    func() float64
+	// owners has the entries that share the limits of plain endpoints.
+	owners *Owners
 }
 
 // NewTable returns an empty table.
@@ -253,6 +264,8 @@
 	if best == nil {
 		return nil, why
 	}
+	t.spendLimit(now, best, 1)
+	best.grants++
 	return t.addReservation(best, Usage{1, q.PromptTokens, q.HeldTokens}), why
 }
 
@@ -273,18 +286,14 @@
 }
 
 func (t *Table) choose(now time.Duration, q *Query) (*endpoint, UnavailableReason) {
-	candidates := t.services[q.Service]
 	reason := NoEndpoints
-	if q.Model != "" {
-		if len(candidates) > 0 {
-			reason = NoModel
-		}
-		candidates = t.byModel[modelKey{q.Service, q.Model}]
+	if q.Model != "" && len(t.services[q.Service]) > 0 {
+		reason = NoModel
 	}
 	var best *endpoint
 	var bestCost float64
-	for _, e := range candidates {
-		if e.Leaving || now < e.ejectedUntil || slices.Contains(q.Exclude, e.ID) || slices.Contains(q.Avoid, e.ID) {
+	for _, e := range t.candidates(q) {
+		if t.excluded(now, e, q) {
 			continue
 		}
 		if why := t.unavailableReason(now, e, q); why != None {
@@ -315,6 +324,9 @@
 	if q.Model != "" && t.engineFull(now, e, q) {
 		return Full
 	}
+	if t.limitReached(now, e) {
+		return Limited
+	}
 	return None
 }
 
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -122,6 +122,7 @@
 	ModelLoading        Code = 4009
 	EndpointUnreachable Code = 4010
 	PromptPartCrashes   Code = 4011
+	EndpointLimited     Code = 4012
 
 	NoFreshState Code = 5001
 	Draining     Code = 5002
@@ -213,6 +214,7 @@
 		{ModelLoading, "model_loading", http.StatusServiceUnavailable, NotRun, RetryLater, "The model is not loaded yet and was not ready before the deadline."},
 		{EndpointUnreachable, "endpoint_unreachable", http.StatusBadGateway, NotRun, RetryLater, "No connection to an endpoint could be made; nothing was sent."},
 		{PromptPartCrashes, "prompt_part_crashes_endpoints", http.StatusServiceUnavailable, NotRun, RetryLater, "Endpoints crashed when they began to answer requests with a part of this prompt; requests with it are refused for a limited time."},
+		{EndpointLimited, "endpoint_limited", http.StatusServiceUnavailable, NotRun, RetryLater, "Every endpoint that could take the request has reached the limit that it states, or wants no requests for longer than the request can wait."},
 
 		{NoFreshState, "no_fresh_state", http.StatusServiceUnavailable, NotRun, RetryLater, "This VM has not confirmed its configuration with a quorum for some seconds and cannot know which keys are withdrawn."},
 		{Draining, "draining", http.StatusServiceUnavailable, NotRun, RetryLater, "This VM is shutting down or draining."},
