pool: a slot that is listed ends the waiting request for it

Seen: TestSlotsAreReleasedUnderFaults failed once in a run of the package; on the limits 6 and 8 of 40 runs of 400 fresh cases failed, "1 slots are still counted at e1", and 20 s later it was still counted. So an engine loses a slot for good, until its broker restarts.

Cause: a request waits at a broker while its entry got the slot from another broker and lists it. The broker adopted the listed slot and kept the request waiting; the next grant replaced the adopted slot in its table without releasing it.

Change: the waiting request is dropped when its slot is listed.

TestListedSlotEndsTheWaitingRequest failed before; 60 runs of 400 fresh cases of TestSlotsAreReleasedUnderFaults passed.

--- a/internal/coordination/pool/broker.go
+++ b/internal/coordination/pool/broker.go
@@ -281,6 +281,9 @@
 		if b.granted[key] != nil {
 			continue
 		}
+		if req := b.pending[key]; req != nil {
+			b.dropRequest(key, req) // it would get a second slot
+		}
 		if reservation := b.table.Adopt(h.GetEndpoint(), Usage{1, int(h.GetPromptTokens()), int(h.GetHeldTokens())}); reservation != nil {
 			b.granted[key] = &grantedSlot{reservation: reservation, grantedAt: b.now}
 		}
--- a/internal/coordination/pool/entry_test.go
+++ b/internal/coordination/pool/entry_test.go
@@ -438,3 +438,28 @@
 		}
 	})
 }
+
+// Guards against a slot that stays counted for good when a request waits at a broker
+// that learns from a list that the request got its slot elsewhere.
+func TestListedSlotEndsTheWaitingRequest(t *testing.T) {
+	f := newFleet(1, []Endpoint{engineWith("e1", 1, "m")})
+	broker := f.entries[f.names[0]]
+	other := Sender{"10.0.0.9:7600", 9}
+	step := func(m *peerv1.PlaceMessage) {
+		m.Sender, m.Incarnation = other.Address, other.Incarnation
+		broker.Step(f.now, m)
+	}
+	request := func(id uint64) *peerv1.PlaceMessage {
+		return &peerv1.PlaceMessage{Requests: []*peerv1.PlaceRequest{{Id: id, Service: "models", Model: "m", TargetMs: 5000, WaitMs: 5000}}}
+	}
+	step(request(1))
+	step(request(2))
+	step(&peerv1.PlaceMessage{Held: &peerv1.PlaceList{Places: []*peerv1.HeldPlace{{Id: 1, Endpoint: "e1"}, {Id: 2, Endpoint: "e1"}}}})
+	for id := uint64(1); id <= 2; id++ {
+		step(&peerv1.PlaceMessage{Reports: []*peerv1.PlaceReport{{Id: id, Released: true}}})
+	}
+	f.run(time.Second)
+	if n := f.reservedAt("e1"); n != 0 {
+		t.Fatalf("%d slots are still counted after both requests ended", n)
+	}
+}
