pool, forward: an endpoint that says that it leaves gets no further requests

Cause: only Connection: close together with "not run" counted as leaving, and the next list of endpoints undid it.

Change: the advice of the newest answer counts until another answer, here or at another entry, says otherwise, and survives a new list. It ends after a minute without an answer, since a server may start again under its identifier and address. It reaches brokers and other entries as limits do.

TestEndpointThatLeavesGetsNoFurtherRequests failed before (request 2 went to the endpoint that leaves, plain and engine), and passes.

--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -51,7 +51,10 @@
 }
 
 func (testCodec) DecodeResponse(status int, h http.Header) ResponseHead {
-	return ResponseHead{Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
+	head := ResponseHead{Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
+	head.Advice.Leaving = h.Get("Leaves") != ""
+	head.Advice.Pause, _ = time.ParseDuration(h.Get("Pause")) // zero if it is absent
+	return head
 }
 
 func (testCodec) MatchesRequest(h http.Header, id string) bool {
--- a/internal/coordination/forward/slot.go
+++ b/internal/coordination/forward/slot.go
@@ -53,7 +53,7 @@
 func (c *call) usable(grant *pool.Grant) bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	return c.server.mu.entry.Table.Usable(grant.EndpointID)
+	return c.server.mu.entry.Table.Usable(c.server.now(), grant.EndpointID)
 }
 
 // requestSlot makes one slot request to the broker and waits for its outcome. It
--- a/internal/coordination/pool/advice.go
+++ b/internal/coordination/pool/advice.go
@@ -11,6 +11,11 @@
 // followed. A longer one would lose the endpoint to a single faulty answer.
 const MaxPause = 10 * time.Minute
 
+// LeavingTime is how long an endpoint gets no requests after its last answer that
+// said that it leaves. An endpoint that has started again may keep its identifier and
+// address, so that only an answer could tell, and without requests there is none.
+const LeavingTime = time.Minute
+
 // Parameters of the exchange of advice between entries.
 const (
 	// gossipPeers is how many entries get all advice at each refreshInterval.
@@ -40,7 +45,7 @@
 // differs from what was known.
 func (t *Table) RecordAdvice(at time.Duration, id string, a Advice) (changed bool) {
 	e := t.endpoints[id]
-	if e == nil || (e.advised && at < e.advisedAt) {
+	if e == nil || (e.advisedAt != 0 && at < e.advisedAt) {
 		return false
 	}
 	changed = e.advice != a
@@ -54,6 +59,12 @@
 	return changed
 }
 
+// leaving reports whether an endpoint is about to end, by the platform's list or by
+// its own answers.
+func (e *endpoint) leaving(now time.Duration) bool {
+	return e.Leaving || (e.advice.Leaving && now-e.advisedAt < LeavingTime)
+}
+
 // adviceMessages returns what is known about endpoints that state something, or did
 // so until lately.
 func (t *Table) adviceMessages(now time.Duration) []*peerv1.EndpointAdvice {
--- a/internal/coordination/pool/limit.go
+++ b/internal/coordination/pool/limit.go
@@ -129,7 +129,7 @@
 // excluded reports whether a request may not be sent to an endpoint, whatever its
 // load.
 func (t *Table) excluded(now time.Duration, e *endpoint, q *Query) bool {
-	return e.Leaving || now < e.ejectedUntil || slices.Contains(q.Exclude, e.ID) || slices.Contains(q.Avoid, e.ID)
+	return e.leaving(now) || now < e.ejectedUntil || slices.Contains(q.Exclude, e.ID) || slices.Contains(q.Avoid, e.ID)
 }
 
 // candidates returns the endpoints of the service that may have the model.
--- a/internal/coordination/pool/table.go
+++ b/internal/coordination/pool/table.go
@@ -91,7 +91,8 @@
 	// resident.
 	missingUntil map[string]time.Duration
 	// advice is what the endpoint said in the newest answer that is known, which
-	// arrived at advisedAt. advised is set once an answer said anything.
+	// arrived at advisedAt; zero if none is known. advised is set once an answer
+	// said anything.
 	advice    Advice
 	advised   bool
 	advisedAt time.Duration
@@ -440,9 +441,9 @@
 
 // Usable reports whether this entry knows no reason not to send to an endpoint.
 // An endpoint missing from its list may already be listed at other entries.
-func (t *Table) Usable(id string) bool {
+func (t *Table) Usable(now time.Duration, id string) bool {
 	e := t.endpoints[id]
-	return e == nil || !e.Leaving
+	return e == nil || !e.leaving(now)
 }
 
 // rendezvous returns a number in [0, 1) that is the same at every entry.
