pool, forward: an endpoint that names a time gets no requests until it has passed

Cause: Retry-After of an endpoint was not read; a refusal kept further requests away for 100 ms.

An entry sends its brokers the endpoints that want nothing from it with each slot request, and gives a slot back that it got before; at a plain service its own table holds them. A request that no endpoint takes before its wait ends is refused at once (4012), also if that becomes clear while it waits. What an endpoint states is looked at before its load, since a slot that becomes free does not help then.

TestPausedEndpointGetsNoRequestsUntilItsPauseEnds and TestRequestIsRefusedAtOnceWhileAllEndpointsPause failed before (requests reached the paused endpoint; refused only after 0.5 s) and pass.

--- a/internal/coordination/forward/advice_test.go
+++ b/internal/coordination/forward/advice_test.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/radishloom/radishloom/internal/coordination/directory"
 	"github.com/radishloom/radishloom/internal/coordination/pool"
+	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
 // answers returns n replies that are complete.
@@ -65,3 +67,58 @@
 		t.Fatalf("the endpoint got no request after %v: waited for %s", pool.LeavingTime, why)
 	}
 }
+
+// Guards against requests to an endpoint that refused one and named a time for which
+// it wants none.
+func TestPausedEndpointGetsNoRequestsUntilItsPauseEnds(t *testing.T) {
+	const pause = 400 * time.Millisecond
+	for _, path := range []string{"/often/x", "/stream/x"} {
+		refused := http.Header{"Not-Run": {"1"}, "Pause": {pause.String()}}
+		w := newFixture(t, append([]reply{{status: 503, header: refused, length: 0}}, answers(200)...)...)
+		until := time.Now().Add(pause)
+		for time.Now().Before(until.Add(-50 * time.Millisecond)) {
+			if status, _, _, err := w.do(path, map[string]string{"Model": "m"}); err != nil || status != 200 {
+				t.Fatalf("%s: status %d, error %v", path, status, err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		sends := w.endpoints.sends()
+		paused := sends[0].Address
+		for _, sent := range sends[1:] {
+			if sent.Address == paused {
+				t.Fatalf("%s: a request was sent to the paused endpoint", path)
+			}
+		}
+		time.Sleep(2 * (pause - 50*time.Millisecond))
+		used := false
+		for range 40 {
+			_, _, _, _ = w.do(path, map[string]string{"Model": "m"})
+			all := w.endpoints.sends()
+			used = used || all[len(all)-1].Address == paused
+		}
+		if !used {
+			t.Fatalf("%s: the endpoint got no request after its pause", path)
+		}
+	}
+}
+
+// Guards against a request that waits in front of endpoints that want none for longer
+// than it can wait.
+func TestRequestIsRefusedAtOnceWhileAllEndpointsPause(t *testing.T) {
+	refused := http.Header{"Not-Run": {"1"}, "Pause": {"20s"}}
+	for _, path := range []string{"/often/x", "/stream/x"} {
+		w := newFixture(t, reply{status: 503, header: refused, length: 0}, reply{status: 503, header: refused, length: 0})
+		_, _, _, _ = w.do(path, map[string]string{"Model": "m"})
+		started := time.Now()
+		status, h, _, err := w.do(path, map[string]string{"Model": "m"})
+		if err != nil || status != http.StatusServiceUnavailable || h.Get(resultcode.Header) != "4012" {
+			t.Fatalf("%s: status %d, code %s, error %v", path, status, h.Get(resultcode.Header), err)
+		}
+		if took := time.Since(started); took > 300*time.Millisecond {
+			t.Fatalf("%s: refused after %v", path, took)
+		}
+		if n := len(w.endpoints.sends()); n != 2 {
+			t.Fatalf("%s: %d sends, want 2", path, n)
+		}
+	}
+}
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -144,7 +144,7 @@
 		}
 		e.SetEndpoints(now, list)
 		s.mu.hasEndpoints = true
-		s.mu.queue.Dispatch(now, e.Table)
+		s.dispatchLocked(now, e.Table)
 	})
 }
 
@@ -186,7 +186,7 @@
 		case <-tick.C:
 			s.step(func(now time.Duration, e *pool.Entry) {
 				e.Tick(now)
-				s.mu.queue.Dispatch(now, e.Table)
+				s.dispatchLocked(now, e.Table)
 			})
 		}
 	}
--- a/internal/coordination/forward/slot.go
+++ b/internal/coordination/forward/slot.go
@@ -40,20 +40,25 @@
 			return nil, c.brokerRefusal(outcome)
 		}
 		grant := outcome.Grant
-		if c.usable(grant) {
+		leaving, paused := c.unwanted(grant)
+		if !leaving && !paused {
 			return &slot{EndpointID: grant.EndpointID, Address: grant.Address, grant: grant}, nil
 		}
-		c.query.Exclude = append(c.query.Exclude, grant.EndpointID)
-		c.server.step(func(now time.Duration, e *pool.Entry) { e.Release(now, grant, pool.Unknown, true) })
+		if leaving {
+			c.query.Exclude = append(c.query.Exclude, grant.EndpointID)
+		}
+		c.server.step(func(now time.Duration, e *pool.Entry) { e.Release(now, grant, pool.Unknown, leaving) })
 	}
 }
 
-// usable reports whether this entry regards the endpoint of a grant as usable. The
-// broker may have an older list of endpoints.
-func (c *call) usable(grant *pool.Grant) bool {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	return c.server.mu.entry.Table.Usable(c.server.now(), grant.EndpointID)
+// unwanted reports whether the endpoint of a grant is leaving or wants no requests
+// from this entry. The broker may know an older state.
+func (c *call) unwanted(grant *pool.Grant) (leaving, paused bool) {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, table := s.now(), s.mu.entry.Table
+	return !table.Usable(now, grant.EndpointID), table.Paused(now, grant.EndpointID)
 }
 
 // requestSlot makes one slot request to the broker and waits for its outcome. It
@@ -111,23 +116,30 @@
 func (c *call) acquireServiceSlot() (*slot, *resultcode.Error) {
 	s := c.server
 	granted := make(chan *pool.Reservation, 1)
-	w := &pool.Waiter{Query: &c.query, Target: c.grantTarget(), Deadline: c.queueDeadline(s.now()), Granted: func(t *pool.Reservation) { granted <- t }}
-	var refusal *resultcode.Error
+	refused := make(chan struct{}, 1)
+	w := &pool.Waiter{
+		Query: &c.query, Target: c.grantTarget(), Deadline: c.queueDeadline(s.now()),
+		Granted: func(t *pool.Reservation) { granted <- t },
+		Refused: func() { refused <- struct{}{} },
+	}
+	allTried := false
 	s.step(func(now time.Duration, e *pool.Entry) {
 		s.mu.queue.Add(w)
-		s.mu.queue.Dispatch(now, e.Table)
-		if refusal = c.futileWait(now, e.Table, w); refusal != nil {
+		s.dispatchLocked(now, e.Table)
+		if allTried = w.UnavailableReason() == pool.NoEndpoints && len(c.query.Exclude) > 0; allTried {
 			s.mu.queue.Remove(w)
 		}
 	})
-	if refusal != nil {
-		return nil, refusal
+	if allTried {
+		return nil, resultcode.New(resultcode.NoEndpoint, "all endpoints of service %q have been tried", c.query.Service)
 	}
 	end := time.NewTimer(w.Deadline - s.now())
 	defer end.Stop()
 	select {
 	case t := <-granted:
 		return &slot{EndpointID: t.EndpointID, Address: t.Address, reservation: t}, nil
+	case <-refused:
+		return nil, c.limitedError()
 	case <-end.C:
 	case <-s.draining:
 	case <-c.ctx.Done():
@@ -136,26 +148,17 @@
 	waiting := s.mu.queue.Remove(w)
 	s.mu.Unlock()
 	if !waiting {
-		t := <-granted
-		return &slot{EndpointID: t.EndpointID, Address: t.Address, reservation: t}, nil
+		select {
+		case t := <-granted:
+			return &slot{EndpointID: t.EndpointID, Address: t.Address, reservation: t}, nil
+		case <-refused:
+		}
 	}
 	return nil, c.noSlotError(w.UnavailableReason())
 }
 
-// futileWait returns the error for a request that waiting for a slot at a plain
-// service cannot help, or nil.
-func (c *call) futileWait(now time.Duration, t *pool.Table, w *pool.Waiter) *resultcode.Error {
-	switch w.UnavailableReason() {
-	case pool.NoEndpoints:
-		if len(c.query.Exclude) > 0 {
-			return resultcode.New(resultcode.NoEndpoint, "all endpoints of service %q have been tried", c.query.Service)
-		}
-	case pool.Limited:
-		if t.AvailableAt(now, &c.query) > w.Deadline {
-			return resultcode.New(resultcode.EndpointLimited, "all endpoints of service %q have reached the limits that they state", c.query.Service)
-		}
-	}
-	return nil
+func (c *call) limitedError() *resultcode.Error {
+	return resultcode.New(resultcode.EndpointLimited, "the endpoints of service %q take no request in time, by what they state", c.query.Service)
 }
 
 // queueDeadline returns the time until which the request may wait for a slot. With
@@ -182,12 +185,19 @@
 	case reason == pool.NoEndpoints:
 		return resultcode.New(resultcode.NoEndpoint, "service %q has no reachable endpoint", c.query.Service)
 	case reason == pool.Limited:
-		return resultcode.New(resultcode.EndpointLimited, "all endpoints of service %q have reached the limits that they state", c.query.Service)
+		return c.limitedError()
 	default:
 		return resultcode.New(resultcode.DeadlineTooClose, "no free slot at service %q before the queue deadline", c.query.Service)
 	}
 }
 
+// dispatchLocked grants slots at endpoints of plain services to waiting requests, and
+// refuses those that wait in vain.
+func (s *Server) dispatchLocked(now time.Duration, t *pool.Table) {
+	s.mu.queue.Dispatch(now, t)
+	s.mu.queue.RefuseFutile(now, t)
+}
+
 // releaseSlot releases a slot, which may then be granted to a waiting request.
 func (s *Server) releaseSlot(to *slot, r pool.Result, leaving bool) {
 	s.step(func(now time.Duration, e *pool.Entry) {
@@ -196,7 +206,7 @@
 			return
 		}
 		e.Table.Release(now, to.reservation, r, "", "")
-		s.mu.queue.Dispatch(now, e.Table)
+		s.dispatchLocked(now, e.Table)
 	})
 }
 
--- a/internal/coordination/pool/advice.go
+++ b/internal/coordination/pool/advice.go
@@ -102,6 +102,9 @@
 // grant slots at the endpoint are told then.
 func (e *Entry) RecordAdvice(now time.Duration, endpoint string, a Advice) (changed bool) {
 	e.setNow(now)
+	if a.Pause > 0 {
+		e.Table.paused[endpoint] = max(e.Table.paused[endpoint], now+a.Pause)
+	}
 	if !e.Table.RecordAdvice(now, endpoint, a) {
 		return false
 	}
--- a/internal/coordination/pool/broker.go
+++ b/internal/coordination/pool/broker.go
@@ -160,6 +160,7 @@
 		req = b.enqueue(key, r)
 		b.dispatch(req.key)
 	}
+	req.waiter.Query.Paused = b.decodePauses(r)
 	req.lastSeen = b.now
 	if b.pending[key] == req && !b.refuseIfFutile(key, req) {
 		b.out.answer(from.Address, &peerv1.PlaceAnswer{Id: r.GetId(), Absence: uint32(req.waiter.reason)})
@@ -172,7 +173,7 @@
 		Query: &Query{
 			Service: r.GetService(), Model: r.GetModel(), Adapter: r.GetAdapter(), Affinity: r.GetAffinity(), Urgency: int(r.GetUrgency()),
 			PromptTokens: int(r.GetPromptTokens()), HeldTokens: int(r.GetHeldTokens()), Exclude: r.GetExclude(), Avoid: r.GetAvoid(),
-			Preference: preferenceOf(key.from.Address), DataCentre: r.GetDataCentre(),
+			Preference: preferenceOf(key.from.Address), DataCentre: r.GetDataCentre(), Paused: b.decodePauses(r),
 		},
 		Target:   b.now + milliseconds(int64(r.GetTargetMs())),
 		Deadline: b.now + milliseconds(int64(r.GetWaitMs())),
@@ -192,6 +193,18 @@
 	return req
 }
 
+// decodePauses returns until when endpoints want no requests from the sender.
+func (b *Broker) decodePauses(r *peerv1.PlaceRequest) map[string]time.Duration {
+	if len(r.GetPaused()) == 0 {
+		return nil
+	}
+	out := make(map[string]time.Duration, len(r.GetPaused()))
+	for _, p := range r.GetPaused() {
+		out[p.GetEndpoint()] = b.now + milliseconds(int64(p.GetRemainingMs()))
+	}
+	return out
+}
+
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 func (b *Broker) sendGrant(key requestKey, reservation *Reservation) {
@@ -217,7 +230,7 @@
 	case b.now >= w.Deadline:
 		b.refuse(key, req, resultcode.DeadlineTooClose, 0)
 	case w.reason == Limited && b.table.AvailableAt(b.now, w.Query) > w.Deadline:
-		b.refuse(key, req, resultcode.EndpointLimited, b.overloadRetryAfter())
+		b.refuse(key, req, resultcode.EndpointLimited, b.limitRetryAfter(w.Query))
 	case w.reason >= Limited && b.now > w.Target && b.overloaded(req.key):
 		b.refuse(key, req, resultcode.DeadlineTooClose, b.overloadRetryAfter())
 	default:
@@ -226,6 +239,14 @@
 	return true
 }
 
+// limitRetryAfter returns the time after which an endpoint takes the request.
+func (b *Broker) limitRetryAfter(q *Query) time.Duration {
+	if at := b.table.AvailableAt(b.now, q); at != never {
+		return at - b.now
+	}
+	return b.overloadRetryAfter()
+}
+
 func (b *Broker) overloadRetryAfter() time.Duration {
 	return retryAfterMin + time.Duration(b.table.rand()*float64(retryAfterSpread))
 }
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -92,7 +92,9 @@
 	// adviceSent when each broker was last sent it.
 	advice     func(now time.Duration) []*peerv1.EndpointAdvice
 	adviceSent map[string]time.Duration
-	now        time.Duration // of the current step
+	// pauses returns the endpoints that want no requests from this entry.
+	pauses func(now time.Duration) []*peerv1.PausedEndpoint
+	now    time.Duration // of the current step
 }
 
 func newClient(o *Owners, out *outbox) *Client {
@@ -122,7 +124,7 @@
 		Id: req.id, Service: q.Service, Model: q.Model, Adapter: q.Adapter, Affinity: q.Affinity,
 		PromptTokens: uint32(q.PromptTokens), HeldTokens: uint32(q.HeldTokens), Urgency: uint32(q.Urgency),
 		TargetMs: int32((req.target - c.now).Milliseconds()), WaitMs: int32((req.expires - c.now).Milliseconds()),
-		Exclude: q.Exclude, Avoid: c.avoidedEndpoints(), DataCentre: c.dataCentre,
+		Exclude: q.Exclude, Avoid: c.avoidedEndpoints(), DataCentre: c.dataCentre, Paused: c.pauses(c.now),
 	})
 }
 
--- a/internal/coordination/pool/entry.go
+++ b/internal/coordination/pool/entry.go
@@ -78,6 +78,7 @@
 	e.Table.owners = e.Owners
 	e.client = newClient(e.Owners, out)
 	e.client.advice = e.Table.adviceMessages
+	e.client.pauses = e.Table.pauses
 	e.client.dataCentre = dataCentre
 	e.broker = newBroker(e.Table, e.Owners, out)
 	return e
--- a/internal/coordination/pool/limit.go
+++ b/internal/coordination/pool/limit.go
@@ -69,14 +69,26 @@
 	return rate / float64(sharers)
 }
 
-// limitReached reports whether the limit that an endpoint states allows no further
-// request now.
-func (t *Table) limitReached(now time.Duration, e *endpoint) bool {
+// takesAt returns the earliest time from now on at which an endpoint takes the
+// request, by what it stated.
+func (t *Table) takesAt(now time.Duration, e *endpoint, q *Query) time.Duration {
+	at := max(now, q.Paused[e.ID])
+	if q.Model == "" {
+		at = max(at, t.paused[e.ID])
+	}
 	if !e.advice.Limited {
-		return false
+		return at
+	}
+	rate := t.limitShare(e)
+	e.budget.refill(now, rate)
+	switch {
+	case e.budget.level >= 1:
+		return at
+	case rate == 0:
+		return never
+	default:
+		return max(at, now+time.Duration((1-e.budget.level)/rate*float64(time.Second)))
 	}
-	e.budget.refill(now, t.limitShare(e))
-	return e.budget.level < 1
 }
 
 // spendLimit counts n granted requests against the limit of an endpoint.
@@ -89,20 +101,14 @@
 	e.budget.spend(n, rate)
 }
 
-// AvailableAt returns the earliest time at which the limit of an endpoint allows a
-// request for which every endpoint has reached its limit.
+// AvailableAt returns the earliest time at which an endpoint takes a request that
+// found all of them Limited.
 func (t *Table) AvailableAt(now time.Duration, q *Query) time.Duration {
 	earliest := never
 	for _, e := range t.candidates(q) {
-		if t.excluded(now, e, q) || !t.limitReached(now, e) {
-			continue
-		}
-		rate := t.limitShare(e)
-		if rate == 0 {
-			continue
+		if !t.excluded(now, e, q) && t.unavailableReason(now, e, q) == Limited {
+			earliest = min(earliest, t.takesAt(now, e, q))
 		}
-		wait := time.Duration((1 - e.budget.level) / rate * float64(time.Second))
-		earliest = min(earliest, now+wait)
 	}
 	return earliest
 }
--- a/internal/coordination/pool/queue.go
+++ b/internal/coordination/pool/queue.go
@@ -13,6 +13,8 @@
 	Target, Deadline time.Duration
 	// Granted receives the reservation.
 	Granted func(*Reservation)
+	// Refused is called when RefuseFutile removes the waiter.
+	Refused func()
 
 	order uint64
 	// reason says why the last dispatch found no slot for the request.
@@ -80,6 +82,22 @@
 	q.grantEligible(now, t, func(w *Waiter) bool { return now > w.Target })
 }
 
+// RefuseFutile removes the waiters that no endpoint takes before their wait ends, by
+// what the endpoints state.
+func (q *Queue) RefuseFutile(now time.Duration, t *Table) {
+	var refused []*Waiter
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *Waiter) bool {
+		futile := w.reason == Limited && t.AvailableAt(now, w.Query) > w.Deadline
+		if futile {
+			refused = append(refused, w)
+		}
+		return futile
+	})
+	for _, w := range refused {
+		w.Refused()
+	}
+}
+
 func (q *Queue) grantEligible(now time.Duration, t *Table, eligible func(*Waiter) bool) {
 	var granted []*Waiter
 	var reservations []*Reservation
--- a/internal/coordination/pool/table.go
+++ b/internal/coordination/pool/table.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	"github.com/radishloom/radishloom/internal/coordination/directory"
 )
 
@@ -116,6 +117,10 @@
 	// PromptTokens are read by the engine, HeldTokens are kept in its KV cache
 	// until the request ends. Both are zero for plain services.
 	PromptTokens, HeldTokens int
+	// Paused holds until when endpoints want no requests from the entry of this
+	// one. It is set for engines only; at a plain service the entry's own table
+	// has it.
+	Paused map[string]time.Duration
 	// Exclude lists endpoints that this request was already sent to, Avoid those
 	// that its entry cannot reach now.
 	Exclude, Avoid []string
@@ -193,13 +198,15 @@
 	// other brokers.
 	changed map[string]bool
 	rand    func() float64
+	// paused holds until when endpoints want no requests from this entry.
+	paused map[string]time.Duration
 	// owners has the entries that share the limits of plain endpoints.
 	owners *Owners
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, loads: NewLoads(), changed: map[string]bool{}, rand: rand.Float64}
+	return &Table{endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, loads: NewLoads(), changed: map[string]bool{}, rand: rand.Float64, paused: map[string]time.Duration{}}
 }
 
 // Update replaces the list of endpoints. The state of an endpoint is kept while
@@ -213,6 +220,7 @@
 		e := old[in.ID]
 		if e == nil || e.Address != in.Address {
 			e = &endpoint{missingUntil: map[string]time.Duration{}}
+			delete(t.paused, in.ID)
 		}
 		e.Endpoint = in
 		e.setModels(in.Models)
@@ -319,15 +327,15 @@
 	if q.Adapter != "" && !e.has(now, q.Model, q.Adapter) {
 		return NoAdapter
 	}
+	if t.takesAt(now, e, q) > now {
+		return Limited
+	}
 	if now < e.fullUntil || (q.Model == "" && float64(e.load(now)) >= float64(max(1, e.Slots))*(1+q.Overcommit)) {
 		return Full
 	}
 	if q.Model != "" && t.engineFull(now, e, q) {
 		return Full
 	}
-	if t.limitReached(now, e) {
-		return Limited
-	}
 	return None
 }
 
@@ -446,6 +454,22 @@
 	return e == nil || !e.leaving(now)
 }
 
+// Paused reports whether an endpoint wants no requests from this entry now.
+func (t *Table) Paused(now time.Duration, id string) bool { return now < t.paused[id] }
+
+// pauses returns the endpoints that want no requests from this entry.
+func (t *Table) pauses(now time.Duration) []*peerv1.PausedEndpoint {
+	var out []*peerv1.PausedEndpoint
+	for id, until := range t.paused {
+		if now >= until {
+			delete(t.paused, id)
+			continue
+		}
+		out = append(out, &peerv1.PausedEndpoint{Endpoint: id, RemainingMs: uint32((until - now).Milliseconds())})
+	}
+	return out
+}
+
 // rendezvous returns a number in [0, 1) that is the same at every entry.
 func rendezvous(key uint64, id string) float64 {
 	h := (xxhash.Sum64String(id) ^ key) * 0x9e3779b97f4a7c15
