forward, httpclient: on a kept connection a response has to name its request

Here: a repeated refusal that names the earlier request was skipped already, but one without an identifier was taken for the answer to the present request. That was sent to a second endpoint, or refused as not run, while the first worked on it.

Change: a response without an identifier is believed only as the first one on a connection. Otherwise the outcome is unknown, and a request that is not idempotent ends with 502.

TestRepeatedEarlierRefusalIsNotBelieved failed before (refusal, misdirected, success) and passes.

--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -62,6 +62,9 @@
 	Header http.Header
 	// ContentLength is the announced length of the body, or -1.
 	ContentLength int64
+	// Reused is set if the connection carried an earlier request. A response on it
+	// that does not name its request may be the answer to an earlier one.
+	Reused bool
 	// CloseDelimited is set if only the close of the connection ends the body.
 	CloseDelimited bool
 	Body           Body
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -61,6 +61,8 @@
 
 // ResponseHead is the information in the head of an endpoint's response.
 type ResponseHead struct {
+	// Identified is set if the response names its request.
+	Identified bool
 	// Sealed is set if the endpoint vouches for the response with a seal.
 	Sealed bool
 	// NotRun is set if the endpoint did not run the request and never will.
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -70,6 +70,10 @@
 func (c *call) handleResponse(from *slot, resp *exchange.Response) (pool.Result, *resultcode.Error) {
 	s := c.server
 	head := s.cfg.Codec.DecodeResponse(resp.Status, resp.Header)
+	if resp.Reused && !head.Identified {
+		resp.Body.Discard()
+		return pool.Failed, resultcode.New(resultcode.AnswerMismatch, "endpoint %s responded with status %d on a kept connection without naming the request", from.EndpointID, resp.Status)
+	}
 	c.endpointLeaving = head.Leaving && head.NotRun
 	if !head.Misdirected {
 		s.recordAdvice(from.EndpointID, head.Advice)
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -51,7 +51,7 @@
 }
 
 func (testCodec) DecodeResponse(status int, h http.Header) ResponseHead {
-	head := ResponseHead{Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
+	head := ResponseHead{Identified: h.Get("Id") != "", Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
 	head.Advice.Leaving = h.Get("Leaves") != ""
 	head.Advice.Pause, _ = time.ParseDuration(h.Get("Pause")) // zero if it is absent
 	return head
@@ -77,6 +77,8 @@
 	stalls, endless bool
 	// length is the announced length; -1 for a chunked body.
 	length int64
+	// reused is set for a response on a connection that carried an earlier request.
+	reused bool
 }
 
 // testBody ends as the reply says.
@@ -131,7 +133,7 @@
 	if next.endless {
 		body.Reader = &repeatingReader{text: next.body}
 	}
-	return &exchange.Response{Status: next.status, Header: h, ContentLength: next.length, Body: body}, nil
+	return &exchange.Response{Status: next.status, Header: h, ContentLength: next.length, Body: body, Reused: next.reused}, nil
 }
 
 // repeatingReader repeats a text without end.
@@ -345,6 +347,27 @@
 	}
 }
 
+// Guards against a refusal of an earlier request, written once more on a kept
+// connection, that is taken for the refusal of the present one: that may be running.
+func TestRepeatedEarlierRefusalIsNotBelieved(t *testing.T) {
+	for name, stale := range map[string]reply{
+		"refused":     {status: 503, header: http.Header{"Not-Run": {"1"}}, reused: true},
+		"misdirected": {status: 421, header: http.Header{}, reused: true},
+		"success":     {status: 200, header: http.Header{"Seal": {"s"}}, body: "other", length: 5, reused: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(t, stale, reply{status: 200, header: sealed(), body: "second", length: 6})
+			status, _, body, err := w.do("/once/x", nil)
+			if err != nil || status != http.StatusBadGateway || strings.Contains(body, "other") {
+				t.Fatalf("status %d, body %q, error %v", status, body, err)
+			}
+			if n := len(w.endpoints.sends()); n != 1 {
+				t.Fatalf("%d sends", n)
+			}
+		})
+	}
+}
+
 // After an attempt that may have run, the refusal by a second endpoint must not make
 // the final response claim that the request did not run.
 func TestRefusalAfterPossibleRunDoesNotClaimNotRun(t *testing.T) {
--- a/internal/transport/httpclient/client.go
+++ b/internal/transport/httpclient/client.go
@@ -218,7 +218,10 @@
 	if err != nil {
 		return nil, cn.fail(ctx, err, stageHead)
 	}
-	return newResponse(ctx, cn, resp, req.AllowCloseDelimited), nil
+	out := newResponse(ctx, cn, resp, req.AllowCloseDelimited)
+	out.Reused = cn.reused
+	cn.reused = true
+	return out, nil
 }
 
 // Transport returns a net/http transport with the same dialer for calls between
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -47,6 +47,8 @@
 	// written counts the bytes of the current request that the operating system
 	// accepted.
 	written int64
+	// reused is set once the connection has carried a request that was answered.
+	reused bool
 	// requestCut is set if the endpoint responded before it read the whole request.
 	requestCut bool
 	// headLeft is the number of bytes that the response head may still take, or -1
