--- a/internal/coordination/forward/relay.go
+++ b/internal/coordination/forward/relay.go
@@ -32,9 +32,9 @@
 	wholeEvents    bool
 	closeDelimited bool
 	// events is set if the first response declared a stream of events.
-	events bool
-	pending        []byte
-	lastID         string
+	events  bool
+	pending []byte
+	lastID  string
 	// tail holds the last bytes of the current response that were passed on.
 	tail []byte
 	// first and last are the times from the arrival of the request to the first and
