httpclient: a connection is marked as used before it can be released

Cause: the mark was set after newResponse, when the body may have given the connection back to the pool and another exchange used it. It is set before now. Both packages passed twice with the race detector.

--- a/internal/transport/httpclient/client.go
+++ b/internal/transport/httpclient/client.go
@@ -218,9 +218,12 @@
 	if err != nil {
 		return nil, cn.fail(ctx, err, stageHead)
 	}
-	out := newResponse(ctx, cn, resp, req.AllowCloseDelimited)
-	out.Reused = cn.reused
+	// The body may release the connection to another exchange, so its fields are not
+	// used after newResponse.
+	reused := cn.reused
 	cn.reused = true
+	out := newResponse(ctx, cn, resp, req.AllowCloseDelimited)
+	out.Reused = reused
 	return out, nil
 }
 
