--- a/internal/coordination/control/replace_test.go
+++ b/internal/coordination/control/replace_test.go
@@ -194,14 +194,10 @@
 				for version := range uint64(3) {
 					away := s.pick(1 + proptest.IntN(t, (size.vms-1)/2))
 					frozen := proptest.IntN(t, 2) == 0
-					for _, v := range away {
-						v.suspended, v.partitioned = frozen, !frozen
-					}
+					setAway(away, frozen, !frozen)
 					s.run(time.Duration(1+proptest.IntN(t, 15)) * time.Second)
 					s.putCatalog(version + 1)
-					for _, v := range away {
-						v.suspended, v.partitioned = false, false
-					}
+					setAway(away, false, false)
 					s.run(recoveryTime)
 					if got := s.voters(); got != size.vms {
 						t.Fatalf("%d of %d VMs vote %v after %d returned", got, size.vms, recoveryTime, len(away))
@@ -214,3 +210,39 @@
 		})
 	}
 }
+
+// setAway freezes VMs or cuts them off, or ends that.
+func setAway(vms []*vm, frozen, cut bool) {
+	for _, v := range vms {
+		v.suspended, v.partitioned = frozen, cut
+	}
+}
+
+// Guards against removals of VMs that are frozen or cut off, together with
+// replacements, that leave a fleet in which the loss of a tolerated number of disks
+// leaves no leader or loses a change.
+func TestReplacedAndReturningVMsKeepAMajority(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(fmt.Sprintf("%d VMs, %d losses", size.vms, size.losses), func(t *testing.T) {
+			proptest.Check(t, 20, 1, func(t *rapid.T) {
+				s := newFormedSimulation(t, size)
+				for range 1 + proptest.IntN(t, 3) {
+					if proptest.IntN(t, 2) == 0 {
+						s.replace(s.pick(1+proptest.IntN(t, size.losses)), time.Second)
+					} else {
+						away := s.pick(1 + proptest.IntN(t, (size.vms-1)/2))
+						frozen := proptest.IntN(t, 2) == 0
+						setAway(away, frozen, !frozen)
+						s.run(time.Duration(1+proptest.IntN(t, 10)) * time.Second)
+						setAway(away, false, false)
+					}
+					s.run(settleTime)
+				}
+				s.putCatalog(1)
+				s.loseDisks(s.pick(size.losses))
+				s.run(recoveryTime)
+				s.checkLeads(1)
+			})
+		})
+	}
+}
