--- a/internal/coordination/pool/limit.go
+++ b/internal/coordination/pool/limit.go
@@ -2,10 +2,7 @@
 
 import (
 	"math"
-	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Parameters of the limits that endpoints state. A limit holds for all entries
@@ -112,36 +109,3 @@
 	}
 	return earliest
 }
-
-// rank returns this entry's position in the order in which entries share the limit
-// of an endpoint. All entries compute the same order.
-func (o *Owners) rank(endpoint string) int {
-	if found, ok := o.ranks[endpoint]; ok {
-		return found
-	}
-	own := shareOrder(endpoint, o.self)
-	rank := 0
-	for _, entry := range o.entries {
-		if shareOrder(endpoint, entry) < own {
-			rank++
-		}
-	}
-	o.ranks[endpoint] = rank
-	return rank
-}
-
-func shareOrder(endpoint, entry string) uint64 { return xxhash.Sum64String(endpoint + "/" + entry) }
-
-// excluded reports whether a request may not be sent to an endpoint, whatever its
-// load.
-func (t *Table) excluded(now time.Duration, e *endpoint, q *Query) bool {
-	return e.leaving(now) || now < e.ejectedUntil || slices.Contains(q.Exclude, e.ID) || slices.Contains(q.Avoid, e.ID)
-}
-
-// candidates returns the endpoints of the service that may have the model.
-func (t *Table) candidates(q *Query) []*endpoint {
-	if q.Model == "" {
-		return t.services[q.Service]
-	}
-	return t.byModel[modelKey{q.Service, q.Model}]
-}
--- a/internal/coordination/pool/owners.go
+++ b/internal/coordination/pool/owners.go
@@ -98,3 +98,22 @@
 	o.cached[key] = list
 	return list
 }
+
+// rank returns this entry's position in the order in which entries share the limit
+// of an endpoint. All entries compute the same order.
+func (o *Owners) rank(endpoint string) int {
+	if found, ok := o.ranks[endpoint]; ok {
+		return found
+	}
+	own := shareOrder(endpoint, o.self)
+	rank := 0
+	for _, entry := range o.entries {
+		if shareOrder(endpoint, entry) < own {
+			rank++
+		}
+	}
+	o.ranks[endpoint] = rank
+	return rank
+}
+
+func shareOrder(endpoint, entry string) uint64 { return xxhash.Sum64String(endpoint + "/" + entry) }
