pool, forward: an old answer ends neither a limit nor the leaving of an endpoint

Read on the diff: an entry that was frozen, or is slow, reads answers long after they were written. Taken as news, one of before the limit ended it at all entries, and one of before the leaving let them send to the endpoint again (LIMIT, DRAIN).

Change: an answer without a limit counts as of the time at which its request was sent, so it ends only a limit that was stated before.

TestOldAnswerEndsNeitherALimitNorLeaving fails if the time of arrival counts ("after an answer to an older request: not limited"), and passes.

--- a/internal/coordination/forward/advice.go
+++ b/internal/coordination/forward/advice.go
@@ -6,11 +6,11 @@
 	"github.com/radishloom/radishloom/internal/coordination/pool"
 )
 
-// recordAdvice records what an endpoint said in an answer about further requests,
-// and logs each change.
-func (s *Server) recordAdvice(endpoint string, a pool.Advice) {
+// recordAdvice records what an endpoint said about further requests in the answer to
+// a request that was sent at sentAt, and logs each change.
+func (s *Server) recordAdvice(endpoint string, sentAt time.Duration, a pool.Advice) {
 	changed := false
-	s.step(func(now time.Duration, e *pool.Entry) { changed = e.RecordAdvice(now, endpoint, a) })
+	s.step(func(now time.Duration, e *pool.Entry) { changed = e.RecordAdvice(now, sentAt, endpoint, a) })
 	if !changed {
 		return
 	}
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -18,7 +18,8 @@
 // was passed on to the caller.
 func (c *call) send(to *slot) (pool.Result, *resultcode.Error) {
 	s := c.server
-	left := c.deadline - s.now()
+	sentAt := s.now()
+	left := c.deadline - sentAt
 	if left < minTimeLeft {
 		return pool.Unknown, resultcode.New(resultcode.DeadlineTooClose, "only %d ms left until the deadline, too little to send the request", left.Milliseconds())
 	}
@@ -39,7 +40,7 @@
 	if err != nil {
 		return c.failed(err)
 	}
-	return c.handleResponse(to, resp)
+	return c.handleResponse(to, sentAt, resp)
 }
 
 // idleTimeout returns how long the endpoint may send nothing. It is short while
@@ -65,9 +66,9 @@
 	return pool.Failed, coded
 }
 
-// handleResponse passes a response on to the caller, or returns an error if the
-// response must not be passed on.
-func (c *call) handleResponse(from *slot, resp *exchange.Response) (pool.Result, *resultcode.Error) {
+// handleResponse passes the response to a request that was sent at sentAt on to the
+// caller, or returns an error if the response must not be passed on.
+func (c *call) handleResponse(from *slot, sentAt time.Duration, resp *exchange.Response) (pool.Result, *resultcode.Error) {
 	s := c.server
 	head := s.cfg.Codec.DecodeResponse(resp.Status, resp.Header)
 	if resp.Reused && !head.Identified {
@@ -76,7 +77,7 @@
 	}
 	c.endpointLeaving = head.Leaving && head.NotRun
 	if !head.Misdirected {
-		s.recordAdvice(from.EndpointID, head.Advice)
+		s.recordAdvice(from.EndpointID, sentAt, head.Advice)
 	}
 	s.step(func(now time.Duration, e *pool.Entry) {
 		if head.HasLoad {
--- a/internal/coordination/pool/advice.go
+++ b/internal/coordination/pool/advice.go
@@ -40,38 +40,49 @@
 	Pause time.Duration
 }
 
-// RecordAdvice records what an endpoint said in an answer that arrived at a moment,
-// here or at another entry. The newest answer counts. It reports whether that
-// differs from what was known.
+// RecordAdvice records what an endpoint said at a moment, here or to another entry.
+// It reports whether that differs from what was known. Of limits, the newest
+// statement counts. An endpoint that leaves does not change its mind: an answer that
+// does not say so is an older one that was read late.
 func (t *Table) RecordAdvice(at time.Duration, id string, a Advice) (changed bool) {
 	e := t.endpoints[id]
-	if e == nil || (e.advisedAt != 0 && at < e.advisedAt) {
+	if e == nil {
 		return false
 	}
-	changed = e.advice != a
+	if a.Leaving {
+		changed = t.setLeaving(e, at+LeavingTime)
+	}
+	if e.advisedAt != 0 && at < e.advisedAt {
+		return changed
+	}
 	if a.Limited && !e.advice.Limited {
 		e.budget = limitBudget{refilledAt: at}
 	}
-	if changed {
-		e.advised = true
+	if e.advice.Limited != a.Limited || e.advice.RateLimit != a.RateLimit {
+		changed, e.advised = true, true
 	}
 	e.advice, e.advisedAt = a, at
 	return changed
 }
 
+// setLeaving records that an endpoint leaves. It reports whether that is news.
+func (t *Table) setLeaving(e *endpoint, until time.Duration) (changed bool) {
+	changed = e.leavingUntil == 0
+	e.leavingUntil = max(e.leavingUntil, until)
+	return changed
+}
+
 // leaving reports whether an endpoint is about to end, by the platform's list or by
 // its own answers.
-func (e *endpoint) leaving(now time.Duration) bool {
-	return e.Leaving || (e.advice.Leaving && now-e.advisedAt < LeavingTime)
-}
+func (e *endpoint) leaving(now time.Duration) bool { return e.Leaving || now < e.leavingUntil }
 
 // adviceMessages returns what is known about endpoints that state something, or did
 // so until lately.
 func (t *Table) adviceMessages(now time.Duration) []*peerv1.EndpointAdvice {
 	var out []*peerv1.EndpointAdvice
 	for id, e := range t.endpoints {
-		stated := e.advice.Limited || e.advice.Leaving
-		if !e.advised || (!stated && now-e.advisedAt > endedAdviceTime) {
+		limitKnown := e.advised && (e.advice.Limited || now-e.advisedAt <= endedAdviceTime)
+		if !limitKnown && now >= e.leavingUntil {
 			continue
 		}
 		if len(out) == maxAdvicePerMessage {
@@ -85,7 +96,8 @@
 func (e *endpoint) adviceMessage(now time.Duration, id string) *peerv1.EndpointAdvice {
 	return &peerv1.EndpointAdvice{
 		Endpoint: id, AgeMs: uint32((now - e.advisedAt).Milliseconds()),
-		Limited: e.advice.Limited, RateLimit: e.advice.RateLimit, Leaving: e.advice.Leaving,
+		Limited: e.advice.Limited, RateLimit: e.advice.RateLimit,
+		LeavingForMs: uint32(max(0, e.leavingUntil-now).Milliseconds()),
 	}
 }
 
@@ -93,19 +105,28 @@
 func (t *Table) applyAdvice(now time.Duration, list []*peerv1.EndpointAdvice) {
 	for _, a := range list {
 		at := now - milliseconds(int64(a.GetAgeMs()))
-		t.RecordAdvice(at, a.GetEndpoint(), Advice{Limited: a.GetLimited(), RateLimit: a.GetRateLimit(), Leaving: a.GetLeaving()})
+		t.RecordAdvice(at, a.GetEndpoint(), Advice{Limited: a.GetLimited(), RateLimit: a.GetRateLimit()})
+		if e := t.endpoints[a.GetEndpoint()]; e != nil && a.GetLeavingForMs() > 0 {
+			t.setLeaving(e, now+milliseconds(int64(a.GetLeavingForMs())))
+		}
 	}
 }
 
-// RecordAdvice records what an endpoint said in an answer to a request of this
-// entry. It reports whether that differs from what was known; the brokers that
-// grant slots at the endpoint are told then.
-func (e *Entry) RecordAdvice(now time.Duration, endpoint string, a Advice) (changed bool) {
+// RecordAdvice records what an endpoint said in an answer to a request that this
+// entry sent at sentAt. It reports whether that differs from what was known; the
+// brokers that grant slots at the endpoint are told then. An answer without a limit
+// ends only a limit that was stated before the request was sent: an entry that was
+// frozen may read an answer long after it was written.
+func (e *Entry) RecordAdvice(now, sentAt time.Duration, endpoint string, a Advice) (changed bool) {
 	e.setNow(now)
+	saidAt := now
+	if !a.Limited {
+		saidAt = sentAt
+	}
 	if a.Pause > 0 {
 		e.Table.paused[endpoint] = max(e.Table.paused[endpoint], now+a.Pause)
 	}
-	if !e.Table.RecordAdvice(now, endpoint, a) {
+	if !e.Table.RecordAdvice(saidAt, endpoint, a) {
 		return false
 	}
 	target := e.Table.endpoints[endpoint]
--- a/internal/coordination/pool/advice_test.go
+++ b/internal/coordination/pool/advice_test.go
@@ -127,7 +127,7 @@
 
 // sendTo sends a request to an endpoint. release runs when the answer has ended.
 func (s *limitScene) sendTo(name, id string, release func()) {
-	target := s.endpoints[id]
+	target, sentAt := s.endpoints[id], s.now
 	target.arrive(s.now, name)
 	s.after(headTime, name, func() {
 		a := Advice{}
@@ -137,7 +137,7 @@
 				target.told[name] = s.now
 			}
 		}
-		s.entries[name].RecordAdvice(s.now, id, a)
+		s.entries[name].RecordAdvice(s.now, sentAt, id, a)
 		s.sendMessages(name)
 	})
 	s.after(answerTime, name, func() {
@@ -281,3 +281,27 @@
 		})
 	}
 }
+
+// Guards against an entry that was frozen, reads an old answer and ends a limit, or
+// the leaving of an endpoint, for all entries.
+func TestOldAnswerEndsNeitherALimitNorLeaving(t *testing.T) {
+	f := newFleet(1, []Endpoint{plainEndpoint("p1")})
+	e := f.entries[f.names[0]]
+	endpoint := e.Table.endpoints["p1"]
+	e.RecordAdvice(10*time.Second, 9*time.Second, "p1", Advice{Limited: true, RateLimit: 3, Leaving: true})
+	e.RecordAdvice(12*time.Second, 9*time.Second, "p1", Advice{})
+	if !endpoint.advice.Limited || !endpoint.leaving(12*time.Second) {
+		t.Fatalf("after an answer to an older request: %+v, leaving %v", endpoint.advice, endpoint.leaving(12*time.Second))
+	}
+	e.RecordAdvice(13*time.Second, 12*time.Second, "p1", Advice{})
+	if endpoint.advice.Limited {
+		t.Fatal("the answer to a newer request did not end the limit")
+	}
+	for now := 13 * time.Second; now < 10*time.Second+LeavingTime; now += time.Second {
+		messages := e.Table.adviceMessages(now)
+		e.Table.applyAdvice(now, messages)
+	}
+	if end := 10*time.Second + LeavingTime; !endpoint.leaving(end-time.Second) || endpoint.leaving(end) {
+		t.Fatalf("leaving until %v, want %v", endpoint.leavingUntil, end)
+	}
+}
--- a/internal/coordination/pool/table.go
+++ b/internal/coordination/pool/table.go
@@ -63,6 +63,9 @@
 	advice    Advice
 	advised   bool
 	advisedAt time.Duration
+	// leavingUntil is until when the endpoint gets no requests because it said that
+	// it leaves.
+	leavingUntil time.Duration
 	// budget counts against the limit in advice. grants is the number of slots that
 	// this entry granted here.
 	budget limitBudget
