--- a/internal/coordination/forward/advice_test.go
+++ b/internal/coordination/forward/advice_test.go
@@ -19,18 +19,6 @@
 	return out
 }
 
-// relist sends the entry the list of endpoints that it has, as the platform does
-// before it knows that an endpoint leaves.
-func (w *fixture) relist() {
-	models := []directory.Resident{{Model: "m"}}
-	w.server.SetEndpoints([]pool.Endpoint{
-		{Endpoint: directory.Endpoint{ID: "p1", Service: "plain", Address: "p1:1", Slots: 4}},
-		{Endpoint: directory.Endpoint{ID: "p2", Service: "plain", Address: "p2:1", Slots: 4}},
-		{Endpoint: directory.Endpoint{ID: "e1", Service: "models", Address: "e1:1", Slots: 4, Models: models}},
-		{Endpoint: directory.Endpoint{ID: "e2", Service: "models", Address: "e2:1", Slots: 4, Models: models}},
-	})
-}
-
 // Guards against requests to an endpoint that said in an answer that it leaves, while
 // the platform's list still has it.
 func TestEndpointThatLeavesGetsNoFurtherRequests(t *testing.T) {
@@ -42,7 +30,8 @@
 			if status, _, _, err := w.do(path, map[string]string{"Model": "m"}); err != nil || status != 200 {
 				t.Fatalf("%s: status %d, error %v", path, status, err)
 			}
-			w.relist()
+			// The platform does not know yet that the endpoint leaves.
+			w.server.SetEndpoints(testEndpoints())
 		}
 		sends := w.endpoints.sends()
 		for i, sent := range sends[1:] {
