pool: the availability of limited endpoints is computed once for a refusal

Read on the last look at the diff: a broker that refused a request for a limit computed AvailableAt for the decision and again for the time to retry after, and decoded the pauses of a new request twice. Both happen once now; which requests are refused, and with what, stays.

--- a/internal/coordination/pool/broker.go
+++ b/internal/coordination/pool/broker.go
@@ -159,8 +159,9 @@
 	if req == nil {
 		req = b.enqueue(key, r)
 		b.dispatch(req.key)
+	} else {
+		req.waiter.Query.Paused = b.decodePauses(r)
 	}
-	req.waiter.Query.Paused = b.decodePauses(r)
 	req.lastSeen = b.now
 	if b.pending[key] == req && !b.refuseIfFutile(key, req) {
 		b.out.answer(from.Address, &peerv1.PlaceAnswer{Id: r.GetId(), Absence: uint32(req.waiter.reason)})
@@ -229,8 +230,7 @@
 		b.refuse(key, req, resultcode.NoEndpoint, 0)
 	case b.now >= w.Deadline:
 		b.refuse(key, req, resultcode.DeadlineTooClose, 0)
-	case w.reason == Limited && b.table.AvailableAt(b.now, w.Query) > w.Deadline:
-		b.refuse(key, req, resultcode.EndpointLimited, b.limitRetryAfter(w.Query))
+	case w.reason == Limited && b.refuseIfLimited(key, req):
 	case w.reason >= Limited && b.now > w.Target && b.overloaded(req.key):
 		b.refuse(key, req, resultcode.DeadlineTooClose, b.overloadRetryAfter())
 	default:
@@ -239,12 +239,19 @@
 	return true
 }
 
-// limitRetryAfter returns the time after which an endpoint takes the request.
-func (b *Broker) limitRetryAfter(q *Query) time.Duration {
-	if at := b.table.AvailableAt(b.now, q); at != never {
-		return at - b.now
+// refuseIfLimited refuses a request that no endpoint takes before its wait ends, by
+// what the endpoints state, and reports whether it did.
+func (b *Broker) refuseIfLimited(key requestKey, req *pendingRequest) bool {
+	at := b.table.AvailableAt(b.now, req.waiter.Query)
+	if at <= req.waiter.Deadline {
+		return false
+	}
+	after := b.overloadRetryAfter()
+	if at != never {
+		after = at - b.now
 	}
-	return b.overloadRetryAfter()
+	b.refuse(key, req, resultcode.EndpointLimited, after)
+	return true
 }
 
 func (b *Broker) overloadRetryAfter() time.Duration {
--- a/internal/coordination/pool/queue.go
+++ b/internal/coordination/pool/queue.go
@@ -63,9 +63,9 @@
 // Len returns the number of waiters.
 func (q *Queue) Len() int { return len(q.waiters) }
 
-// maxFullPerDispatch is the number of waiters that may find every engine full, or
-// at its limit, before a dispatch stops trying. Waiters behind the first such one may need
-// other adapters or less memory, but most of them need the same engines.
+// maxFullPerDispatch is the number of waiters that may find every engine full, or at
+// its limit, before a dispatch stops trying. Waiters behind the first such one may
+// need other adapters or less memory, but most of them need the same engines.
 const maxFullPerDispatch = 6
 
 // anyOnTime reports whether a request that found every endpoint full, or at its
