--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,8 +22,10 @@
 // cases maps the name of a case to the function that plays it.
 var cases = map[string]func(*world) (verdict, error){
 	"resumable-lookup": playResumableLookup,
+	"first-start":      playFirstStart,
 	"foreign-entry":    playForeignEntry,
 	"large-bodies":     playLargeBodies,
+	"retired-model":    playRetiredModel,
 	"slow-log-reader":  playSlowLogReader,
 }
 
--- a/review/harness/manifest.go
+++ b/review/harness/manifest.go
@@ -31,6 +31,7 @@
 	Public      bool   `json:"public"`
 	Sticky      bool   `json:"sticky"`
 	Resumable   bool   `json:"resumable"`
+	GapTargetMs int    `json:"gapTargetMs,omitempty"`
 }
 
 type service struct {
@@ -39,6 +40,38 @@
 	MaxConnections int    `json:"maxConnections"`
 	Protocol       string `json:"protocol"`
 	TLS            bool   `json:"tls"`
+	// Engine is nil for a plain service.
+	Engine *engine `json:"engine,omitempty"`
+}
+
+type engine struct {
+	Slots         int     `json:"slots"`
+	KvCacheTokens int     `json:"kvCacheTokens"`
+	KvTokenBytes  int     `json:"kvTokenBytes"`
+	LinkMbps      float64 `json:"linkMbps"`
+	Moves         bool    `json:"moves"`
+	Backups       bool    `json:"backups"`
+	Stride        int     `json:"stride"`
+	MaxCount      int     `json:"maxCount"`
+	HostMemoryMb  float64 `json:"hostMemoryMb"`
+	DiskMb        float64 `json:"diskMb"`
+	PinMs         float64 `json:"pinMs"`
+	HoldMs        float64 `json:"holdMs"`
+	HandleS       float64 `json:"handle_s"`
+	Models        []model `json:"models"`
+	WeightsMb     float64 `json:"weightsMb"`
+	AdapterSlots  int     `json:"adapterSlots"`
+	LoadsPerS     float64 `json:"loadsPerS"`
+}
+
+type model struct {
+	Name      string  `json:"name"`
+	WeightsMb float64 `json:"weightsMb"`
+	LoadTimeS float64 `json:"loadTimeS"`
+	Adapters  int     `json:"adapters"`
+	AdapterMb float64 `json:"adapterMb"`
+	WarmS     float64 `json:"warmS"`
+	DiskLoadS float64 `json:"diskLoadS"`
 }
 
 type limits struct {
--- a/review/harness/process.go
+++ b/review/harness/process.go
@@ -29,6 +29,8 @@
 	core   bool
 	cmd    *exec.Cmd
 	exited chan struct{}
+	// seeds, if set, differ from those of the first start.
+	seeds []string
 	// output is where the daemon's standard output goes; nil means to a file.
 	output *os.File
 	// starts counts the starts: only the first one may bootstrap the system.
@@ -39,18 +41,7 @@
 // the hosts 11, 12, ..., and waits until the manifest is acknowledged and the front
 // machines are ready.
 func (w *world) startSystem(core, front int, m manifest) error {
-	for i := range core + front {
-		p := &process{world: w}
-		if p.core = i < core; p.core {
-			p.name, p.ip = fmt.Sprintf("core-%d", i+1), w.address(i+1)
-		} else {
-			p.name, p.ip = fmt.Sprintf("front-%d", i-core+1), w.address(11+i-core)
-		}
-		if i == core {
-			p.output = w.frontOutput
-		}
-		w.processes = append(w.processes, p)
-	}
+	w.addMachines(core, front)
 	for _, p := range w.processes {
 		if err := p.start(); err != nil {
 			return err
@@ -68,6 +59,40 @@
 	return nil
 }
 
+// addMachines adds machines that are not started yet.
+func (w *world) addMachines(core, front int) {
+	for i := range core + front {
+		p := &process{world: w}
+		if p.core = i < core; p.core {
+			p.name, p.ip = fmt.Sprintf("core-%d", i+1), w.address(i+1)
+		} else {
+			p.name, p.ip = fmt.Sprintf("front-%d", i-core+1), w.address(11+i-core)
+		}
+		if i == core {
+			p.output = w.frontOutput
+		}
+		w.processes = append(w.processes, p)
+	}
+	for _, p := range w.machines(true)[:min(3, core)] {
+		w.seeds = append(w.seeds, fmt.Sprintf("%s:%d", p.ip, w.ports.control))
+	}
+}
+
+// replace starts an empty core machine with another address in place of a lost one.
+// Its seeds name it instead of the lost one; the other machines keep theirs.
+func (w *world) replace(i, host int) error {
+	lost := w.processes[i]
+	p := &process{world: w, name: fmt.Sprintf("core-%d", host), ip: w.address(host), core: true}
+	for _, seed := range w.seeds {
+		if seed == fmt.Sprintf("%s:%d", lost.ip, w.ports.control) {
+			seed = fmt.Sprintf("%s:%d", p.ip, w.ports.control)
+		}
+		p.seeds = append(p.seeds, seed)
+	}
+	w.processes[i] = p
+	return p.start()
+}
+
 func (w *world) machines(core bool) []*process {
 	var out []*process
 	for _, p := range w.processes {
@@ -120,11 +145,13 @@
 // settings returns the settings file of the machine.
 func (p *process) settings(folder string) string {
 	w := p.world
-	var seeds []string
-	for _, m := range w.machines(true) {
-		if len(seeds) < 3 {
-			seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", m.ip, w.ports.control)))
-		}
+	seeds := p.seeds
+	if seeds == nil {
+		seeds = w.seeds
+	}
+	var quoted []string
+	for _, seed := range seeds {
+		quoted = append(quoted, strconv.Quote(seed))
 	}
 	class, memory, data, serves := "front", frontMemoryMB, "", "front"
 	listen := fmt.Sprintf("front = \"%s:%d\"\nready = \"%s:%d\"", p.ip, w.ports.front, p.ip, w.ports.ready)
@@ -196,7 +223,7 @@
 ratePerS = 47.0
 duties = []
 lagMs = 800
-`, p.name, class, class, serves, p.ip, w.ports.internal, w.ports.internal+internalPorts-1, strings.Join(seeds, ","), p.starts == 0, p.core,
+`, p.name, class, class, serves, p.ip, w.ports.internal, w.ports.internal+internalPorts-1, strings.Join(quoted, ","), p.starts == 0, p.core,
 		data, listen, memory, int(graceTime.Seconds()), w.platform.address())
 }
 
--- a/review/harness/requesters.go
+++ b/review/harness/requesters.go
@@ -41,6 +41,8 @@
 	method, path, key string
 	body              []byte
 	deadline          time.Duration
+	// header holds further fields.
+	header map[string]string
 }
 
 // send sends a request and waits for its answer, at most half a second longer than its
@@ -64,6 +66,9 @@
 	in.Header.Set("Attempt-Id", a.id)
 	in.Header.Set("Api-Key", r.key)
 	in.Header.Set("Deadline-Ms", fmt.Sprint(r.deadline.Milliseconds()))
+	for name, value := range r.header {
+		in.Header.Set(name, value)
+	}
 	resp, err := q.client.Do(in)
 	if err != nil {
 		a.took, a.err = time.Since(a.sentAt), err
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -18,6 +18,8 @@
 	// folder holds the settings and data of the daemons.
 	folder string
 	ports  ports
+	// seeds are the control addresses that all machines get at the first start.
+	seeds []string
 	// network is the prefix of the loopback addresses of this play.
 	network string
 
@@ -28,6 +30,7 @@
 	// frontOutput, if set, is where the first front machine writes its standard output.
 	frontOutput *os.File
 	servers     []*server
+	engines     []*engineServer
 	processes   []*process
 }
 
@@ -110,6 +113,9 @@
 	for _, s := range w.servers {
 		s.close()
 	}
+	for _, e := range w.engines {
+		e.close()
+	}
 	if w.platform != nil {
 		w.platform.close()
 	}
