--- a/review/harness/case_bodies.go
+++ b/review/harness/case_bodies.go
@@ -111,7 +111,9 @@
 			lost++
 		}
 	}
-	return verdict{broken: lost > lostAtMost, reason: fmt.Sprintf(
-		"%d of %d requests from kept channels were passed on to a sound server and lost their channel without an answer, %d may; killed for its memory: %t",
-		lost, len(kept), lostAtMost, killed)}
+	reason := fmt.Sprintf("%d of %d requests from kept channels were passed on to a sound server and lost their channel without an answer, %d may", lost, len(kept), lostAtMost)
+	if killed {
+		reason += "; the machine was killed for its memory"
+	}
+	return verdict{broken: lost > lostAtMost, reason: reason}
 }
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -26,6 +26,7 @@
 	"foreign-entry":    playForeignEntry,
 	"large-bodies":     playLargeBodies,
 	"retired-model":    playRetiredModel,
+	"slow-server":      playSlowServer,
 	"slow-log-reader":  playSlowLogReader,
 }
 
--- a/review/harness/requesters.go
+++ b/review/harness/requesters.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -61,7 +62,12 @@
 		a.err = err
 		return a
 	}
-	in.GetBody = nil // net/http does not send a request again without it
+	// net/http sends a request again by itself if it can read its body again, or if it
+	// has none. Each attempt of a requester has an identifier of its own.
+	in.GetBody = nil
+	if len(r.body) == 0 {
+		in.Body = io.NopCloser(strings.NewReader(""))
+	}
 	in.Host = host
 	in.Header.Set("Attempt-Id", a.id)
 	in.Header.Set("Api-Key", r.key)
--- a/review/harness/servers.go
+++ b/review/harness/servers.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -62,13 +63,13 @@
 	id, service string
 	listener    net.Listener
 	work        time.Duration
+	factor      atomic.Int64 // how many times as long the work takes now
 	places      chan struct{}
 	// noLength, if set, tells whether the next answer has no length: the close of the
 	// channel ends its body.
 	noLength func() bool
-	// refuse, if set, tells whether a request is refused as not run because the server
-	// is full, and whether the refusal closes the channel.
-	refuse func() (full, closing bool)
+	// headFirst makes it send the head of an answer before it does the work.
+	headFirst bool
 
 	mu      sync.Mutex
 	running int
@@ -85,6 +86,7 @@
 		return nil, err
 	}
 	s := &server{world: w, id: id, service: serviceName, listener: l, work: work, places: make(chan struct{}, serverSlots)}
+	s.factor.Store(1)
 	go func() { _ = http.Serve(l, s) }() // ends with the listener
 	w.servers = append(w.servers, s)
 	w.platform.add(map[string]any{
@@ -117,21 +119,20 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if s.refuse != nil {
-		if full, closing := s.refuse(); full {
-			s.refuseFull(w, closing)
-			return
-		}
-	}
 	if !s.enter() {
-		s.refuseFull(w, false)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer s.leave()
 	s.begin(serverRun{id: id, path: r.URL.Path, tenant: r.Header.Get("Tenant"), at: time.Now()})
-	time.Sleep(s.work)
 	w.Header().Set("Response-Seal", seal(s.id, id))
 	w.Header().Set("Content-Type", "application/json")
+	if s.headFirst {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush() // a broken channel fails the next write
+	}
+	time.Sleep(time.Duration(s.factor.Load()) * s.work)
 	if s.noLength != nil && s.noLength() {
 		s.answerWithoutLength(w, id)
 		return
@@ -139,14 +140,6 @@
 	_, _ = w.Write(answerBody(id)) // the channel may be closed
 }
 
-func (s *server) refuseFull(w http.ResponseWriter, closing bool) {
-	w.Header().Set("Not-Executed", "1")
-	if closing {
-		w.Header().Set("Connection", "close")
-	}
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
 // answerWithoutLength sends an answer whose body ends with the channel.
 func (s *server) answerWithoutLength(w http.ResponseWriter, id string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
