review: the harness moves to a folder named platform

A test of the project (TestPlatformNamesAppearOnlyHere) allows the names of the platform in folders of that name only, and the harness plays the platform.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/review-harness ./review/harness
+go build -o target/review-harness ./review/platform
