--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -167,9 +167,7 @@
 }
 
 // idempotent reports whether the request may run more than once.
-func (c *call) idempotent() bool {
-	return c.route.Kind == catalog.Idempotent || (c.route.Kind == catalog.Streaming && c.route.Resumable)
-}
+func (c *call) idempotent() bool { return c.route.Idempotent() }
 
 // allowRetry reports whether the request may be sent to another endpoint, and
 // charges the retry budget if so.
--- a/internal/coordination/forward/close_test.go
+++ b/internal/coordination/forward/close_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/radishloom/radishloom/internal/coordination/directory"
@@ -88,6 +90,61 @@
 	}
 }
 
+// framedBody returns an endpoint that sends the body with a framing: "length", "chunks" or
+// "close".
+func framedBody(framing, body string) closingEndpoint {
+	switch framing {
+	case "length":
+		return closingEndpoint{header: fmt.Sprintf("Content-Length: %d\r\n", len(body)), body: body}
+	case "chunks":
+		chunk := ""
+		if body != "" {
+			chunk = fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+		}
+		return closingEndpoint{header: "Transfer-Encoding: chunked\r\n", body: chunk + "0\r\n\r\n"}
+	default:
+		return closingEndpoint{body: body}
+	}
+}
+
+// Guards against answers of plain routes that a catalog marks as resumable and whose end
+// is held back as the beginning of an event: the caller got a complete response without
+// it.
+func TestMarkedPlainRouteKeepsWholeAnswer(t *testing.T) {
+	bodies := map[string]string{
+		"without an event": "answer", "empty": "", "an event and more": "a\n\nb", "whole events": "a\n\nb\n\n",
+		"large": strings.Repeat("answer ", maxBufferedBody/4),
+	}
+	for _, path := range []string{"/often/x", "/often-marked/x", "/once/x", "/once-marked/x"} {
+		for _, framing := range []string{"length", "chunks", "close"} {
+			for name, body := range bodies {
+				t.Run(path+" "+framing+" "+name, func(t *testing.T) {
+					t.Parallel()
+					w := newConnectedFixture(t, listenRaw(t, framedBody(framing, body).serve))
+					status, _, got, err := w.do(path, nil)
+					if status != http.StatusOK || err != nil || got != body {
+						t.Fatalf("status %d, error %v, body of %d bytes, want %d", status, err, len(got), len(body))
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against the answer of a plain route that is marked as resumable and breaks off:
+// the answer of another endpoint was appended to it, or the request ran again.
+func TestMarkedPlainRouteIsNotResumed(t *testing.T) {
+	for _, path := range []string{"/often-marked/x", "/once-marked/x"} {
+		w := newFixture(t,
+			reply{status: 200, header: sealed(), body: "a\n\nb", truncated: true, length: -1},
+			reply{status: 200, header: sealed(), body: "a\n\nb\n\n", length: -1})
+		_, _, body, err := w.do(path, nil)
+		if err == nil || len(w.endpoints.sends()) != 1 {
+			t.Errorf("%s: body %q, error %v after %d sends", path, body, err, len(w.endpoints.sends()))
+		}
+	}
+}
+
 // chunkedEvents is the header of a stream of events in chunks.
 const chunkedEvents = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
 
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -179,6 +179,8 @@
 			{Name: "often", Host: "h", Prefix: "/often/", Kind: catalog.Idempotent, Timeout: time.Second, Target: 100 * time.Millisecond, MaxAttempts: 2, Splits: []catalog.Split{{Service: "plain", Weight: 1}}},
 			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.Streaming, Timeout: 5 * time.Second, Target: 100 * time.Millisecond, MaxAttempts: 1, Splits: []catalog.Split{{Service: "models", Weight: 1}}},
 			{Name: "resumed", Host: "h", Prefix: "/resumed/", Kind: catalog.Streaming, Resumable: true, Timeout: 5 * time.Second, Target: 100 * time.Millisecond, MaxAttempts: 2, Splits: []catalog.Split{{Service: "models", Weight: 1}}},
+			{Name: "often-marked", Host: "h", Prefix: "/often-marked/", Kind: catalog.Idempotent, Resumable: true, Timeout: time.Second, Target: 100 * time.Millisecond, MaxAttempts: 2, Splits: []catalog.Split{{Service: "plain", Weight: 1}}},
+			{Name: "once-marked", Host: "h", Prefix: "/once-marked/", Kind: catalog.NonIdempotent, Resumable: true, Timeout: time.Second, Target: 100 * time.Millisecond, MaxAttempts: 2, Splits: []catalog.Split{{Service: "plain", Weight: 1}}},
 		},
 		Customers: []catalog.Customer{{Name: "c", Keys: []string{"k"}, Rate: 1000, Burst: 1000}},
 	}
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -53,7 +53,8 @@
 	MaxAttempts int
 	// Public routes need no key.
 	Public bool
-	// Resumable streams may be continued by another endpoint.
+	// Resumable streams may be continued by another endpoint. An Index has it only at
+	// routes of kind Streaming: other responses are no series of events.
 	Resumable bool
 	// Splits are the services with their weights; at least one weight is positive.
 	Splits []Split
--- a/internal/state/catalog/catalog_test.go
+++ b/internal/state/catalog/catalog_test.go
@@ -66,3 +66,17 @@
 		t.Errorf("path without a route: got %+v, want none", r)
 	}
 }
+
+// Guards against plain routes that are handled as resumable streams because the
+// operator's catalog marks them so.
+func TestOnlyStreamingRoutesAreResumable(t *testing.T) {
+	for kind, want := range map[Kind]struct{ resumable, idempotent bool }{
+		NonIdempotent: {false, false}, Idempotent: {false, true}, Streaming: {true, true},
+	} {
+		x := NewIndex(&Catalog{Version: 1, Routes: []Route{{Host: "h", Prefix: "/", Kind: kind, Resumable: true}}})
+		r := x.Route("h", "/")
+		if r.Resumable != want.resumable || r.Idempotent() != want.idempotent {
+			t.Errorf("kind %d: resumable %v, idempotent %v, want %+v", kind, r.Resumable, r.Idempotent(), want)
+		}
+	}
+}
--- a/internal/state/catalog/index.go
+++ b/internal/state/catalog/index.go
@@ -18,8 +18,8 @@
 	keys      map[string]*Customer
 }
 
-// NewIndex returns the look-up tables of a valid catalog, which must not be
-// modified afterwards.
+// NewIndex returns the look-up tables of a valid catalog. It puts the routes into
+// their normal form; the catalog must not be modified afterwards.
 func NewIndex(c *Catalog) *Index {
 	x := &Index{
 		catalog:   c,
@@ -31,6 +31,7 @@
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		r.normalize()
 		host := strings.ToLower(r.Host)
 		x.routes[host] = append(x.routes[host], r)
 	}
@@ -105,6 +106,16 @@
 	}
 }
 
+// normalize removes what has no meaning for the kind of the route, so that the users
+// of an Index need not ask for the kind as well.
+func (r *Route) normalize() {
+	r.Resumable = r.Resumable && r.Kind == Streaming
+}
+
+// Idempotent reports whether a request of the route may run more than once. The route
+// is one of an Index.
+func (r *Route) Idempotent() bool { return r.Kind == Idempotent || r.Resumable }
+
 // PickService returns the service that the weights assign to fraction, a number in
 // [0, 1).
 func (r *Route) PickService(fraction float64) string {
