--- a/internal/coordination/forward/close_test.go
+++ b/internal/coordination/forward/close_test.go
@@ -145,6 +145,34 @@
 	}
 }
 
+// Guards against answers on a streaming route that are no stream of events and were
+// taken for one: their end was held back, or a complete answer was broken off. An
+// answer with its announced length is complete, whatever its last event looks like.
+func TestStreamingRouteKeepsWholeAnswerOfOtherKind(t *testing.T) {
+	const text, events = "Content-Type: application/json\r\n", "Content-Type: text/event-stream\r\n"
+	for _, path := range []string{"/stream/x", "/resumed/x"} {
+		for _, test := range []struct{ name, framing, kind, body string }{
+			{"text", "length", text, "{}"},
+			{"text", "chunks", text, "{}"},
+			{"text", "close", text, "{}"},
+			{"empty text", "close", text, ""},
+			{"text with an empty line", "chunks", text, "a\n\nb"},
+			{"events, the last without its empty line", "length", events, "id: 1\ndata: a\n\nid: 2\ndata: b\n"},
+		} {
+			t.Run(path+" "+test.framing+" "+test.name, func(t *testing.T) {
+				t.Parallel()
+				e := framedBody(test.framing, test.body)
+				e.header += test.kind
+				w := newConnectedFixture(t, listenRaw(t, e.serve))
+				status, _, got, err := w.do(path, map[string]string{"Model": "m"})
+				if status != http.StatusOK || err != nil || got != test.body {
+					t.Fatalf("status %d, error %v, body %q, want %q", status, err, got, test.body)
+				}
+			})
+		}
+	}
+}
+
 // chunkedEvents is the header of a stream of events in chunks.
 const chunkedEvents = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
 
--- a/internal/coordination/forward/events.go
+++ b/internal/coordination/forward/events.go
@@ -28,8 +28,16 @@
 	return last
 }
 
-// hasEvents reports whether a response with this header is a stream of events.
+// hasEvents reports whether a response with this header states that it is a stream of
+// events.
 func hasEvents(h http.Header) bool {
 	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
 	return err == nil && mediaType == eventStreamType
 }
+
+// hasOtherContent reports whether a response with this header states that it is no
+// stream of events.
+func hasOtherContent(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && mediaType != eventStreamType
+}
--- a/internal/coordination/forward/relay.go
+++ b/internal/coordination/forward/relay.go
@@ -45,7 +45,7 @@
 // newRelay returns a relay and writes the head of the response.
 func newRelay(c *call, resp *exchange.Response) *relay {
 	r := &relay{call: c, control: http.NewResponseController(c.w)}
-	r.wholeEvents = c.route.Resumable && resp.Status == http.StatusOK
+	r.wholeEvents = c.route.Resumable && c.isStream(resp)
 	r.closeDelimited = resp.CloseDelimited && !r.wholeEvents
 	r.events = hasEvents(resp.Header)
 	h := c.w.Header()
@@ -87,10 +87,15 @@
 	}
 }
 
+// end passes on what was held back of a body that is complete, and closes it.
 func (r *relay) end(resp *exchange.Response) error {
-	if r.isStream(resp) && r.endsWithinEvent(resp) {
+	if r.call.isStream(resp) && r.endsWithinEvent(resp) {
 		return resultcode.New(resultcode.AnswerIncomplete, "the stream ended within an event")
 	}
+	if err := r.pass(r.pending); err != nil {
+		resp.Body.Discard()
+		return err
+	}
 	return resp.Body.Close()
 }
 
@@ -100,19 +105,27 @@
 // length is complete.
 func (r *relay) endsWithinEvent(resp *exchange.Response) bool {
 	switch {
+	case resp.ContentLength >= 0:
+		return false
 	case len(r.pending) > 0:
 		return true
 	case len(r.tail) == 0:
 		return resp.CloseDelimited
-	case resp.CloseDelimited, resp.ContentLength < 0 && hasEvents(resp.Header):
+	case resp.CloseDelimited, hasEvents(resp.Header):
 		return lastEventEnd(r.tail) != len(r.tail)
 	}
 	return false
 }
 
-// isStream reports whether a response is a stream of events.
-func (r *relay) isStream(resp *exchange.Response) bool {
-	return r.call.route.Kind == catalog.Streaming && resp.Status == http.StatusOK
+// isStream reports whether a response is a stream of events. A response with other
+// content is passed on as on a plain route.
+func (c *call) isStream(resp *exchange.Response) bool {
+	return c.route.Kind == catalog.Streaming && resp.Status == http.StatusOK && !hasOtherContent(resp.Header)
+}
+
+// continues reports whether a response can be the next part of the stream.
+func (r *relay) continues(resp *exchange.Response) bool {
+	return r.call.isStream(resp) && (!r.events || hasEvents(resp.Header))
 }
 
 // keepTail keeps the last bytes of p, as many as tell whether an event ends there.
@@ -128,6 +141,11 @@
 			return resultcode.New(resultcode.AnswerIncomplete, "an event of the stream exceeds %d bytes", maxEventBytes)
 		}
 	}
+	return r.pass(p)
+}
+
+// pass writes p to the caller.
+func (r *relay) pass(p []byte) error {
 	if len(p) == 0 {
 		return nil
 	}
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -103,7 +103,7 @@
 	case c.relay != nil && resp.Status != http.StatusOK:
 		c.drain(resp)
 		return pool.Succeeded, resultcode.New(resultcode.StreamBroken, "endpoint %s did not resume the stream: status %d", from.EndpointID, resp.Status)
-	case c.relay != nil && c.relay.events && !hasEvents(resp.Header):
+	case c.relay != nil && !c.relay.continues(resp):
 		c.drain(resp)
 		return pool.Succeeded, resultcode.New(resultcode.StreamBroken, "endpoint %s resumed a stream of events with other content", from.EndpointID)
 	case resp.Status >= http.StatusInternalServerError && c.idempotent() && c.possibleRuns+1 < c.route.MaxAttempts && c.relay == nil && c.timeForRetry():
