--- a/soak/doc.go
+++ b/soak/doc.go
@@ -3,14 +3,16 @@
 // docs/design.md from what callers, operators and endpoints observe.
 //
 // Each VM has its own loopback address. Callers reach the entries, and entries the
-// endpoints, through proxies that delay, reset, stall and refuse connections;
-// processes are killed, paused, stopped and restarted by signals; a control VM may
-// lose its data directory. Links between daemons are disturbed only by pausing
-// processes, since daemons know each other by address. All choices come from a
-// seed, but timing is that of the machine: a seed repeats the sequence of faults,
-// not each interleaving.
+// endpoints, through proxies that delay, reset, stall and refuse connections; half of
+// the callers connect to the entries themselves. They keep their connections until these
+// end and read whatever arrives as the response to what they have just sent. Processes
+// are killed, paused, stopped and restarted by signals, in series that overlap; a control
+// VM may lose its data directory. Endpoints refuse, answer early, cut heads and bodies,
+// repeat answers, and restart on their address (standin.Faults). Links between daemons
+// are disturbed only by pausing processes, since daemons know each other by address. All
+// choices come from a seed, but timing is that of the machine: a seed repeats the
+// sequence of faults, not each interleaving.
 //
-// go test ./soak runs one short fixed seed and the regression seeds. make soak
-// runs many
-// (SOAK_SEEDS, SOAK_FIRST, SOAK_SECONDS).
+// go test ./soak runs one short fixed seed and the regression seeds. make soak runs many
+// (SOAK_SEEDS, SOAK_FIRST, SOAK_SECONDS); each tenth seed has a large fleet.
 package soak
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -17,9 +17,10 @@
 	"github.com/radishloom/radishloom/soak/proxy"
 )
 
+// size is the number of processes of a run.
+type size struct{ control, entries int }
+
 const (
-	controlVMs = 3
-	entryVMs   = 3
 	// stopTimeout is longer than the grace period of the settings.
 	stopTimeout = 10 * time.Second
 )
@@ -32,12 +33,19 @@
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	paused   bool
-	starts   int
+	// stopping is set from a stop signal until the next start.
+	stopping bool
+	// down is the time between the end of the process and its next start; restoreAt is
+	// when it is started or resumed.
+	down      time.Duration
+	restoreAt time.Time
+	starts    int
 }
 
 // fleet is all processes, stand-ins and proxies of one run.
 type fleet struct {
 	t             *testing.T
+	run           int
 	dir           string
 	binary        string
 	platformList  *httptest.Server
@@ -49,34 +57,50 @@
 	entryProxies  []*proxy.Proxy
 }
 
-// address returns the loopback address of a host. Concurrent runs differ in the
-// second octet.
-func address(run, host int) string { return fmt.Sprintf("127.%d.0.%d", 10+run%200, host) }
+// Host numbers of the loopback addresses of a run.
+const (
+	firstVM            = 1
+	firstEntryProxy    = 100
+	firstEndpoint      = 200
+	firstEndpointProxy = 220
+)
+
+// address returns the loopback address of a host. Concurrent runs differ in the second
+// or the third octet.
+func address(run, host int) string {
+	const octets = 200
+	return fmt.Sprintf("127.%d.%d.%d", 10+run%octets, run/octets%octets, host)
+}
 
-func newFleet(t *testing.T, run int) *fleet {
-	f := &fleet{t: t, dir: t.TempDir(), endpoints: standin.NewFleet()}
-	f.binary = filepath.Join(f.dir, "radishloomd")
-	if out, err := exec.Command("go", "build", "-o", f.binary, "../cmd/radishloomd").CombinedOutput(); err != nil {
+// buildDaemon builds the daemon for all runs and returns its path.
+func buildDaemon(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "radishloomd")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/radishloomd").CombinedOutput(); err != nil {
 		t.Fatalf("build the daemon: %v\n%s", err, out)
 	}
+	return binary
+}
+
+func newFleet(t *testing.T, run int, binary string, n size) *fleet {
+	f := &fleet{t: t, run: run, dir: t.TempDir(), endpoints: standin.NewFleet(), binary: binary}
 	f.startEndpoints(run)
 	f.platformList = httptest.NewServer(f.endpoints)
 	t.Cleanup(f.platformList.Close)
 	var seeds []string
-	for i := range controlVMs {
-		seeds = append(seeds, address(run, 1+i))
+	for i := range min(3, n.control) {
+		seeds = append(seeds, address(run, firstVM+i))
 	}
-	for i := range controlVMs + entryVMs {
-		ip := address(run, 1+i)
+	for i := range n.control + n.entries {
+		ip := address(run, firstVM+i)
 		p := &process{fleet: f, dir: filepath.Join(f.dir, fmt.Sprint("vm", i)), settings: standin.Settings{
-			VM: fmt.Sprint("vm-", i), IP: ip, Control: i < controlVMs, Seeds: seeds, Bootstrap: true, ListAddress: f.platformList.Listener.Addr().String(),
+			VM: fmt.Sprint("vm-", i), IP: ip, Control: i < n.control, Seeds: seeds, Bootstrap: true, ListAddress: f.platformList.Listener.Addr().String(),
 		}}
 		p.settings.DataDirectory = filepath.Join(p.dir, "data")
-		if i < controlVMs {
+		if i < n.control {
 			f.control = append(f.control, p)
 		} else {
 			f.entries = append(f.entries, p)
-			f.entryProxies = append(f.entryProxies, f.newProxy(address(run, 100+i), net.JoinHostPort(ip, fmt.Sprint(standin.CallerPort))))
+			f.entryProxies = append(f.entryProxies, f.newProxy(address(run, firstEntryProxy+i), p.callerAddress()))
 		}
 	}
 	t.Cleanup(f.stopAll)
@@ -95,16 +119,16 @@
 }
 
 func (f *fleet) startEndpoints(run int) {
-	for i, service := range []string{"plain", "plain", "models", "models", "models"} {
+	for i, service := range []string{"plain", "plain", "plain", "models", "models", "models", "models"} {
 		var models []string
 		if service == "models" {
-			models = []string{standin.Model}
+			models = []string{standin.Model, standin.Models()[1+i%2]}
 		}
-		e, err := f.endpoints.Add(fmt.Sprint("e-", i), service, address(run, 200+i)+":0", models...)
+		e, err := f.endpoints.Add(fmt.Sprint("e-", i), service, address(run, firstEndpoint+i)+":0", models...)
 		if err != nil {
 			f.t.Fatal(err)
 		}
-		p := f.newProxy(address(run, 210+i), e.Listen())
+		p := f.newProxy(address(run, firstEndpointProxy+i), e.Listen())
 		e.Address = p.Address()
 		f.servers, f.serverProxies = append(f.servers, e), append(f.serverProxies, p)
 	}
@@ -119,26 +143,31 @@
 func (p *process) start() {
 	t := p.fleet.t
 	if err := os.MkdirAll(p.dir, 0o700); err != nil {
-		t.Fatal(err)
+		t.Error(err)
+		return
 	}
 	path := filepath.Join(p.dir, "settings.toml")
 	settings := p.settings
 	settings.Bootstrap = settings.Bootstrap && p.starts == 0
 	if err := os.WriteFile(path, []byte(settings.Text()), 0o600); err != nil {
-		t.Fatal(err)
+		t.Error(err)
+		return
 	}
 	log, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		t.Fatal(err)
+		t.Error(err)
+		return
 	}
 	defer func() { _ = log.Close() }() // the child has its own descriptor
 	cmd := exec.Command(p.fleet.binary, "--platform")
 	cmd.Env = append(os.Environ(), standin.Environment(path))
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
+		t.Error(err)
+		return
 	}
-	p.cmd, p.paused, p.exited = cmd, false, make(chan struct{})
+	p.cmd, p.paused, p.stopping, p.exited = cmd, false, false, make(chan struct{})
+	p.down, p.restoreAt = 0, time.Time{}
 	p.starts++
 	go func(done chan struct{}) {
 		_ = cmd.Wait() // an error is expected: the daemon is usually ended by a signal
@@ -179,6 +208,11 @@
 	wg.Wait()
 }
 
+// callerAddress is the address for callers of an entry.
+func (p *process) callerAddress() string {
+	return net.JoinHostPort(p.settings.IP, fmt.Sprint(standin.CallerPort))
+}
+
 // ready reports whether an entry accepts requests.
 func (p *process) ready(client *http.Client) bool {
 	resp, err := client.Get(fmt.Sprintf("http://%s:%d%s", p.settings.IP, standin.ReadyPort, standin.ReadyPath))
--- a/soak/proxy/proxy.go
+++ b/soak/proxy/proxy.go
@@ -3,6 +3,8 @@
 package proxy
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -139,12 +141,16 @@
 				return
 			}
 		}
-		if err != nil {
+		if errors.Is(err, io.EOF) {
 			if tcp, ok := to.(*net.TCPConn); ok {
 				_ = tcp.CloseWrite()
 			}
 			return
 		}
+		if err != nil {
+			reset(to) // an orderly close would look like the end of a response
+			return
+		}
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,12 +5,11 @@
 	"net/http"
 	"os"
 	"strconv"
-	"syscall"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/radishloom/radishloom/platform/standin"
-	"github.com/radishloom/radishloom/soak/proxy"
 )
 
 const (
@@ -28,6 +27,9 @@
 // regressionSeeds are seeds that used to fail, each with the cause of the failure.
 var regressionSeeds = []int{
 	1, // an acknowledged change was lost: only two voters had stored it, and one of them lost its disk
+	// Requests ran twice: a refusal that named no request was taken for the answer to the
+	// present one.
+	2007, 2008,
 }
 
 func envInt(t *testing.T, name string, fallback int) int {
@@ -51,29 +53,43 @@
 	for i := range count {
 		seeds = append(seeds, first+i)
 	}
+	binary := buildDaemon(t)
 	for _, seed := range seeds {
-		t.Run(strconv.Itoa(seed), func(t *testing.T) { runSeed(t, seed, time.Duration(seconds)*time.Second) })
+		t.Run(strconv.Itoa(seed), func(t *testing.T) { runSeed(t, binary, seed, time.Duration(seconds)*time.Second) })
 	}
 }
 
+// largeEvery is how often a seed has a large fleet.
+const largeEvery = 10
+
+// sizeOf returns the number of processes of a seed.
+func sizeOf(seed int) size {
+	if seed%largeEvery == 0 {
+		return size{control: 5, entries: 40}
+	}
+	return size{control: 3, entries: 3}
+}
+
 // runSeed starts a fleet, injects the faults of one seed, ends them and checks the
 // outcomes.
-func runSeed(t *testing.T, seed int, length time.Duration) {
-	f := newFleet(t, seed)
-	firstVersion := f.putFirstCatalog()
+func runSeed(t *testing.T, binary string, seed int, length time.Duration) {
+	f := newFleet(t, seed, binary, sizeOf(seed))
+	firstVersion := f.putFirstCatalog(standin.RouteTimeout)
 	f.waitReady(startTimeout)
-	load, op := startCallers(f), startOperator(f, firstVersion)
-	injectFaults(f, rand.New(rand.NewPCG(uint64(seed), 7)), length)
+	load, op := startCallers(f, seed), startOperator(f, firstVersion)
+	newScript(f, rand.New(rand.NewPCG(uint64(seed), 7)), length).inject()
 	f.checkRecovery(load)
 	f.checkLeaving()
 	outcomes := load.finish()
 	acked, violations := op.finish()
-	for _, violation := range violations {
+	for _, violation := range append(violations, f.endpoints.Violations()...) {
 		t.Error(violation)
 	}
 	f.checkLastCatalog(acked)
 	served := 0
+	statuses := map[int]int{}
 	for _, o := range outcomes {
+		statuses[o.status]++
 		if violation := findViolation(f.endpoints, o); violation != "" {
 			t.Errorf("request %s to %s at %s: %s", o.id, o.prefix, o.sent.Format(time.TimeOnly), violation)
 		}
@@ -81,18 +97,18 @@
 			served++
 		}
 	}
-	t.Logf("seed %d: %d requests, %d served, catalog %d, %d runs", seed, len(outcomes), served, acked, f.endpoints.Total())
+	t.Logf("seed %d: %d requests, %d served, %v by status, catalog %d, %d runs", seed, len(outcomes), served, statuses, acked, f.endpoints.Total())
 	if t.Failed() {
 		f.saveLogs(seed)
 	}
 }
 
 // putFirstCatalog puts the first catalog and returns its version.
-func (f *fleet) putFirstCatalog() uint64 {
+func (f *fleet) putFirstCatalog(timeout time.Duration) uint64 {
 	op := standin.Operator{HTTP: &http.Client{Timeout: time.Second}}
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		for _, p := range f.control {
-			if status, err := op.Put(p.settings.IP, standin.Catalog(1, soakKey)); err == nil && status == http.StatusOK {
+			if status, err := op.Put(p.settings.IP, standin.CatalogWithTimeout(1, timeout, soakKey)); err == nil && status == http.StatusOK {
 				return 1
 			}
 		}
@@ -116,128 +132,36 @@
 	}
 }
 
-// injectFaults injects overlapping faults for the given time and then ends them.
-func injectFaults(f *fleet, r *rand.Rand, length time.Duration) {
-	wipesLeft := 1 // control VMs that may still lose their state; at most one may be without it at a time
-	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Duration(100+r.IntN(500)) * time.Millisecond) {
-		entry, server := r.IntN(entryVMs), r.IntN(len(f.servers))
-		switch action := r.IntN(11); action {
-		case 0, 1:
-			f.entryProxies[entry].SetMode(proxy.Mode(r.IntN(int(proxy.Refuse) + 1)))
-		case 2, 3:
-			f.serverProxies[server].SetMode(proxy.Mode(r.IntN(int(proxy.Refuse) + 1)))
-		case 4:
-			f.entryProxies[entry].Reset()
-			f.serverProxies[server].Reset()
-		case 5:
-			f.stopOrStart(f.entries[entry], syscall.SIGKILL)
-		case 6:
-			f.stopOrStart(f.entries[entry], syscall.SIGTERM)
-		case 7:
-			f.pauseOrResume(f.entries[entry])
-		case 8:
-			f.stopOrStart(f.control[r.IntN(controlVMs)], []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[r.IntN(2)])
-		case 9:
-			f.pauseOrResume(f.control[r.IntN(controlVMs)])
-		case 10:
-			if wipesLeft > 0 && f.allControlRunning() {
-				wipesLeft--
-				f.wipeDataDirectory(f.control[r.IntN(controlVMs)])
+// checkRecovery checks that each entry serves plain and streaming requests again.
+func (f *fleet) checkRecovery(c *callers) {
+	end := time.Now().Add(recoveryTimeout)
+	var wg sync.WaitGroup
+	for i := range f.entries {
+		wg.Go(func() {
+			for _, prefix := range []string{standin.PrefixNonIdempotent, standin.PrefixStream} {
+				f.checkServes(c, i, prefix, end)
 			}
-		}
-		f.entries[entry].signal(syscall.SIGHUP)
-	}
-	f.endFaults()
-}
-
-// stopOrStart sends a signal that ends a process, or starts the process if it has
-// exited. A paused process is resumed first.
-func (f *fleet) stopOrStart(p *process, s syscall.Signal) {
-	if !p.alive() {
-		p.start()
-		return
-	}
-	if p.paused {
-		f.pauseOrResume(p)
+		})
 	}
-	p.signal(s)
+	wg.Wait()
 }
 
-// pauseOrResume pauses a running process or resumes a paused one.
-func (f *fleet) pauseOrResume(p *process) {
-	if !p.alive() {
-		return
-	}
-	if p.paused {
-		p.signal(syscall.SIGCONT)
-	} else {
-		p.signal(syscall.SIGSTOP)
-	}
-	p.paused = !p.paused
-}
-
-func (f *fleet) allControlRunning() bool {
-	for _, p := range f.control {
-		if !p.alive() || p.paused {
-			return false
-		}
-	}
-	return true
-}
-
-// wipeDataDirectory kills a control VM, deletes its data directory and restarts it.
-func (f *fleet) wipeDataDirectory(p *process) {
-	p.kill()
-	if err := os.RemoveAll(p.settings.DataDirectory); err != nil {
-		f.t.Fatal(err)
-	}
-	p.start()
-}
-
-// endFaults ends all faults and restarts the processes that have exited.
-func (f *fleet) endFaults() {
-	for _, p := range append(f.entryProxies, f.serverProxies...) {
-		p.SetMode(proxy.Pass)
-	}
-	for _, p := range f.processes() {
-		if p.paused {
-			f.pauseOrResume(p)
-		}
-		select {
-		case <-p.exited:
-			p.start()
-		default:
-		}
-	}
-	// A process that was still handling a stop signal may exit in this time.
-	time.Sleep(stopTimeout / 10)
-	for _, p := range f.processes() {
+// checkServes checks that an entry serves a request by the end.
+func (f *fleet) checkServes(c *callers, entry int, prefix string, end time.Time) {
+	p := f.entries[entry]
+	for time.Now().Before(end) {
 		if !p.alive() {
 			p.start()
 		}
-	}
-}
-
-// checkRecovery checks that each entry serves plain and streaming requests again.
-func (f *fleet) checkRecovery(c *callers) {
-	end := time.Now().Add(recoveryTimeout)
-	for i := range f.entries {
-		for _, prefix := range []string{standin.PrefixNonIdempotent, standin.PrefixStream} {
-			for {
-				if !f.entries[i].alive() {
-					f.entries[i].start()
-				}
-				if o := c.send(f.entryProxies[i].Address(), prefix, soakKey); o.status == http.StatusOK && o.complete {
-					break
-				}
-				if time.Now().After(end) {
-					f.t.Errorf("%s does not serve %s within %v after the last fault", f.entries[i].settings.VM, prefix, recoveryTimeout)
-					return
-				}
-				time.Sleep(100 * time.Millisecond)
-			}
+		s := &session{address: f.entryProxies[entry].Address()}
+		o := c.send(s, prefix, standin.Model, shape{deadline: callerDeadline})
+		s.close()
+		if o.status == http.StatusOK && o.complete {
+			return
 		}
+		time.Sleep(100 * time.Millisecond)
 	}
+	f.t.Errorf("%s does not serve %s within %v after the last fault", p.settings.VM, prefix, recoveryTimeout)
 }
 
 // checkLeaving checks that a leaving endpoint receives no new requests after
