--- a/internal/coordination/forward/close_test.go
+++ b/internal/coordination/forward/close_test.go
@@ -67,14 +67,20 @@
 func newConnectedFixture(t *testing.T, address string) *fixture {
 	w := newFixture(t)
 	w.url = "http://" + serveCallers(t, w.server)
+	w.connectEndpoints(address)
+	return w
+}
+
+// connectEndpoints replaces the endpoints by ones at the address, which are called over
+// connections.
+func (w *fixture) connectEndpoints(address string) {
 	client := httpclient.New(httpclient.Options{})
-	t.Cleanup(client.Close)
+	w.t.Cleanup(client.Close)
 	w.server.cfg.Client = client
 	w.server.SetEndpoints([]pool.Endpoint{
 		{Endpoint: directory.Endpoint{ID: "p1", Service: "plain", Address: address, Slots: 4}},
 		{Endpoint: directory.Endpoint{ID: "e1", Service: "models", Address: address, Slots: 4, Models: []directory.Resident{{Model: "m"}}}},
 	})
-	return w
 }
 
 func (e closingEndpoint) serve(c *net.TCPConn) {
--- /dev/null
+++ b/internal/standin/cuthead/cuthead.go
@@ -0,0 +1,62 @@
+// Package cuthead is an endpoint for tests whose answers break off within their heads.
+package cuthead
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// Endpoint answers the first requests of each connection whole and the next one with the
+// beginning of the same head. It then ends the connection.
+type Endpoint struct {
+	// Whole is the number of requests that are answered whole.
+	Whole      int
+	Head, Body string
+	// Length is the length in bytes of the beginning of the head.
+	Length int
+	// Reset ends the connection with a reset instead of an orderly close.
+	Reset bool
+}
+
+// Start serves connections until the test ends and returns the address.
+func (e Endpoint) Start(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return // the listener is closed
+			}
+			go e.serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (e Endpoint) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body) // the client ends the connection if it fails
+		if n == e.Whole {
+			break
+		}
+		_, _ = io.WriteString(c, e.Head+e.Body)
+	}
+	_, _ = io.WriteString(c, e.Head[:e.Length])
+	if tcp, ok := c.(*net.TCPConn); ok && e.Reset {
+		_ = tcp.SetLinger(0)
+	}
+}
