--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -111,7 +111,11 @@
 	for {
 		started := c.server.now()
 		c.waitWhileHeld()
-		if err := c.checkQuarantine(); err != nil {
+		err := c.checkQuarantine()
+		if err == nil {
+			err = c.checkStop()
+		}
+		if err != nil {
 			c.finish(err)
 			return
 		}
@@ -146,6 +150,16 @@
 	}
 }
 
+// checkStop refuses a request that this process might cut off when it stops. A stream
+// that has begun goes on.
+func (c *call) checkStop() *resultcode.Error {
+	s := c.server
+	if !s.isDraining() || c.deadline <= s.stopEnd || c.relay != nil {
+		return nil
+	}
+	return drainingError("this VM stops in %d ms, before the request's deadline", (s.stopEnd - s.now()).Milliseconds())
+}
+
 // served records the times of a response, and logs a stream that missed the
 // route's target or had too long a pause.
 func (c *call) served(to *slot) {
--- a/internal/coordination/forward/refuse.go
+++ b/internal/coordination/forward/refuse.go
@@ -52,6 +52,18 @@
 	retryAfterSpread = 700 * time.Millisecond
 )
 
+// drainingRetryAfter is the Retry-After value of a refusal because this VM stops: another
+// one can serve the request at once.
+const drainingRetryAfter = 20 * time.Millisecond
+
+// drainingError returns the error for a request that this process may not live to
+// complete.
+func drainingError(format string, args ...any) *resultcode.Error {
+	err := resultcode.New(resultcode.Draining, format, args...)
+	err.RetryAfter = drainingRetryAfter
+	return err
+}
+
 // refuse writes the response to a request that no endpoint has served.
 func (c *call) refuse(err *resultcode.Error) {
 	c.server.cfg.Metrics.Refusal(err.Code)
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -61,8 +61,10 @@
 	log   *limitedLog
 	index atomic.Pointer[catalog.Index]
 	open  atomic.Int64
-	// draining is closed when the process begins to stop.
+	// draining is closed when the process begins to stop. stopEnd, which is valid from
+	// then on, is the time at which requests that are still in flight are cut off.
 	draining chan struct{}
+	stopEnd  time.Duration
 
 	mu struct {
 		sync.Mutex
@@ -109,9 +111,13 @@
 }
 
 // Drain makes Ready return false and refuses the requests that wait for a slot:
-// another entry can serve them, and this process may end before they get one. It
-// must be called only once.
-func (s *Server) Drain() { close(s.draining) }
+// another entry can serve them, and this process may end before they get one. Requests
+// in flight are cut off after grace, so a request that may last longer is refused as
+// well. Drain must be called only once.
+func (s *Server) Drain(grace time.Duration) {
+	s.stopEnd = s.now() + grace
+	close(s.draining)
+}
 
 func (s *Server) isDraining() bool {
 	select {
--- a/internal/coordination/forward/server_test.go
+++ b/internal/coordination/forward/server_test.go
@@ -544,7 +544,7 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
-	w.server.Drain()
+	w.server.Drain(time.Minute)
 	if status := <-done; status != http.StatusServiceUnavailable {
 		t.Fatalf("status %d", status)
 	}
@@ -553,6 +553,45 @@
 	}
 }
 
+// Guards against requests that are taken while the process stops, passed on and cut off
+// at its end: only those whose deadline is before that end are taken.
+func TestDrainingRefusesRequestsThatMayBeCut(t *testing.T) {
+	ok := reply{status: 200, header: sealed(), body: "ok", length: 2}
+	for _, test := range []struct {
+		path, wait string
+		grace      time.Duration
+		want       int
+	}{
+		{"/once/x", "", 2 * time.Second, http.StatusOK},
+		{"/often/x", "", 2 * time.Second, http.StatusOK},
+		{"/once/x", "", 500 * time.Millisecond, http.StatusServiceUnavailable},
+		{"/often/x", "", 500 * time.Millisecond, http.StatusServiceUnavailable},
+		{"/once/x", "300ms", 500 * time.Millisecond, http.StatusOK},
+		{"/stream/x", "", 2 * time.Second, http.StatusServiceUnavailable},
+	} {
+		w := newFixture(t, ok)
+		w.server.Drain(test.grace)
+		status, h, _, err := w.do(test.path, map[string]string{"Model": modelOf(test.path), "Wait": test.wait})
+		if err != nil || status != test.want {
+			t.Errorf("%s with %v left and a wait of %q: status %d, error %v, want %d", test.path, test.grace, test.wait, status, err, test.want)
+		}
+		if sent := len(w.endpoints.sends()); sent > 0 && status != http.StatusOK {
+			t.Errorf("%s: refused after %d sends", test.path, sent)
+		}
+		if status == http.StatusServiceUnavailable && h.Get("Retry-After") != "0.02" {
+			t.Errorf("%s: Retry-After %q", test.path, h.Get("Retry-After"))
+		}
+	}
+}
+
+// modelOf returns the model of a request for the path.
+func modelOf(path string) string {
+	if path == "/stream/x" || path == "/resumed/x" {
+		return "m"
+	}
+	return ""
+}
+
 // Guards against a caller that announces a body which nobody can take: the entry must
 // refuse it at once and close the connection, and must not read until the limit.
 func TestAnnouncedBodyOverLimitIsRefusedAtOnce(t *testing.T) {
--- a/internal/coordination/forward/slot.go
+++ b/internal/coordination/forward/slot.go
@@ -179,7 +179,7 @@
 	case errors.Is(c.ctx.Err(), context.Canceled):
 		return resultcode.New(resultcode.CallerGone, "the caller disconnected while the request waited for %s", reason)
 	case c.server.isDraining():
-		return resultcode.New(resultcode.Draining, "this VM is draining; the request was still waiting for a slot")
+		return drainingError("this VM is draining; the request was still waiting for a slot")
 	case reason == pool.NoModel || reason == pool.NoAdapter:
 		return resultcode.New(resultcode.ModelLoading, "model %q with adapter %q was not loaded before the queue deadline", c.query.Model, c.query.Adapter)
 	case reason == pool.NoEndpoints:
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -64,7 +64,7 @@
 	})
 	callerServer, err := newServer(s.CallerAddress, server, httpserver.Limits{
 		IdleTimeout: callerIdleTimeout, HeaderTimeout: callerHeaderTimeout, OpenConnections: maxCallerConnections,
-		Grace: max(time.Second, s.Bounds.GracePeriod-drainDelay-shutdownMargin),
+		Grace: requestGrace(s),
 	}, log)
 	if err != nil {
 		return err
@@ -93,7 +93,13 @@
 		return err
 	case <-ctx.Done():
 	}
-	return stopEntry(server, callerServer, log)
+	return stopEntry(server, callerServer, requestGrace(s), log)
+}
+
+// requestGrace is how long requests in flight may last after an entry has closed its
+// listener.
+func requestGrace(s *platform.Settings) time.Duration {
+	return max(time.Second, s.Bounds.GracePeriod-drainDelay-shutdownMargin)
 }
 
 // receive passes datagrams of other entries to server until the socket is closed.
@@ -118,9 +124,9 @@
 
 // stopEntry reports not ready, waits until the load balancer has noticed, and then
 // closes each connection when its requests have ended.
-func stopEntry(server *forward.Server, callerServer *httpserver.Server, log *slog.Logger) error {
+func stopEntry(server *forward.Server, callerServer *httpserver.Server, grace time.Duration, log *slog.Logger) error {
 	log.Info("stop signal received, draining", "open", server.Open())
-	server.Drain()
+	server.Drain(drainDelay + grace)
 	callerServer.Drain()
 	time.Sleep(drainDelay)
 	err := callerServer.Stop(context.Background())
