--- a/internal/coordination/entry/admit.go
+++ b/internal/coordination/entry/admit.go
@@ -24,6 +24,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.checkStop(c); err != nil {
+		return nil, err
+	}
 	if err := s.checkQuarantine(c); err != nil {
 		return nil, err
 	}
@@ -35,6 +38,20 @@
 	return c, nil
 }
 
+// checkStop refuses a request that the stop of the process might cut off. While new
+// connections are accepted, a request that its caller can repeat without harm is taken.
+func (s *Server) checkStop(c *call) error {
+	stop := s.stop.Load()
+	if stop == nil || c.deadline <= stop.end {
+		return nil
+	}
+	repeatable := c.route.Idempotent || c.IdempotencyKey != ""
+	if repeatable && c.arrived < stop.closed {
+		return nil
+	}
+	return resultcode.New(resultcode.Draining, "this VM stops in %d ms, before the request's deadline", (stop.end - c.arrived).Milliseconds())
+}
+
 // resolve authenticates the request and looks up its route, profile and group.
 func (s *Server) resolve(r *Request) (*call, error) {
 	index := s.replica.Index()
--- a/internal/coordination/entry/scenario_test.go
+++ b/internal/coordination/entry/scenario_test.go
@@ -77,6 +77,29 @@
 	})
 }
 
+// Guards against requests that are taken while the process stops, passed on and cut off
+// at its end. Deadlines are 30 s and 5 s.
+func TestStopRefusesRequestsThatMayBeCut(t *testing.T) {
+	runScenario(t, testConfig(), func(t *testing.T, w *fixture) {
+		code := func(id, route, key string) resultcode.Code {
+			r := w.request(id, route, "a", id)
+			r.IdempotencyKey = key
+			_, c := w.serve(context.Background(), r)
+			return c
+		}
+		const untilClosed, grace = 2 * time.Second, 20 * time.Second
+		w.server.BeginStop(untilClosed, grace)
+		want(t, "idempotent, listener open", code("1", "read", ""), resultcode.OK)
+		want(t, "with a key, listener open", code("2", "pay", "k2"), resultcode.OK)
+		want(t, "may not be repeated, listener open", code("3", "pay", ""), resultcode.Draining)
+		time.Sleep(untilClosed)
+		want(t, "idempotent, listener closed", code("4", "read", ""), resultcode.Draining)
+		want(t, "with a key, listener closed", code("5", "pay", "k5"), resultcode.Draining)
+		want(t, "deadline before the end", code("6", "urgent", ""), resultcode.OK)
+		want(t, "runs of refused requests", w.runsByBody["a:3"]+w.runsByBody["a:4"]+w.runsByBody["a:5"], 0)
+	})
+}
+
 // Guards against requests that are served out of order when they wait for tokens, or
 // refused before their deadline although the customer's rate could serve them.
 func TestTokensWait(t *testing.T) {
--- a/internal/coordination/entry/server.go
+++ b/internal/coordination/entry/server.go
@@ -69,6 +69,7 @@
 	incarnation        string
 	counter            atomic.Uint64
 	draining           atomic.Bool
+	stop               atomic.Pointer[stopTimes] // nil until the process begins to stop
 	open               atomic.Int64
 	configuredVersion  atomic.Uint64 // version of the configuration that the scheduler uses
 	lastReconfigure    time.Duration // used by refresh only
@@ -173,6 +174,17 @@
 	return int(s.open.Load() + s.finisher.pending.Load())
 }
 
+// stopTimes are the times of a stop, as results of now: no new connections are accepted
+// after closed, and requests still in flight at end are cut off.
+type stopTimes struct{ closed, end time.Duration }
+
+// BeginStop tells the server that the process stops: it closes its listener after the
+// first time and cuts off requests in flight after the second one, which begins then.
+func (s *Server) BeginStop(untilClosed, grace time.Duration) {
+	closed := s.now() + untilClosed
+	s.stop.Store(&stopTimes{closed: closed, end: closed + grace})
+}
+
 // Endpoints returns the status of each endpoint as this entry sees it, sorted by
 // name.
 func (s *Server) Endpoints() []routing.Status { return s.schedule.status() }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -330,8 +330,10 @@
 // Requests are still accepted meanwhile.
 func (d *Daemon) drain(context.Context) error {
 	d.log.Info("shutting down", "open_requests", d.entry.OpenRequests())
+	delay := min(drainDelay, d.settings.GracePeriod)
+	d.entry.BeginStop(delay, d.settings.GracePeriod)
 	d.callerServer.Drain()
-	time.Sleep(min(drainDelay, d.settings.GracePeriod))
+	time.Sleep(delay)
 	return nil
 }
 
