--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -102,9 +102,16 @@
 	ctx, cancel := context.WithTimeout(c.ctx, c.deadline-c.server.now())
 	defer cancel()
 	c.ctx = ctx
+	defer c.releaseHeld()
 	c.run()
 }
 
+func (c *call) releaseHeld() {
+	if c.relay != nil {
+		c.relay.release()
+	}
+}
+
 // run sends the request to endpoints until it gets a response or no further retry
 // is allowed.
 func (c *call) run() {
--- a/internal/coordination/forward/relay.go
+++ b/internal/coordination/forward/relay.go
@@ -22,6 +22,10 @@
 // stream.
 const maxEventBytes = 256 << 10
 
+// maxHeldBytes bounds the incomplete events of all streams together, in bytes. An endpoint
+// may stall within an event until the deadline of the request.
+const maxHeldBytes = 32 << 20
+
 // relay passes a response on as it arrives. For a resumable stream it passes on
 // complete events only, so that another endpoint can resume the stream.
 type relay struct {
@@ -34,7 +38,9 @@
 	// events is set if the first response declared a stream of events.
 	events  bool
 	pending []byte
-	lastID  string
+	// held is the part of pending that is counted in the server's total.
+	held   int64
+	lastID string
 	// tail holds the last bytes of the current response that were passed on.
 	tail []byte
 	// first and last are the times from the arrival of the request to the first and
@@ -136,7 +142,11 @@
 
 func (r *relay) write(p []byte) error {
 	if r.wholeEvents {
+		if total := r.countHeld(len(r.pending) + len(p)); total > maxHeldBytes {
+			return resultcode.New(resultcode.AnswerIncomplete, "incomplete events of all streams exceed %d bytes", maxHeldBytes)
+		}
 		p = r.takeEvents(p)
+		r.countHeld(len(r.pending))
 		if len(r.pending) > maxEventBytes {
 			return resultcode.New(resultcode.AnswerIncomplete, "an event of the stream exceeds %d bytes", maxEventBytes)
 		}
@@ -182,6 +192,20 @@
 	return out
 }
 
+// countHeld counts n bytes for the stream's incomplete event and returns the count of all
+// streams.
+func (r *relay) countHeld(n int) int64 {
+	change := int64(n) - r.held
+	r.held += change
+	return r.call.server.heldBytes.Add(change)
+}
+
+// release frees the memory for the incomplete event.
+func (r *relay) release() {
+	r.pending = nil
+	r.countHeld(0)
+}
+
 // recordLastID records the identifier of the last event in p.
 func (r *relay) recordLastID(p []byte) {
 	for line := range bytes.Lines(p) {
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -61,6 +61,8 @@
 	log   *limitedLog
 	index atomic.Pointer[catalog.Index]
 	open  atomic.Int64
+	// heldBytes is the size of the incomplete events of all streams, see maxHeldBytes.
+	heldBytes atomic.Int64
 	// draining is closed when the process begins to stop. stopEnd, which is valid from
 	// then on, is the time at which requests that are still in flight are cut off.
 	draining chan struct{}
