--- a/internal/coordination/directory/poll.go
+++ b/internal/coordination/directory/poll.go
@@ -53,6 +53,9 @@
 			return nil, err
 		}
 		out = append(out, page.Endpoints...)
+		if len(out) > MaxListEndpoints {
+			return nil, fmt.Errorf("the platform's list has more than %d endpoints", MaxListEndpoints)
+		}
 		if page.Next == "" {
 			return out, nil
 		}
--- a/internal/coordination/directory/poll_test.go
+++ b/internal/coordination/directory/poll_test.go
@@ -19,6 +19,7 @@
 	Platform
 	pages, calls, failEvery int
 	delay                   time.Duration
+	more                    int // further endpoints on each page
 }
 
 func (p *pagedPlatform) ListPage(ctx context.Context, token string) (Page, error) {
@@ -36,6 +37,9 @@
 		n, _ = strconv.Atoi(token)
 	}
 	page := Page{Endpoints: []Endpoint{{ID: fmt.Sprintf("e%03d", n)}}}
+	for i := range p.more {
+		page.Endpoints = append(page.Endpoints, Endpoint{ID: fmt.Sprintf("e%03d-%d", n, i)})
+	}
 	if n+1 < p.pages {
 		page.Next = strconv.Itoa(n + 1)
 	}
@@ -66,6 +70,18 @@
 	})
 }
 
+// Guards against a leader that keeps a list that grows without end until its memory does
+// not suffice.
+func TestListWithTooManyEndpointsFails(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := &pagedPlatform{pages: 1 << 40, failEvery: 1 << 40, more: 999}
+		s := New(Config{Platform: p, Log: slog.New(slog.DiscardHandler)})
+		if list, err := s.readList(t.Context()); err == nil || p.calls != MaxListEndpoints/1000+1 {
+			t.Fatalf("%d endpoints, error %v after %d pages", len(list), err, p.calls)
+		}
+	})
+}
+
 // Guards against a leader that reads a page again and again although the platform
 // refuses it.
 func TestFailedPageEndsTheList(t *testing.T) {
--- a/internal/coordination/directory/types.go
+++ b/internal/coordination/directory/types.go
@@ -106,6 +106,10 @@
 	return names[o]
 }
 
+// MaxListEndpoints bounds the endpoints of the platform's list, and of one page. Other
+// programs write to the list too, so that it may grow without end.
+const MaxListEndpoints = 1 << 15
+
 // Page is a part of the platform's list.
 type Page struct {
 	Endpoints []Endpoint
