--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -174,7 +174,7 @@
 		s.close()
 		return
 	}
-	o.status, o.answerID = resp.StatusCode, resp.Header.Get("Attempt-Id")
+	o.status, o.answerID = resp.StatusCode, standin.ResponseID(resp.Header)
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
 	if err == nil && len(data) == maxBody {
 		err = errBodyTooLarge // the rest of the body is not read
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	o.status, o.answerID = resp.StatusCode, resp.Header.Get("Attempt-Id")
+	o.status, o.answerID = resp.StatusCode, standin.ResponseID(resp.Header)
 	data, err := io.ReadAll(resp.Body)
 	o.body, o.complete = string(data), err == nil
 	return err
