--- a/internal/protocol/enginehttp/control.go
+++ b/internal/protocol/enginehttp/control.go
@@ -83,7 +83,7 @@
 		resp.Body.Discard()
 		return resultcode.New(resultcode.AnswerMismatch, "%s responded to order %q instead of %q", to.Name, echoed, id)
 	}
-	body, err := readAll(resp, maxReportBytes)
+	body, err := e.readAll(resp, maxReportBytes)
 	if err != nil {
 		return lostBeforeBody(err, true)
 	}
@@ -120,7 +120,7 @@
 		return nil, err
 	}
 	if resp.Status != http.StatusOK {
-		body, _ := readAll(resp, maxReportBytes)
+		body, _ := e.readAll(resp, maxReportBytes)
 		return nil, unexpectedStatusError(to, resp.Status, body)
 	}
 	return resp.Body, nil
@@ -138,7 +138,7 @@
 	if err := e.checkHead(resp, id, to); err != nil {
 		return err
 	}
-	body, err := readAll(resp, maxReportBytes)
+	body, err := e.readAll(resp, maxReportBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/protocol/enginehttp/engine.go
+++ b/internal/protocol/enginehttp/engine.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
@@ -21,6 +22,12 @@
 const (
 	// maxResponseBytes bounds a response that is read into memory completely.
 	maxResponseBytes = 32 << 20
+	// maxReadingBytes bounds the bodies of all responses that are being read into memory
+	// completely, in bytes. Engines in trouble may send bodies without end.
+	maxReadingBytes = 64 << 20
+	// maxAnnouncedBytes is how much memory is reserved for a body because of its
+	// announced length alone.
+	maxAnnouncedBytes = 1 << 20
 	// maxReportBytes bounds the bodies of load reports, cache events and refusals.
 	maxReportBytes = 4 << 20
 	// reportTimeout is the idle timeout of reports and cancellations, which engines
@@ -35,6 +42,8 @@
 type Engine struct {
 	client  exchange.Client
 	cancels chan struct{}
+	// reading is the size of the bodies that are being read, see maxReadingBytes.
+	reading atomic.Int64
 	faults  faults
 }
 
@@ -69,7 +78,7 @@
 	if err := e.checkHead(resp, req.ID, to); err != nil {
 		return nil, err
 	}
-	body, err := readAll(resp, maxResponseBytes)
+	body, err := e.readAll(resp, maxResponseBytes)
 	if err != nil {
 		return nil, lostBeforeBody(err, len(body) == 0 || resp.Status >= http.StatusMultipleChoices)
 	}
@@ -110,7 +119,7 @@
 		return nil, err
 	}
 	if resp.Status != http.StatusOK {
-		return nil, streamRefusedError(resp, req, to)
+		return nil, e.streamRefusedError(resp, req, to)
 	}
 	if !isEventStream(resp.Header) {
 		resp.Body.Discard()
@@ -159,7 +168,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	out, err := readAll(resp, maxReportBytes)
+	out, err := e.readAll(resp, maxReportBytes)
 	return resp, out, err
 }
 
@@ -211,12 +220,12 @@
 		resp.Body.Discard()
 		return resultcode.New(resultcode.EndpointLost, "%s refused a request without echoing its identifier", to.Name)
 	}
-	return refusedError(resp, to)
+	return e.refusedError(resp, to)
 }
 
 // refusedError returns the error for a request that the engine did not run.
-func refusedError(resp *exchange.Response, to engine.Target) error {
-	body, err := readAll(resp, maxReportBytes)
+func (e *Engine) refusedError(resp *exchange.Response, to engine.Target) error {
+	body, err := e.readAll(resp, maxReportBytes)
 	if err != nil {
 		body = nil
 	}
@@ -243,8 +252,8 @@
 
 // streamRefusedError returns the error for a stream request whose status is not
 // OK.
-func streamRefusedError(resp *exchange.Response, req *engine.Request, to engine.Target) error {
-	body, err := readAll(resp, maxReportBytes)
+func (e *Engine) streamRefusedError(resp *exchange.Response, req *engine.Request, to engine.Target) error {
+	body, err := e.readAll(resp, maxReportBytes)
 	if err != nil {
 		return lostBeforeBody(err, true)
 	}
@@ -270,22 +279,44 @@
 }
 
 // readAll reads the complete body and releases the exchange.
-func readAll(resp *exchange.Response, limit int) ([]byte, error) {
+func (e *Engine) readAll(resp *exchange.Response, limit int) ([]byte, error) {
 	defer resp.Body.Close() // never fails
 	if resp.ContentLength > int64(limit) {
 		return nil, resultcode.New(resultcode.AnswerIncomplete, "the response is larger than %d bytes", limit)
 	}
 	var buf bytes.Buffer
 	if resp.ContentLength > 0 {
-		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
+		buf.Grow(min(int(resp.ContentLength), maxAnnouncedBytes) + bytes.MinRead)
 	}
-	n, err := buf.ReadFrom(io.LimitReader(resp.Body, int64(limit)+1))
+	body := &countedReader{body: io.LimitReader(resp.Body, int64(limit)+1), total: &e.reading}
+	defer body.release()
+	n, err := buf.ReadFrom(body)
 	if err == nil && n > int64(limit) {
 		err = resultcode.New(resultcode.AnswerIncomplete, "the response is larger than %d bytes", limit)
 	}
 	return buf.Bytes(), err
 }
 
+// countedReader counts the bytes of a body that is being read in the total of all bodies.
+type countedReader struct {
+	body    io.Reader
+	total   *atomic.Int64
+	counted int64
+}
+
+// Read implements io.Reader. It fails if the total exceeds maxReadingBytes.
+func (r *countedReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	r.counted += int64(n)
+	if r.total.Add(int64(n)) > maxReadingBytes {
+		return n, resultcode.New(resultcode.AnswerIncomplete, "responses that are being read exceed %d bytes", maxReadingBytes)
+	}
+	return n, err
+}
+
+// release takes the body out of the total.
+func (r *countedReader) release() { r.total.Add(-r.counted) }
+
 // errorType returns the error type of a JSON error body. The type is safe to log,
 // while the message could quote the request.
 func errorType(body []byte) string {
