--- a/internal/state/catalog/catalog_test.go
+++ b/internal/state/catalog/catalog_test.go
@@ -73,8 +73,11 @@
 	for kind, want := range map[Kind]struct{ resumable, idempotent bool }{
 		NonIdempotent: {false, false}, Idempotent: {false, true}, Streaming: {true, true},
 	} {
-		x := NewIndex(&Catalog{Version: 1, Routes: []Route{{Host: "h", Prefix: "/", Kind: kind, Resumable: true}}})
-		r := x.Route("h", "/")
+		c := &Catalog{Version: 1, Routes: []Route{{Host: "h", Prefix: "/", Kind: kind, Resumable: true}}}
+		r := NewIndex(c).Route("h", "/")
+		if !c.Routes[0].Resumable {
+			t.Error("the catalog was modified, which others may read")
+		}
 		if r.Resumable != want.resumable || r.Idempotent() != want.idempotent {
 			t.Errorf("kind %d: resumable %v, idempotent %v, want %+v", kind, r.Resumable, r.Idempotent(), want)
 		}
--- a/internal/state/catalog/index.go
+++ b/internal/state/catalog/index.go
@@ -18,9 +18,10 @@
 	keys      map[string]*Customer
 }
 
-// NewIndex returns the look-up tables of a valid catalog. It puts the routes into
-// their normal form; the catalog must not be modified afterwards.
+// NewIndex returns the look-up tables of a valid catalog in its normal form. The given
+// catalog must not be modified afterwards.
 func NewIndex(c *Catalog) *Index {
+	c = c.normalized()
 	x := &Index{
 		catalog:   c,
 		routes:    make(map[string][]*Route),
@@ -31,7 +32,6 @@
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		r.normalize()
 		host := strings.ToLower(r.Host)
 		x.routes[host] = append(x.routes[host], r)
 	}
@@ -106,10 +106,16 @@
 	}
 }
 
-// normalize removes what has no meaning for the kind of the route, so that the users
-// of an Index need not ask for the kind as well.
-func (r *Route) normalize() {
-	r.Resumable = r.Resumable && r.Kind == Streaming
+// normalized returns a copy whose routes lack what has no meaning for their kind, so that
+// the users of an Index need not ask for the kind as well.
+func (c *Catalog) normalized() *Catalog {
+	out := *c
+	out.Routes = slices.Clone(c.Routes)
+	for i := range out.Routes {
+		r := &out.Routes[i]
+		r.Resumable = r.Resumable && r.Kind == Streaming
+	}
+	return &out
 }
 
 // Idempotent reports whether a request of the route may run more than once. The route
