--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -71,40 +71,39 @@
 
 // entrySeries stops, kills, freezes or reconfigures entries one after the other.
 func (s *script) entrySeries(at time.Duration) {
-	kind := s.rng.IntN(4)
+	kind := s.rng.IntN(disturbances)
 	for range 1 + s.rng.IntN(len(s.fleet.entries)) {
 		p := pick(s, s.fleet.entries)
 		down := s.between(50*time.Millisecond, 2*time.Second)
-		switch kind {
-		case 0:
-			s.add(at, func() { p.stop(syscall.SIGTERM, down) })
-		case 1:
-			s.add(at, func() { p.stop(syscall.SIGKILL, down) })
-		case 2:
-			s.add(at, func() { p.freeze(down) })
-		case 3:
-			s.add(at, func() { p.signal(syscall.SIGHUP) })
-		}
+		s.disturb(p, at, kind, down, func() { p.signal(syscall.SIGHUP) })
 		at += s.between(50*time.Millisecond, 700*time.Millisecond)
 	}
 }
 
+// disturbances is how many kinds of disturbance a process may have.
+const disturbances = 4
+
+// disturb adds a disturbance of a process: a stop, a kill, a freeze or another one.
+func (s *script) disturb(p *process, at time.Duration, kind int, down time.Duration, other func()) {
+	switch kind {
+	case 0:
+		s.add(at, func() { p.stop(syscall.SIGTERM, down) })
+	case 1:
+		s.add(at, func() { p.stop(syscall.SIGKILL, down) })
+	case 2:
+		s.add(at, func() { p.freeze(down) })
+	default:
+		s.add(at, other)
+	}
+}
+
 // controlSeries stops, kills, freezes or empties one control VM, and sometimes another
 // one meanwhile.
 func (s *script) controlSeries(at time.Duration) {
 	for range 1 + s.rng.IntN(2) {
 		p := pick(s, s.fleet.control)
 		down := s.between(50*time.Millisecond, 3*time.Second)
-		switch s.rng.IntN(4) {
-		case 0:
-			s.add(at, func() { p.stop(syscall.SIGTERM, down) })
-		case 1:
-			s.add(at, func() { p.stop(syscall.SIGKILL, down) })
-		case 2:
-			s.add(at, func() { p.freeze(down) })
-		case 3:
-			s.add(at, func() { s.wipe(p) })
-		}
+		s.disturb(p, at, s.rng.IntN(disturbances), down, func() { s.wipe(p) })
 		at += s.between(100*time.Millisecond, time.Second)
 	}
 }
