--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -54,9 +54,7 @@
 	}
 	wg.Wait()
 	t.Logf("%d requests sent, %d served, %d MB at most", load.lastID.Load(), served, f.peakMemory/1e6)
-	if f.peakMemory == 0 || f.peakMemory > entryMemory {
-		t.Errorf("the entry used %d MB of memory", f.peakMemory/1e6)
-	}
+	f.checkMemory()
 	if served == 0 {
 		t.Error("no request was served")
 	}
--- a/soak/memory_test.go
+++ b/soak/memory_test.go
@@ -35,3 +35,11 @@
 		}
 	}
 }
+
+// checkMemory checks that no entry used more memory than its VM has.
+func (f *fleet) checkMemory() {
+	f.recordMemory()
+	if f.peakMemory == 0 || f.peakMemory > entryMemory {
+		f.t.Errorf("an entry used %d MB of memory", f.peakMemory/1e6)
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -80,31 +80,34 @@
 	newScript(f, rand.New(rand.NewPCG(uint64(seed), 7)), length).inject()
 	f.checkRecovery(load)
 	f.checkLeaving()
-	f.recordMemory()
-	if f.peakMemory > entryMemory {
-		t.Errorf("an entry used %d MB of memory", f.peakMemory/1e6)
-	}
+	f.checkMemory()
 	outcomes := load.finish()
 	acked, violations := op.finish()
 	for _, violation := range append(violations, f.endpoints.Violations()...) {
 		t.Error(violation)
 	}
 	f.checkLastCatalog(acked)
-	served := 0
-	statuses := map[int]int{}
+	served, statuses := f.checkOutcomes(outcomes)
+	t.Logf("seed %d: %d requests, %d served, %v by status, catalog %d, %d runs, %d MB at most in an entry", seed, len(outcomes), served, statuses, acked, f.endpoints.Total(), f.peakMemory/1e6)
+	if t.Failed() {
+		f.saveLogs(seed)
+	}
+}
+
+// checkOutcomes checks what callers saw. It returns how many requests were served, and
+// the number of requests by their status, which is 0 without a response.
+func (f *fleet) checkOutcomes(outcomes []outcome) (served int, statuses map[int]int) {
+	statuses = map[int]int{}
 	for _, o := range outcomes {
 		statuses[o.status]++
 		if violation := findViolation(f.endpoints, o); violation != "" {
-			t.Errorf("request %s to %s at %s: %s", o.id, o.prefix, o.sent.Format(time.TimeOnly), violation)
+			f.t.Errorf("request %s to %s at %s: %s", o.id, o.prefix, o.sent.Format(time.TimeOnly), violation)
 		}
 		if o.status == http.StatusOK && o.complete {
 			served++
 		}
 	}
-	t.Logf("seed %d: %d requests, %d served, %v by status, catalog %d, %d runs, %d MB at most in an entry", seed, len(outcomes), served, statuses, acked, f.endpoints.Total(), f.peakMemory/1e6)
-	if t.Failed() {
-		f.saveLogs(seed)
-	}
+	return served, statuses
 }
 
 // putFirstCatalog puts the first catalog and returns its version.
