forward, httpclient: what tells late copies of answers apart

Cause: logs name neither the address of an endpoint that refused nor whether its answer came over a kept connection, and skipped answers leave no trace. So the hypotheses of the incident can't be told apart.

Change: the counter radishloom_skipped_responses_total, a log line for skipped answers, and the fields address and kept_connection of "retrying at another endpoint". No decision changes.

Result: tests of telemetry, httpclient and forward pass.

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -96,6 +96,9 @@
 	// endpointLeaving is set if the endpoint of the current send stated that it is
 	// leaving.
 	endpointLeaving bool
+	// keptConnection is set if the response to the current send came over a connection
+	// that had carried another request.
+	keptConnection bool
 }
 
 func (c *call) serve(r *http.Request) {
@@ -158,7 +161,8 @@
 			return
 		}
 		c.server.cfg.Metrics.Retry(err.Code.Info().Name)
-		c.server.log.Info("retrying at another endpoint", "request", c.req.ID, "endpoint", to.EndpointID, "code", err.Code, "error", err.Error(), "sends", c.sends)
+		c.server.log.Info("retrying at another endpoint", "request", c.req.ID, "endpoint", to.EndpointID, "address", to.Address,
+			"code", err.Code, "error", err.Error(), "sends", c.sends, "kept_connection", c.keptConnection)
 	}
 }
 
--- a/internal/coordination/forward/fixture_test.go
+++ b/internal/coordination/forward/fixture_test.go
@@ -161,6 +161,7 @@
 
 func (noMetrics) Refusal(resultcode.Code) {}
 func (noMetrics) Retry(string)            {}
+func (noMetrics) SkippedResponses(int)    {}
 func (noMetrics) OpenRequests(int)        {}
 
 func (noMetrics) EntryWarmingEndpoints(int) {}
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -24,6 +24,7 @@
 		return pool.Unknown, resultcode.New(resultcode.DeadlineTooClose, "only %d ms left until the deadline, too little to send the request", left.Milliseconds())
 	}
 	c.sends++
+	c.keptConnection = false
 	a := Attempt{EndpointID: to.EndpointID, Customer: c.customerName(), TimeLeft: left, ResumeAfter: c.req.LastEventID}
 	if c.relay != nil && c.relay.lastID != "" {
 		a.ResumeAfter = c.relay.lastID
@@ -70,6 +71,11 @@
 // caller, or returns an error if the response must not be passed on.
 func (c *call) handleResponse(from *slot, sentAt time.Duration, resp *exchange.Response) (pool.Result, *resultcode.Error) {
 	s := c.server
+	c.keptConnection = resp.Reused
+	if resp.Skipped > 0 {
+		s.cfg.Metrics.SkippedResponses(resp.Skipped)
+		s.log.Info("responses to other requests skipped", "request", c.req.ID, "endpoint", from.EndpointID, "address", from.Address, "skipped", resp.Skipped)
+	}
 	head := s.cfg.Codec.DecodeResponse(resp.Status, resp.Header)
 	if resp.Reused && !head.Identified {
 		resp.Body.Discard()
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -20,6 +20,8 @@
 type Metrics interface {
 	Refusal(code resultcode.Code)
 	Retry(reason string)
+	// SkippedResponses counts responses of endpoints that named another request.
+	SkippedResponses(n int)
 	OpenRequests(n int)
 	// EntryWarmingEndpoints records how many endpoints this entry treats as warming up.
 	EntryWarmingEndpoints(n int)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -61,6 +61,7 @@
 
 	refusals       metric.Int64Counter
 	retries        metric.Int64Counter
+	skipped        metric.Int64Counter
 	requests       metric.Int64Counter
 	queueTime      metric.Float64Histogram
 	firstToken     metric.Float64Histogram
@@ -190,6 +191,7 @@
 	i := &instruments{meter: meter}
 	m.refusals = i.counter("radishloom.refusals", "Refused requests by result code.")
 	m.retries = i.counter("radishloom.retries", "Retries of requests by reason.")
+	m.skipped = i.counter("radishloom.skipped.responses", "Responses of endpoints that named another request.")
 	m.requests = i.counter("radishloom.requests", "Finished requests by customer, profile and whether they met the targets.")
 	m.tokens = i.counter("radishloom.tokens", "Charged tokens by customer and profile.")
 	m.engineOrders = i.counter("radishloom.model.moves", "Orders carried out by engines, by kind.")
@@ -393,6 +395,10 @@
 	m.closedConns.Add(context.Background(), 1, label("reason", reason))
 }
 
+// SkippedResponses counts responses of endpoints that named another request than the one
+// under way.
+func (m *Metrics) SkippedResponses(n int) { m.skipped.Add(context.Background(), int64(n)) }
+
 // OpenRequests records the number of open requests of callers.
 func (m *Metrics) OpenRequests(n int) { m.openRequests.Record(context.Background(), int64(n)) }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -52,6 +52,7 @@
 	m.EntryWarmingEndpoints(5)
 	m.Freshness(9, true)
 	m.OpenRequests(3)
+	m.SkippedResponses(2)
 	m.CallerMemory("bodies", 5)
 	m.ConnectionClosed("memory")
 	m.ResponseTime(time.Millisecond)
@@ -63,6 +64,7 @@
 	for _, want := range []string{
 		`radishloom_refusals_total{code="1004",name="key_unknown"} 1`,
 		`radishloom_retries_total{reason="endpoint_lost"} 1`,
+		`radishloom_skipped_responses_total 2`,
 		`radishloom_caller_memory_bytes{kind="bodies"} 5`,
 		`radishloom_connections_closed_total{reason="memory"} 1`,
 		`radishloom_requests_total{attained="true",customer="acme",profile="interactive"} 1`,
--- a/internal/transport/httpclient/client.go
+++ b/internal/transport/httpclient/client.go
@@ -214,7 +214,7 @@
 		}
 		cn.requestCut = true
 	}
-	resp, err := cn.readHead(req.Method, req.MatchResponse)
+	resp, skipped, err := cn.readHead(req.Method, req.MatchResponse)
 	if err != nil {
 		return nil, cn.fail(ctx, err, stageHead)
 	}
@@ -223,7 +223,7 @@
 	reused := cn.reused
 	cn.reused = true
 	out := newResponse(ctx, cn, resp, req.AllowCloseDelimited)
-	out.Reused = reused
+	out.Reused, out.Skipped = reused, skipped
 	return out, nil
 }
 
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -230,32 +230,33 @@
 // skipped. All heads together are bounded by maxHead, all skipped bodies by
 // maxSkippedBody, and skipped responses by maxSkippedResponses, because an endpoint
 // in trouble may send them without end.
-func (cn *conn) readHead(method string, accept func(http.Header) bool) (*http.Response, error) {
+// It also returns how many were skipped.
+func (cn *conn) readHead(method string, accept func(http.Header) bool) (resp *http.Response, skips int, err error) {
 	headLeft, skipLeft := cn.maxHead, int64(maxSkippedBody)
-	for skips := 0; ; {
+	for {
 		cn.headLeft = headLeft
 		resp, err := http.ReadResponse(cn.br, &http.Request{Method: method})
 		headLeft, cn.headLeft = cn.headLeft, -1
 		if err != nil {
-			return nil, err
+			return nil, skips, err
 		}
 		if accept != nil && resp.StatusCode >= http.StatusOK && !accept(resp.Header) {
 			if skips++; skips > maxSkippedResponses {
-				return nil, fmt.Errorf("more than %d responses to other requests", maxSkippedResponses)
+				return nil, skips, fmt.Errorf("more than %d responses to other requests", maxSkippedResponses)
 			}
 			skipped, err := skipResponse(resp, skipLeft)
 			if err != nil {
-				return nil, err
+				return nil, skips, err
 			}
 			skipLeft -= skipped
 			continue
 		}
 		cn.idleLimit = keepAliveLimit(resp.Header)
 		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("the endpoint switched protocols without an Upgrade request")
+			return nil, skips, errors.New("the endpoint switched protocols without an Upgrade request")
 		}
 		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+			return resp, skips, nil
 		}
 	}
 }
