httpclient, forward: a refused request is not sent again over its connection

What callers saw: 503 or 429, which promise that the request has not run, for a request that ran (REFUSED), or a request that ran at two endpoints (TWICE).

Cause: an endpoint may send the copy of a refusal late. A copy bears the identifier of the refused request. If that request is under way again on the same connection, the identifier does not tell the copy from the answer to it. An entry excludes endpoints that refused a request by identifier, but keeps connections by address. So where the list gives an address under another identifier while a connection to it lives, or where a caller repeats an identifier, the request came back to its own connection. Class: an answer is matched to its request by a name that is not unique on the connection.

Change: a connection remembers hashes of the identifiers that it refused (status 400 and above) and is passed over for them; other requests go on using it.

Why this works: on a connection, a copy of a refusal can then only meet requests with other identifiers, which are told apart by it.

That this is what the users saw is suspected: they kept no logs.

--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -45,6 +45,11 @@
 	IdleTimeout time.Duration
 	// Host is the value of the Host field; empty means Address.
 	Host string
+	// ID is the identifier that the endpoint repeats in its responses; empty if there is
+	// none. An endpoint may repeat a refusal later, which then cannot be told from the
+	// response to the same request sent once more. So a request is never sent over a
+	// connection over which a request with its ID was refused.
+	ID string
 	// MatchResponse, if set, reports whether a response with this header belongs
 	// to this request. A response to an earlier request is read to its end and
 	// skipped.
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -35,8 +35,8 @@
 	resp, err := s.cfg.Client.Do(ctx, &exchange.Request{
 		Address: to.Address, Host: c.req.Host, Method: c.req.Method, Target: c.req.Target,
 		Header: s.cfg.Codec.AttemptHeader(c.req, a), Body: c.req.Body, IdleTimeout: c.idleTimeout(left),
-		AllowCloseDelimited: true,
-		MatchResponse:       func(h http.Header) bool { return s.cfg.Codec.MatchesRequest(h, c.req.ID) },
+		AllowCloseDelimited: true, ID: c.req.ID,
+		MatchResponse: func(h http.Header) bool { return s.cfg.Codec.MatchesRequest(h, c.req.ID) },
 	})
 	if err != nil {
 		return c.failed(err)
--- a/internal/transport/httpclient/client.go
+++ b/internal/transport/httpclient/client.go
@@ -186,7 +186,7 @@
 	if req.FreshConnection || req.BodyReader != nil {
 		return nil
 	}
-	return p.get()
+	return p.get(req.ID)
 }
 
 func (c *Client) connect(ctx context.Context, p *pool, address string) (*conn, error) {
@@ -222,6 +222,7 @@
 	// used after newResponse.
 	reused := cn.reused
 	cn.reused = true
+	cn.refused.add(req.ID, resp.StatusCode)
 	out := newResponse(ctx, cn, resp, req.AllowCloseDelimited)
 	out.Reused, out.Skipped = reused, skipped
 	return out, nil
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -49,6 +49,8 @@
 	written int64
 	// reused is set once the connection has carried a request that was answered.
 	reused bool
+	// refused has the requests that were refused on this connection.
+	refused refusedRequests
 	// requestCut is set if the endpoint responded before it read the whole request.
 	requestCut bool
 	// headLeft is the number of bytes that the response head may still take, or -1
--- a/internal/transport/httpclient/pool.go
+++ b/internal/transport/httpclient/pool.go
@@ -1,6 +1,7 @@
 package httpclient
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,10 +28,10 @@
 	return p.generation
 }
 
-// get returns the most recently used connection that may be reused, or nil.
-func (p *pool) get() *conn {
+// get returns the most recently used connection that may be reused for a request, or nil.
+func (p *pool) get(id string) *conn {
 	for {
-		cn := p.pop()
+		cn := p.pop(id)
 		if cn == nil {
 			return nil
 		}
@@ -41,17 +42,17 @@
 	}
 }
 
-func (p *pool) pop() *conn {
+// pop removes the most recently used connection over which the request was not refused.
+func (p *pool) pop(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for i, cn := range slices.Backward(p.idle) {
+		if p.reuseAny || !cn.refused.has(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return cn
+		}
 	}
-	last := len(p.idle) - 1
-	cn := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
-	return cn
+	return nil
 }
 
 func (p *pool) expired(cn *conn) bool {
--- /dev/null
+++ b/internal/transport/httpclient/refused_test.go
@@ -0,0 +1,52 @@
+package httpclient
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// Guards against a request that is sent again over a connection that refused it, and against
+// refusals that cost connections of other requests or fill the memory of a connection.
+func TestRefusedRequestTakesAnotherConnection(t *testing.T) {
+	refuse := func(c net.Conn, _ int, _ *http.Request, _ int) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
+	send := func(c *Client, s *rawServer, id string) {
+		t.Helper()
+		req := s.request(http.MethodPost)
+		req.ID = id
+		if _, err := fetch(c, req); err != nil {
+			t.Fatal(err)
+		}
+	}
+	distinct := make([]string, maxRefused+1)
+	for i := range distinct {
+		distinct[i] = fmt.Sprint("id", i)
+	}
+	for name, tt := range map[string]struct {
+		ids  []string
+		want int64 // connections
+	}{
+		"same request":                       {[]string{"a", "a", "a"}, 3},
+		"other requests":                     {[]string{"a", "b", "c"}, 1},
+		"other request between":              {[]string{"a", "b", "a", "b", "c"}, 2},
+		"requests without identifier":        {[]string{"", "", ""}, 1},
+		"more requests than it can remember": {distinct, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startRaw(t, refuse)
+			c := newClient(t, Options{IdleConnTimeout: time.Minute})
+			for _, id := range tt.ids {
+				send(c, s, id)
+			}
+			if got := s.accepted.Load(); got != tt.want {
+				t.Fatalf("%d connections, want %d", got, tt.want)
+			}
+		})
+	}
+}
