enginehttp: reports and cancellations have identifiers, too

Load reports, cache events and cancellations bore no identifier, and their answers were not compared with one, on connections that they share with requests and orders. A copy of a report that arrived late, while a request waited there, was passed on as the answer to the request: 200 with the load report as the completion, or the status of a cancellation. A copy of any other answer was taken for a report, which then shows an idle engine without models.

Each such call now has an identifier of its own, and an answer that names another one is a mismatch, as for requests and orders. The stand-in echoes it, as the protocol asks for every exchange.

--- a/internal/protocol/enginehttp/control.go
+++ b/internal/protocol/enginehttp/control.go
@@ -79,9 +79,8 @@
 }
 
 func (e *Engine) orderOutcome(resp *exchange.Response, id string, to engine.Target) error {
-	if echoed := resp.Header.Get(exchange.HeaderRequestID); echoed != "" && echoed != id {
-		resp.Body.Discard()
-		return resultcode.New(resultcode.AnswerMismatch, "%s responded to order %q instead of %q", to.Name, echoed, id)
+	if err := e.checkIdentity(resp, id, to); err != nil {
+		return err
 	}
 	body, err := e.readAll(resp, maxReportBytes)
 	if err != nil {
--- a/internal/protocol/enginehttp/engine.go
+++ b/internal/protocol/enginehttp/engine.go
@@ -44,7 +44,10 @@
 	cancels chan struct{}
 	// reading is the size of the bodies that are being read, see maxReadingBytes.
 	reading atomic.Int64
-	faults  faults
+	// controlCalls counts the reports and cancellations; their identifiers have this
+	// number.
+	controlCalls atomic.Uint64
+	faults       faults
 }
 
 // faults are deliberate defects that a test enables to show that it detects
@@ -157,10 +160,12 @@
 	}()
 }
 
-// doSmall performs an exchange with a small response and reads its body.
+// doSmall performs an exchange with a small response and reads its body. Its identifier
+// differs from those of requests and orders, which share the connections.
 func (e *Engine) doSmall(ctx context.Context, to engine.Target, method, target string, body []byte) (*exchange.Response, []byte, error) {
 	req := &exchange.Request{Address: to.Address, Method: method, Target: target, Body: body, IdleTimeout: reportTimeout}
-	req.Header = http.Header{"Accept": {"application/json"}}
+	id := "control-" + strconv.FormatUint(e.controlCalls.Add(1), 10)
+	req.Header = http.Header{"Accept": {"application/json"}, exchange.HeaderRequestID: {id}}
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
@@ -168,6 +173,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if err := e.checkIdentity(resp, id, to); err != nil {
+		return nil, nil, err
+	}
 	out, err := e.readAll(resp, maxReportBytes)
 	return resp, out, err
 }
@@ -207,22 +215,30 @@
 // checkHead verifies that the response belongs to the request and returns an error
 // for a "not run".
 func (e *Engine) checkHead(resp *exchange.Response, id string, to engine.Target) error {
-	echoed := resp.Header.Get(exchange.HeaderRequestID)
-	if echoed != "" && echoed != id && !e.faults.skipIdentity {
-		resp.Body.Discard()
-		return resultcode.New(resultcode.AnswerMismatch, "%s responded to request %q instead of %q", to.Name, echoed, id)
+	if err := e.checkIdentity(resp, id, to); err != nil {
+		return err
 	}
 	if resp.Header.Get(exchange.HeaderRunState) != exchange.RunStateNotRun {
 		return nil
 	}
 	// Without the echo the refusal could belong to another request.
-	if echoed != id && !e.faults.trustAnyRefusal {
+	if resp.Header.Get(exchange.HeaderRequestID) != id && !e.faults.trustAnyRefusal {
 		resp.Body.Discard()
 		return resultcode.New(resultcode.EndpointLost, "%s refused a request without echoing its identifier", to.Name)
 	}
 	return e.refusedError(resp, to)
 }
 
+// checkIdentity returns an error if the response names another request.
+func (e *Engine) checkIdentity(resp *exchange.Response, id string, to engine.Target) error {
+	echoed := resp.Header.Get(exchange.HeaderRequestID)
+	if echoed == "" || echoed == id || e.faults.skipIdentity {
+		return nil
+	}
+	resp.Body.Discard()
+	return resultcode.New(resultcode.AnswerMismatch, "%s responded to request %q instead of %q", to.Name, echoed, id)
+}
+
 // refusedError returns the error for a request that the engine did not run.
 func (e *Engine) refusedError(resp *exchange.Response, to engine.Target) error {
 	body, err := e.readAll(resp, maxReportBytes)
--- /dev/null
+++ b/internal/protocol/enginehttp/latecopy_test.go
@@ -0,0 +1,84 @@
+package enginehttp
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/radishloom/radishloom/internal/coordination/engine"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
+	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/standin/rawserver"
+	"github.com/radishloom/radishloom/internal/transport/httpclient"
+)
+
+// repeatingEngine answers each request with 200 and its path, and writes the last answer of
+// a connection once more when the next request has arrived there. With echo its answers
+// name their requests.
+func repeatingEngine(t *testing.T, echo bool) (*Engine, engine.Target) {
+	address := rawserver.Listen(t, func(c *net.TCPConn) {
+		defer func() { _ = c.Close() }()
+		br, last := bufio.NewReader(c), ""
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			id, body := "", fmt.Sprintf(`{"path":%q,"running":5}`, r.URL.Path)
+			if echo {
+				id = exchange.HeaderRequestID + ": " + r.Header.Get(exchange.HeaderRequestID) + "\r\n"
+			}
+			now := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", id, len(body), body)
+			_, _ = io.WriteString(c, last+now)
+			last = now
+		}
+	})
+	client := httpclient.New(httpclient.Options{})
+	t.Cleanup(client.Close)
+	return New(client), engine.Target{Name: "e1", Address: address}
+}
+
+// Guards against a late copy of a report, or of the answer to a cancellation, that a caller
+// gets as the answer to its request, and against copies of other answers that are taken
+// for a report.
+func TestLateCopyIsNotTakenForAnotherAnswer(t *testing.T) {
+	calls := map[string]func(*Engine, engine.Target) error{
+		"load": func(e *Engine, to engine.Target) error { _, err := e.Load(context.Background(), to); return err },
+		"cache events": func(e *Engine, to engine.Target) error {
+			_, err := e.CacheEvents(context.Background(), to, 0)
+			return err
+		},
+		"cancel": func(e *Engine, to engine.Target) error { return e.Cancel(context.Background(), to, "r0") },
+		"order":  func(e *Engine, to engine.Target) error { return e.Order(context.Background(), to, engine.Order{ID: 7}) },
+		"request": func(e *Engine, to engine.Target) error {
+			req := request("r1", 1, false)
+			a, err := e.Do(context.Background(), to, req)
+			if err == nil && string(a.Body) != `{"path":"/v1/chat/completions","running":5}` {
+				err = fmt.Errorf("the request was answered with %s", a.Body)
+			}
+			return err
+		},
+	}
+	for first := range calls {
+		for second := range calls {
+			if second == "order" {
+				continue // has a connection of its own
+			}
+			if first == "request" && second == "request" {
+				continue // has the same identifier in this test
+			}
+			t.Run(first+", "+second, func(t *testing.T) {
+				e, to := repeatingEngine(t, true)
+				if err := calls[first](e, to); err != nil {
+					t.Fatal(err)
+				}
+				wantCode(t, calls[second](e, to), resultcode.AnswerMismatch)
+			})
+		}
+	}
+}
--- a/internal/standin/engine/routes.go
+++ b/internal/standin/engine/routes.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 )
 
 // routes registers the engine protocol and the admin paths.
@@ -12,10 +14,10 @@
 	e.mux.HandleFunc("POST /v1/chat/completions", e.serveInference)
 	e.mux.HandleFunc("POST /v1/completions", e.serveInference)
 	e.mux.HandleFunc("GET /v1/requests/{id}/stream", e.serveResume)
-	e.mux.HandleFunc("DELETE /v1/requests/{id}", e.serveCancel)
+	e.mux.HandleFunc("DELETE /v1/requests/{id}", withRequestID(e.serveCancel))
 	e.mux.HandleFunc("POST /v1/orders", e.serveOrder)
-	e.mux.HandleFunc("GET /v1/load", e.serveLoad)
-	e.mux.HandleFunc("GET /v1/cache-events", e.serveCacheEvents)
+	e.mux.HandleFunc("GET /v1/load", withRequestID(e.serveLoad))
+	e.mux.HandleFunc("GET /v1/cache-events", withRequestID(e.serveCacheEvents))
 	e.mux.HandleFunc("GET /v1/kv/{id}", e.serveExport)
 	e.mux.HandleFunc("PUT /v1/kv/{id}", e.serveImport)
 	e.mux.HandleFunc("GET /admin/state", e.serveState)
@@ -28,6 +30,14 @@
 	e.mux.HandleFunc("POST /admin/stay", e.serveAction)
 }
 
+// withRequestID echoes the identifier of a request in the response.
+func withRequestID(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		setRequestIDHeader(w, r.Header.Get(exchange.HeaderRequestID), Faults{})
+		next(w, r)
+	}
+}
+
 // maxRecorded bounds the requests kept for inspection.
 const maxRecorded = 1000
 
