servicehttp: load reports have identifiers, too

Load reports of plain services bore no identifier, on connections that they share with requests. A copy of a report that arrived late was passed on as the answer to a caller's request, and a copy of another answer was taken for a report without load.

A report now has an identifier of its own, and an answer that names another one is a mismatch. The stand-in echoes it.

--- a/internal/protocol/servicehttp/service.go
+++ b/internal/protocol/servicehttp/service.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
@@ -29,6 +30,8 @@
 // use.
 type Service struct {
 	client exchange.Client
+	// loads counts the load reports; their identifiers have this number.
+	loads  atomic.Uint64
 	faults faults
 }
 
@@ -85,16 +88,14 @@
 // checkHead verifies that the response belongs to the request, and returns an
 // error for the run state "not run".
 func (s *Service) checkHead(resp *exchange.Response, id string, to engine.Target) error {
-	echoed := resp.Header.Get(exchange.HeaderRequestID)
-	if echoed != "" && echoed != id && !s.faults.skipIdentity {
-		resp.Body.Discard()
-		return resultcode.New(resultcode.AnswerMismatch, "%s answered request %q instead of %q", to.Name, echoed, id)
+	if err := s.checkIdentity(resp, id, to); err != nil {
+		return err
 	}
 	if resp.Header.Get(exchange.HeaderRunState) != exchange.RunStateNotRun {
 		return nil
 	}
 	// Without the echo the refusal could belong to another request.
-	if echoed != id {
+	if resp.Header.Get(exchange.HeaderRequestID) != id {
 		resp.Body.Discard()
 		return resultcode.New(resultcode.EndpointLost, "%s refused a request without echoing its identifier", to.Name)
 	}
@@ -107,6 +108,16 @@
 	return out
 }
 
+// checkIdentity returns an error if the response names another request.
+func (s *Service) checkIdentity(resp *exchange.Response, id string, to engine.Target) error {
+	echoed := resp.Header.Get(exchange.HeaderRequestID)
+	if echoed == "" || echoed == id || s.faults.skipIdentity {
+		return nil
+	}
+	resp.Body.Discard()
+	return resultcode.New(resultcode.AnswerMismatch, "%s answered request %q instead of %q", to.Name, echoed, id)
+}
+
 // discardShortBody reads up to maxReportBytes of a body so that its connection can
 // be reused.
 func discardShortBody(body exchange.Body) {
@@ -127,15 +138,20 @@
 	return n, err
 }
 
-// Load implements engine.Service.
+// Load implements engine.Service. The report has an identifier, since it shares its
+// connections with requests.
 func (s *Service) Load(ctx context.Context, to engine.Target) (*engine.Load, error) {
+	id := "control-" + strconv.FormatUint(s.loads.Add(1), 10)
 	resp, err := s.client.Do(ctx, &exchange.Request{
 		Address: to.Address, Method: http.MethodGet, Target: loadPath,
-		Header: http.Header{"Accept": {"application/json"}}, IdleTimeout: loadReportIdleTimeout,
+		Header: http.Header{"Accept": {"application/json"}, exchange.HeaderRequestID: {id}}, IdleTimeout: loadReportIdleTimeout,
 	})
 	if err != nil {
 		return nil, err
 	}
+	if err := s.checkIdentity(resp, id, to); err != nil {
+		return nil, err
+	}
 	defer resp.Body.Close() // never fails
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
 	if err != nil {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -250,7 +250,10 @@
 	return f
 }
 
-func (s *Service) serveLoad(w http.ResponseWriter, _ *http.Request) {
+func (s *Service) serveLoad(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(exchange.HeaderRequestID); id != "" {
+		w.Header().Set(exchange.HeaderRequestID, id)
+	}
 	s.mu.Lock()
 	doc := enginejson.LoadReport{Running: s.running, Slots: s.config.Slots}
 	s.mu.Unlock()
