--- a/internal/protocol/enginehttp/latecopy_test.go
+++ b/internal/protocol/enginehttp/latecopy_test.go
@@ -1,43 +1,20 @@
 package enginehttp
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
-	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/standin/rawserver"
 	"github.com/radishloom/radishloom/internal/transport/httpclient"
 )
 
-// repeatingEngine answers each request with 200 and its path, and writes the last answer of
-// a connection once more when the next request has arrived there. With echo its answers
-// name their requests.
+// repeatingEngine returns a client of a rawserver.Repeating that answers with EchoPath.
 func repeatingEngine(t *testing.T, echo bool) (*Engine, engine.Target) {
-	address := rawserver.Listen(t, func(c *net.TCPConn) {
-		defer func() { _ = c.Close() }()
-		br, last := bufio.NewReader(c), ""
-		for {
-			r, err := http.ReadRequest(br)
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, r.Body)
-			id, body := "", fmt.Sprintf(`{"path":%q,"running":5}`, r.URL.Path)
-			if echo {
-				id = exchange.HeaderRequestID + ": " + r.Header.Get(exchange.HeaderRequestID) + "\r\n"
-			}
-			now := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", id, len(body), body)
-			_, _ = io.WriteString(c, last+now)
-			last = now
-		}
-	})
+	address := rawserver.Repeating(t, func(r *http.Request) string { return rawserver.EchoPath(r, echo) })
 	client := httpclient.New(httpclient.Options{})
 	t.Cleanup(client.Close)
 	return New(client), engine.Target{Name: "e1", Address: address}
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -4,10 +4,13 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 )
 
 // Listen serves each connection with a function until the test ends and returns the
@@ -68,3 +71,34 @@
 		_ = c.SetLinger(0)
 	}
 }
+
+// Repeating answers each request with what answer returns, and writes the last answer of a
+// connection once more when the next request has arrived there. It serves until the test
+// ends and returns the address.
+func Repeating(t testing.TB, answer func(*http.Request) string) string {
+	t.Helper()
+	return Listen(t, func(c *net.TCPConn) {
+		defer func() { _ = c.Close() }()
+		br, last := bufio.NewReader(c), ""
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body) // the next read fails if this does
+			now := answer(r)
+			_, _ = io.WriteString(c, last+now)
+			last = now
+		}
+	})
+}
+
+// EchoPath returns a 200 response whose JSON body holds the path of the request. With echo
+// it names the request.
+func EchoPath(r *http.Request, echo bool) string {
+	id, body := "", fmt.Sprintf(`{"path":%q,"running":5}`, r.URL.Path)
+	if echo {
+		id = exchange.HeaderRequestID + ": " + r.Header.Get(exchange.HeaderRequestID) + "\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
