enginehttp, servicehttp: an answer that names no request ends its connection

An answer without an identifier was accepted, and its connection was used again. A copy of it that arrived late was passed on as the answer to the next request there, maybe of another caller.

The connection of such an answer is no longer used again. So on a connection that is, each earlier answer named its request, and a copy of it is a mismatch.

What remains: an endpoint that names its requests in some answers only closes its idle connections with each answer that names none.

TestLateCopyOfAnUnnamedAnswerReachesNoOtherRequest, one in each package: both failed before, both pass (-race).

--- a/internal/protocol/enginehttp/engine.go
+++ b/internal/protocol/enginehttp/engine.go
@@ -229,9 +229,13 @@
 	return e.refusedError(resp, to)
 }
 
-// checkIdentity returns an error if the response names another request.
+// checkIdentity returns an error if the response names another request. The connection of
+// one that names none is not used again.
 func (e *Engine) checkIdentity(resp *exchange.Response, id string, to engine.Target) error {
 	echoed := resp.Header.Get(exchange.HeaderRequestID)
+	if echoed == "" {
+		resp.Body = exchange.SingleUse(resp.Body)
+	}
 	if echoed == "" || echoed == id || e.faults.skipIdentity {
 		return nil
 	}
--- a/internal/protocol/enginehttp/latecopy_test.go
+++ b/internal/protocol/enginehttp/latecopy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
@@ -59,3 +60,17 @@
 		}
 	}
 }
+
+// Guards against a late copy of an answer that names no request: the next caller on the
+// connection got it.
+func TestLateCopyOfAnUnnamedAnswerReachesNoOtherRequest(t *testing.T) {
+	e, to := repeatingEngine(t, false)
+	for _, path := range []string{"/v1/completions", "/v1/chat/completions"} {
+		req := request(path, 1, false)
+		req.Path = path
+		a, err := e.Do(t.Context(), to, req)
+		if err != nil || !strings.Contains(string(a.Body), path+`"`) {
+			t.Fatalf("%s: response %+v, error %v", path, a, err)
+		}
+	}
+}
--- a/internal/protocol/servicehttp/latecopy_test.go
+++ b/internal/protocol/servicehttp/latecopy_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
@@ -38,3 +39,17 @@
 		})
 	}
 }
+
+// Guards against a late copy of an answer that names no request: the next caller on the
+// connection got it.
+func TestLateCopyOfAnUnnamedAnswerReachesNoOtherRequest(t *testing.T) {
+	s, to := repeatingService(t, false)
+	for _, path := range []string{"/a", "/b"} {
+		req := request(path)
+		req.Path = path
+		_, body, err := call(s, to, req)
+		if err != nil || !strings.Contains(string(body), `"`+path+`"`) {
+			t.Fatalf("%s: body %q, error %v", path, body, err)
+		}
+	}
+}
--- a/internal/protocol/servicehttp/service.go
+++ b/internal/protocol/servicehttp/service.go
@@ -108,9 +108,13 @@
 	return out
 }
 
-// checkIdentity returns an error if the response names another request.
+// checkIdentity returns an error if the response names another request. The connection of
+// one that names none is not used again.
 func (s *Service) checkIdentity(resp *exchange.Response, id string, to engine.Target) error {
 	echoed := resp.Header.Get(exchange.HeaderRequestID)
+	if echoed == "" {
+		resp.Body = exchange.SingleUse(resp.Body)
+	}
 	if echoed == "" || echoed == id || s.faults.skipIdentity {
 		return nil
 	}
