--- a/internal/coordination/entry/fake_ports_test.go
+++ b/internal/coordination/entry/fake_ports_test.go
@@ -51,6 +51,21 @@
 	return list[f.rng.IntN(len(list))]
 }
 
+// attemptFault draws the fault of an attempt that begins now.
+func (f *fakePorts) attemptFault() string {
+	f.mu.Lock()
+	list := f.faults
+	f.mu.Unlock()
+	return f.draw(list)
+}
+
+// setFaults replaces the faults of the attempts that begin from now on.
+func (f *fakePorts) setFaults(faults ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = faults
+}
+
 func (f *fakePorts) violation(format string, args ...any) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -79,7 +94,7 @@
 	if customer != "" && !withLock(f.replica, func() bool { return f.replica.mayServe(customer) }) {
 		f.violation("%s was sent without a valid key or freshness lease", body)
 	}
-	fault := f.draw(f.faults)
+	fault := f.attemptFault()
 	if !f.alive(to.Name) || fault == "unreachable" {
 		return "", resultcode.New(resultcode.EndpointUnreachable, "connection refused")
 	}
@@ -135,7 +150,7 @@
 func (f *fakePorts) Open(ctx context.Context, to engine.Target, r engine.Request) (engine.Stream, error) {
 	s := &fakeStream{f: f, to: to, body: string(r.Body), next: r.ResumeFrom}
 	if r.ResumeFrom > 0 {
-		if !f.alive(to.Name) || f.draw(f.faults) == "refuse" {
+		if !f.alive(to.Name) || f.attemptFault() == "refuse" {
 			return nil, resultcode.New(resultcode.EndpointRefused, "not known")
 		}
 		if f.draw([]string{"", "repeat"}) == "repeat" {
