soak: repeated identifiers, endpoints that change theirs, copied refusals

The soak never brought a refused request back to the connection on which it was refused, so no play met a copy of its refusal there.

Callers now repeat the identifier of a refused request, at one entry and at others, and sometimes send it twice at a time; each of their requests is judged by its own answer and runs. A new series of faults renames endpoints on their open connections.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -19,8 +19,11 @@
 // outcome is the result of one request as its caller sees it.
 type outcome struct {
 	id, prefix string
-	sent       time.Time
-	status     int
+	// number tells requests with the same identifier apart. Each of them is a request of
+	// its own for the guarantees, so two of them may run once each.
+	number int
+	sent   time.Time
+	status int
 	// answerID is the identifier in the response, which may be missing.
 	answerID string
 	// complete reports that the response ended normally; body is what was received.
@@ -28,6 +31,9 @@
 	body     string
 }
 
+// key returns the key of the request among the runs of the endpoints.
+func (o *outcome) key() string { return standin.RunKey(o.id, o.number) }
+
 // callers send requests to the entries and record the outcomes.
 type callers struct {
 	fleet    *fleet
@@ -55,7 +61,9 @@
 func startCallers(f *fleet, seed int) *callers {
 	c := &callers{fleet: f, stop: make(chan struct{})}
 	for i := range callerCount {
-		c.wg.Go(func() { c.run(i, rand.New(rand.NewPCG(uint64(seed), uint64(100+i)))) })
+		c.wg.Go(func() {
+			c.run(i, rand.New(rand.NewPCG(uint64(seed), uint64(100+i))), rand.New(rand.NewPCG(uint64(seed), uint64(1000+i))))
+		})
 	}
 	return c
 }
@@ -63,7 +71,7 @@
 // run sends requests on a connection that is kept until it ends, and then on one to the
 // next entry. Half of the callers connect to the entry itself, so that they see what it
 // sends while it stops.
-func (c *callers) run(worker int, r *rand.Rand) {
+func (c *callers) run(worker int, r, repeats *rand.Rand) {
 	prefixes := []string{standin.PrefixNonIdempotent, standin.PrefixIdempotent, standin.PrefixStream, standin.PrefixNonIdempotent, standin.PrefixResumable}
 	s := &session{}
 	defer s.close()
@@ -74,17 +82,28 @@
 		case <-time.After(time.Duration(r.Int64N(int64(2 * callerInterval)))):
 		}
 		if !s.open() {
-			entry := (worker + i) % len(c.fleet.entries)
-			s.address = c.fleet.entryProxies[entry].Address()
-			if worker%2 == 0 {
-				s.address = c.fleet.entries[entry].callerAddress()
-			}
+			s.address = c.address(worker, worker+i)
 		}
-		o := c.send(s, prefixes[i%len(prefixes)], c.model(i, r), drawShape(r))
-		c.mu.Lock()
-		c.outcomes = append(c.outcomes, o)
-		c.mu.Unlock()
+		model, of := c.model(i, r), drawShape(r)
+		o := c.send(s, prefixes[i%len(prefixes)], model, of)
+		c.record(o)
+		c.repeat(o, s, worker, model, of, repeats)
+	}
+}
+
+// address returns the address at which a worker connects to an entry.
+func (c *callers) address(worker, entry int) string {
+	entry %= len(c.fleet.entries)
+	if worker%2 == 0 {
+		return c.fleet.entries[entry].callerAddress()
 	}
+	return c.fleet.entryProxies[entry].Address()
+}
+
+func (c *callers) record(o outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, o)
 }
 
 // model returns the model of a request. Demand moves from one to the next, so that
@@ -121,11 +140,17 @@
 
 // send sends one request with a new identifier.
 func (c *callers) send(s *session, prefix, model string, of shape) outcome {
-	o := outcome{id: standin.RequestID(c.lastID.Add(1), of.bodySize, of.answerSize), prefix: prefix, sent: time.Now()}
-	request, err := standin.NewRequest(s.address, prefix, o.id, soakKey, model, of.deadline)
+	return c.sendAgain(s, outcome{id: standin.RequestID(c.lastID.Add(1), of.bodySize, of.answerSize), prefix: prefix}, model, of.deadline)
+}
+
+// sendAgain sends one request with the identifier, prefix and number given.
+func (c *callers) sendAgain(s *session, o outcome, model string, deadline time.Duration) outcome {
+	o = outcome{id: o.id, prefix: o.prefix, number: o.number, sent: time.Now()}
+	request, err := standin.NewRequest(s.address, o.prefix, o.id, soakKey, model, deadline)
 	if err != nil {
 		return o
 	}
+	standin.SetNumber(request, o.number)
 	s.exchange(request, &o)
 	return o
 }
@@ -198,7 +223,7 @@
 // findViolation compares an outcome with the runs that endpoints recorded. It
 // returns a description of the violated guarantee, or "" if there is none.
 func findViolation(f *standin.Fleet, o outcome) string {
-	runs := f.Runs(o.id)
+	runs := f.Runs(o.key())
 	for _, r := range runs {
 		if r.Customer != "customer" {
 			return fmt.Sprintf("ran for customer %q", r.Customer)
@@ -227,7 +252,7 @@
 	if o.complete && o.body != want {
 		return fmt.Sprintf("complete response of %d bytes differs from that of its endpoint, of %d bytes: %q", len(o.body), len(want), excerpt(o.body))
 	}
-	if !o.complete && !f.Endless(o.id) && !strings.HasPrefix(want, o.body) {
+	if !o.complete && !f.Endless(o.key()) && !strings.HasPrefix(want, o.body) {
 		return fmt.Sprintf("partial response is not a prefix of that of its endpoint: %q", excerpt(o.body))
 	}
 	return ""
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -8,7 +8,10 @@
 // end and read whatever arrives as the response to what they have just sent. Processes
 // are killed, paused, stopped and restarted by signals, in series that overlap; a control
 // VM may lose its data directory. Endpoints refuse, answer early, cut heads and bodies,
-// repeat answers, and restart on their address (standin.Faults). The operator evacuates
+// repeat answers, restart on their address, and change their identifier on their open
+// connections (standin.Faults). Callers repeat the identifier of a refused request, at one
+// entry and at others, or send it twice at a time; each request of theirs is judged by its
+// own answer and its own runs, which a number in the query tells apart. The operator evacuates
 // and restores a data centre again and again. Links between daemons are disturbed only
 // by pausing processes, since daemons know each other by address. All choices come from
 // a seed, but timing is that of the machine: a seed repeats the sequence of faults, not
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -37,6 +37,9 @@
 	s.series(300*time.Millisecond, 1500*time.Millisecond, s.entrySeries)
 	s.series(time.Second, 3*time.Second, s.controlSeries)
 	s.series(200*time.Millisecond, time.Second, s.endpointSeries)
+	// The other series draw the same faults as before this one was added.
+	s.rng = rand.New(rand.NewPCG(r.Uint64(), 8))
+	s.series(300*time.Millisecond, 1200*time.Millisecond, s.renameSeries)
 	slices.SortStableFunc(s.events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
 	return s
 }
@@ -136,12 +139,40 @@
 	s.add(at, func() { e.SetFaults(faults, seed) })
 }
 
+// renameSeries changes the identifier of an endpoint on its open connections, while the
+// other plain endpoints are slow, so that requests wait until the list shows the new one.
+func (s *script) renameSeries(at time.Duration) {
+	const (
+		longestLag = time.Second
+		slowWork   = 200 * time.Millisecond
+	)
+	e, n := pick(s, s.fleet.servers), len(s.events)
+	for i := range 1 + s.rng.IntN(3) {
+		lag := time.Duration(s.rng.Int64N(int64(longestLag)))
+		s.add(at, func() {
+			id := e.Name()
+			e.Rename(fmt.Sprintf("%s_%d_%d", id[:min(len(id), len("e-0"))], n, i), lag)
+		})
+		for _, other := range s.fleet.servers {
+			if other != e {
+				s.add(at, func() { other.SetWork(slowWork) })
+				s.add(at+lag, func() { other.SetWork(standin.RequestTime) })
+			}
+		}
+		at += s.between(50*time.Millisecond, 500*time.Millisecond)
+	}
+}
+
+// copyRate is the share of the refused requests under way again that get a copy of their
+// refusal.
+const copyRate = 0.7
+
 // drawFaults returns some of the faults of an endpoint, each with a high or a low rate.
 func (s *script) drawFaults() standin.Faults {
 	rate := func() float64 { return []float64{0, 0, 0.03, 0.2}[s.rng.IntN(4)] }
 	return standin.Faults{
 		Refuse: rate(), Early: rate(), CutHead: rate() / 2, CutBody: rate() / 2, NoLength: rate(), Drop: rate() / 2,
-		Repeat: rate(), Unnamed: s.rng.Float64(), Garbage: rate() / 2, LateOrder: rate(), Endless: rate() / 4,
+		Repeat: rate(), Unnamed: s.rng.Float64(), Garbage: rate() / 2, LateOrder: rate(), Endless: rate() / 4, Copy: copyRate,
 	}
 }
 
@@ -225,6 +256,7 @@
 	}
 	for _, e := range f.servers {
 		e.SetFaults(standin.Faults{}, 0)
+		e.SetWork(standin.RequestTime)
 	}
 	for _, p := range f.processes() {
 		p.resume()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -90,7 +90,7 @@
 	}
 	f.checkLastCatalog(acked)
 	served, statuses := f.checkOutcomes(outcomes)
-	t.Logf("seed %d: %d requests, %d served, %v by status, catalog %d, %d runs, %d MB at most in an entry", seed, len(outcomes), served, statuses, acked, f.endpoints.Total(), f.peakMemory/1e6)
+	t.Logf("seed %d: %d requests, %d served, %v by status, catalog %d, %d runs, %d copies of refusals, %d MB at most in an entry", seed, len(outcomes), served, statuses, acked, f.endpoints.Total(), f.endpoints.Copies(), f.peakMemory/1e6)
 	if t.Failed() {
 		f.saveLogs(seed)
 	}
@@ -103,7 +103,7 @@
 	for _, o := range outcomes {
 		statuses[o.status]++
 		if violation := findViolation(f.endpoints, o); violation != "" {
-			f.t.Errorf("request %s to %s at %s: %s", o.id, o.prefix, o.sent.Format(time.TimeOnly), violation)
+			f.t.Errorf("request %s, number %d, to %s at %s: %s", o.id, o.number, o.prefix, o.sent.Format(time.TimeOnly), violation)
 		}
 		if o.status == http.StatusOK && o.complete {
 			served++
