soak: a part of the short play for refusals that name no request

TestCopiedRefusalsAreNotBelieved gets a part of one second in which each answer is followed by a refusal that names no request.

--- a/soak/copies_test.go
+++ b/soak/copies_test.go
@@ -25,14 +25,16 @@
 
 // Guards against a copy of a refusal that is believed when the refused request is under way
 // again on the same connection: it then runs twice, or although it is refused. It gets
-// there again under another identifier of the endpoint, or since the caller repeats it.
+// there again under another identifier of the endpoint, or since the caller repeats it. Also
+// guards against a refusal that names no request and is believed.
 func TestCopiedRefusalsAreNotBelieved(t *testing.T) {
 	const seed = 9011
 	refusals := standin.Faults{Refuse: 0.3, Early: 0.3, Copy: 1}
 	plays := []copyPlay{
 		{name: "endpoints change their identifier", entries: 1, callers: 40, faults: standin.Faults{Copy: 1}, work: 700 * time.Millisecond, rename: 900 * time.Millisecond, length: 4 * time.Second},
-		{name: "callers repeat an identifier", entries: 1, callers: 4, repeats: 3, faults: refusals, work: standin.RequestTime, length: 2 * time.Second},
+		{name: "callers repeat an identifier", entries: 1, callers: 4, repeats: 3, faults: refusals, work: standin.RequestTime, length: 1500 * time.Millisecond},
 		{name: "callers repeat an identifier at two entries", entries: 2, callers: 4, repeats: 3, faults: refusals, work: standin.RequestTime, length: 2 * time.Second},
+		{name: "refusals name no request", entries: 1, callers: 8, faults: standin.Faults{Refuse: 0.1, Repeat: 1, Unnamed: 1}, work: standin.RequestTime, length: time.Second},
 	}
 	f := newFleet(t, seed, buildDaemon(t), size{control: 3, entries: 2})
 	f.putFirstCatalog(standin.RouteTimeout)
