--- a/internal/coordination/directory/relay.go
+++ b/internal/coordination/directory/relay.go
@@ -281,3 +281,8 @@
 func (s Service) Load(ctx context.Context, r *peerv1.LoadRequest) (*peerv1.LoadResponse, error) {
 	return s.Leader.Load(ctx, r)
 }
+
+// Streams records at which software versions streams began, and answers for others.
+func (s Service) Streams(ctx context.Context, r *peerv1.StreamsRequest) (*peerv1.StreamsResponse, error) {
+	return s.Leader.Streams(ctx, r)
+}
--- a/internal/coordination/directory/types.go
+++ b/internal/coordination/directory/types.go
@@ -18,6 +18,8 @@
 	// evacuated. The directory sets it; the platform does not know it.
 	Evacuated bool
 	Models    []Resident
+	// SoftwareVersion is the version of the endpoint's software. Versions have no order.
+	SoftwareVersion string
 	// WarmUpLeft is how much longer the endpoint warms up by the platform's list.
 	WarmUpLeft time.Duration
 }
--- a/internal/coordination/pool/table.go
+++ b/internal/coordination/pool/table.go
@@ -35,6 +35,9 @@
 	Draining map[string]bool
 	// KVTotal is the size of the KV cache in tokens; zero if unknown.
 	KVTotal int
+	// VersionsDiffer is set while the service has, or lately had, endpoints of several
+	// software versions.
+	VersionsDiffer bool
 	// WarmingUp endpoints get at most WarmUpRate requests per second from all entries
 	// together. WarmUpTime is how long endpoints of the service warm up after a start.
 	// Both are zero for services without a warm-up.
@@ -124,6 +127,8 @@
 	// Exclude lists endpoints that this request was already sent to, Avoid those
 	// that its entry cannot reach now.
 	Exclude, Avoid []string
+	// SoftwareVersion restricts the request to endpoints with that version; empty for any.
+	SoftwareVersion string
 	// Preference seeds the order in which the entry that sends the request
 	// prefers engines. DataCentre is the data centre of that entry.
 	Preference uint64
--- a/internal/protocol/peerrpc/directory.go
+++ b/internal/protocol/peerrpc/directory.go
@@ -20,6 +20,7 @@
 	Follow(ctx context.Context, r *peerv1.FollowRequest) (*peerv1.FollowResponse, error)
 	Load(ctx context.Context, r *peerv1.LoadRequest) (*peerv1.LoadResponse, error)
 	Report(ctx context.Context, r *peerv1.EvidenceReport) (*peerv1.EvidenceResponse, error)
+	Streams(ctx context.Context, r *peerv1.StreamsRequest) (*peerv1.StreamsResponse, error)
 }
 
 // NewDirectoryHandler returns an HTTP handler for the Directory service and the
@@ -54,6 +55,11 @@
 	return resp, toTwirp(err)
 }
 
+func (s directoryServer) Streams(ctx context.Context, r *peerv1.StreamsRequest) (*peerv1.StreamsResponse, error) {
+	resp, err := s.directory.Streams(ctx, r)
+	return resp, toTwirp(err)
+}
+
 // Watch sends a long-poll request for changes to the Directory service of the
 // control VM at address. The call times out after the hold time of the request plus
 // directoryMargin.
@@ -91,6 +97,14 @@
 	return resp, t.callError(address, err, resultcode.NoLeader)
 }
 
+// Streams calls Streams of the directory at address.
+func (t *Transport) Streams(ctx context.Context, address string, r *peerv1.StreamsRequest) (*peerv1.StreamsResponse, error) {
+	ctx, cancel := withDefaultTimeout(ctx, directoryMargin)
+	defer cancel()
+	resp, err := t.directory(address).Streams(ctx, r)
+	return resp, t.callError(address, err, resultcode.NoLeader)
+}
+
 func (t *Transport) directory(address string) peerv1.Directory {
 	return peerv1.NewDirectoryProtobufClient(t.baseURL(address), t.client(address))
 }
