replicated state: recent software versions

Cause: a new leader has to know which versions streams may have begun at, and the memory of a leader is lost with it.

--- a/internal/state/fleet/machine.go
+++ b/internal/state/fleet/machine.go
@@ -48,7 +48,8 @@
 	orders         *order.Ledger
 	suspects       suspects
 	catalog        *statev1.Catalog
-	quarantine     *statev1.QuarantineRecord // never modified
+	quarantine     *statev1.QuarantineRecord  // never modified
+	recentVersions *statev1.PutRecentVersions // never modified
 	evacuations    evacuations
 	faults         faults
 	proposerWallMs uint64 // wall clock of the last sync batch; used only with faults.wallClock
@@ -110,6 +111,8 @@
 	case *statev1.Command_PutQuarantine:
 		m.putQuarantine(op.PutQuarantine)
 		return &statev1.Result{}
+	case *statev1.Command_PutRecentVersions:
+		return m.putRecentVersions(op.PutRecentVersions)
 	case *statev1.Command_SetEvacuation:
 		return m.evacuations.set(m.now, c.GetAuthor(), op.SetEvacuation)
 	case *statev1.Command_SuspectReport:
--- a/internal/state/fleet/snapshot.go
+++ b/internal/state/fleet/snapshot.go
@@ -18,18 +18,19 @@
 func (m *Machine) Capture() (encode func() ([]byte, error)) {
 	ids, results := m.requests.save()
 	s := &statev1.MachineSnapshot{
-		FleetTimeMs: m.now,
-		Config:      &statev1.Config{Version: m.config.GetVersion(), Keys: m.config.GetKeys()},
-		Versions:    m.history.save(),
-		Requests:    results,
-		RequestIds:  ids,
-		Accounts:    m.accounts.Save(),
-		Claims:      m.claims.Save(),
-		Orders:      m.orders.Save(),
-		Suspects:    m.suspects.save(),
-		Catalog:     m.catalog,
-		Quarantine:  m.quarantine,
-		Evacuations: m.evacuations.save(),
+		FleetTimeMs:    m.now,
+		Config:         &statev1.Config{Version: m.config.GetVersion(), Keys: m.config.GetKeys()},
+		Versions:       m.history.save(),
+		Requests:       results,
+		RequestIds:     ids,
+		Accounts:       m.accounts.Save(),
+		Claims:         m.claims.Save(),
+		Orders:         m.orders.Save(),
+		Suspects:       m.suspects.save(),
+		Catalog:        m.catalog,
+		Quarantine:     m.quarantine,
+		Evacuations:    m.evacuations.save(),
+		RecentVersions: m.recentVersions,
 	}
 	s.Sessions, s.EndedSessions = m.sessions.save()
 	return func() ([]byte, error) {
@@ -68,6 +69,7 @@
 	m.suspects.load(s.GetSuspects())
 	m.catalog = s.GetCatalog()
 	m.quarantine = s.GetQuarantine()
+	m.recentVersions = s.GetRecentVersions()
 	m.evacuations.load(s.GetEvacuations())
 	return nil
 }
