directory: the leader knows the software versions of services and streams

Cause: nobody can tell at which software version a stream began, so that it may be continued at another one.

Change: StreamVersions holds the recent versions of each service and the recorded streams of a term, without I/O. Endpoints of a version are published once the replicated state has it; the first list of a fleet follows the commit at once. A new leader first declares nothing in its term, so that earlier leaders' declarations have no effect any more, and then reads the set. Streams records reports and answers queries after a quorum has confirmed the term. The state of a save is shared with the quarantine's. A packed list is dropped when an endpoint changes its version.

--- a/internal/coordination/directory/doc.go
+++ b/internal/coordination/directory/doc.go
@@ -20,12 +20,18 @@
 // confirm that its copy is recent serves no entry. Therefore an endpoint that left, or
 // a key that was withdrawn, does not come back with a restart or a change of leader.
 //
+// Invariant of software versions: an endpoint is in a published list only if the
+// replicated state has its version, and a version stays there for streamMemory after the
+// last list that had it. So no stream can have begun at a version that a leader does not
+// know of.
+//
 // Invariant of orders: an order is sent only by a VM that has confirmed its leadership
 // just before, with the fencing token of its term and with the engine's sequence on
 // which it was decided. An engine refuses an order with any other sequence, so that
 // orders which arrive late change nothing.
 //
-// Planner, Levels, Shares, Suspects and relayState decide and do no I/O. Server, on the
-// leader, and Relay drive them. All state is held in memory; each new leader builds its
-// own from scratch.
+// Planner, Levels, Shares, Suspects, StreamVersions and relayState decide and do no I/O.
+// Server, on the leader, and Relay drive them. All state is held in memory; each new
+// leader builds its own from scratch, but for the quarantine, the evacuations and the
+// recent software versions, which are replicated.
 package directory
--- a/internal/coordination/directory/follow.go
+++ b/internal/coordination/directory/follow.go
@@ -26,7 +26,7 @@
 		if s.frozenLocked() {
 			term = 0
 		}
-		hasChanges := s.mu.listed && (r.GetEpoch() != term || r.GetEndpointsVersion() != s.mu.published.version)
+		hasChanges := s.publishableLocked() && (r.GetEpoch() != term || r.GetEndpointsVersion() != s.mu.published.version)
 		hasChanges = hasChanges || r.GetSuspects().GetVersion() != s.suspectsVersionLocked()
 		s.mu.Unlock()
 		if term == 0 {
@@ -114,7 +114,7 @@
 			})
 		}
 	}
-	if !s.mu.listed {
+	if !s.publishableLocked() {
 		return out, nil
 	}
 	u, err := s.mu.published.since(r.GetEpoch(), r.GetEndpointsVersion())
--- a/internal/coordination/directory/list.go
+++ b/internal/coordination/directory/list.go
@@ -83,13 +83,15 @@
 
 // put records a change of an endpoint. An older packed list is dropped if the endpoint
 // has become evacuated or begun to warm up: a reader would send to it without restriction
-// until the next delta.
+// until the next delta. So it is if its software version has changed: a reader would take
+// streams that begin there for streams of the old version.
 func (l *endpointList) put(e *peerv1.DirectoryEndpoint) {
 	var before *peerv1.DirectoryEndpoint
 	if old := l.endpoints[e.GetId()]; old != nil {
 		before = old.message
 	}
-	if (e.GetEvacuated() && !before.GetEvacuated()) || (e.GetWarmingUp() && !before.GetWarmingUp()) {
+	otherVersion := before != nil && e.GetSoftwareVersion() != before.GetSoftwareVersion()
+	if otherVersion || (e.GetEvacuated() && !before.GetEvacuated()) || (e.GetWarmingUp() && !before.GetWarmingUp()) {
 		l.packed = packedList{}
 	}
 	l.endpoints[e.GetId()] = &published{message: e, version: l.version}
--- a/internal/coordination/directory/poll.go
+++ b/internal/coordination/directory/poll.go
@@ -30,6 +30,7 @@
 			s.cfg.Log.Warn("platform's list could not be read", "took_ms", took.Milliseconds(), "error", err)
 		}
 		s.setList(term, list, took, err)
+		s.saveVersions(ctx) // at once: endpoints of new versions wait for it
 	}()
 }
 
@@ -108,6 +109,7 @@
 	s.mu.reports.removeUnlisted(endpointIDs(list))
 	s.mu.planner.SetEndpoints(list)
 	s.mu.warmUps.SetList(s.now(), requestedAt, list, s.serviceLocked)
+	changed = s.setVersionsLocked(list) || changed
 	if s.applyWarmUpsLocked() || changed {
 		s.publishLocked() // at once: a leaving endpoint must not get new requests
 	}
@@ -151,6 +153,8 @@
 		switch {
 		case !known:
 			s.cfg.Log.Info("endpoint added", "endpoint", e.ID, "service", e.Service, "address", e.Address, "leaving", e.Leaving)
+		case e.SoftwareVersion != before.SoftwareVersion:
+			s.cfg.Log.Info("endpoint's software version changed", "endpoint", e.ID, "service", e.Service, "version", e.SoftwareVersion, "before", before.SoftwareVersion)
 		case e.Leaving && !before.Leaving:
 			s.cfg.Log.Info("endpoint leaving", "endpoint", e.ID, "service", e.Service)
 		}
@@ -161,7 +165,7 @@
 }
 
 func sameEndpoint(a, b Endpoint) bool {
-	return a.ID == b.ID && a.Address == b.Address && a.Leaving == b.Leaving && a.Evacuated == b.Evacuated && a.Service == b.Service && a.Slots == b.Slots
+	return a.ID == b.ID && a.Address == b.Address && a.Leaving == b.Leaving && a.Evacuated == b.Evacuated && a.Service == b.Service && a.Slots == b.Slots && a.SoftwareVersion == b.SoftwareVersion
 }
 
 // startReports requests reports from the engines for which they are due.
--- a/internal/coordination/directory/publish.go
+++ b/internal/coordination/directory/publish.go
@@ -26,12 +26,15 @@
 	})
 }
 
-// publishLocked publishes a new version with all changes since the last one.
+// publishLocked publishes a new version with all changes since the last one. It has the
+// listed endpoints whose software version is committed.
 func (s *Server) publishLocked() {
 	s.mu.publishedAt = s.now()
 	endpoints := make([]*peerv1.DirectoryEndpoint, 0, len(s.mu.list))
 	for _, e := range s.mu.list {
-		endpoints = append(endpoints, s.describeLocked(e))
+		if s.mu.versions.Published(versionOf(e)) {
+			endpoints = append(endpoints, s.describeLocked(e))
+		}
 	}
 	s.mu.published.publish(endpoints)
 	close(s.mu.changed)
@@ -42,7 +45,8 @@
 	out := &peerv1.DirectoryEndpoint{
 		Id: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
 		Slots: uint32(e.Slots), Leaving: e.Leaving, Evacuated: e.Evacuated,
-		WarmingUp: s.mu.warmUps.Warming(e.ID),
+		WarmingUp:       s.mu.warmUps.Warming(e.ID),
+		SoftwareVersion: e.SoftwareVersion, VersionsDiffer: s.mu.versions.Differ(e.Service),
 	}
 	p := s.mu.planner.engines[e.ID]
 	if p == nil {
--- a/internal/coordination/directory/publish_test.go
+++ b/internal/coordination/directory/publish_test.go
@@ -122,12 +122,14 @@
 }
 
 // Guards against an entry that starts after an evacuation, or after endpoints began to
-// warm up, and gets an older packed list that does not say so.
-func TestPackedListHasEvacuationsAndWarmUps(t *testing.T) {
+// warm up or changed their software version, and gets an older packed list that does not
+// say so.
+func TestPackedListHasEvacuationsWarmUpsAndVersions(t *testing.T) {
 	plain := &peerv1.DirectoryEndpoint{Id: "e"}
 	for name, restricted := range map[string]*peerv1.DirectoryEndpoint{
 		"evacuated":  {Id: "e", Evacuated: true},
 		"warming up": {Id: "e", WarmingUp: true},
+		"updated":    {Id: "e", SoftwareVersion: "v2"},
 	} {
 		leader, copied := newEndpointList(), newEndpointList()
 		leader.begin(1, 0)
--- a/internal/coordination/directory/quarantine.go
+++ b/internal/coordination/directory/quarantine.go
@@ -32,11 +32,10 @@
 
 // quarantineSave is what the replicated state is known to have.
 type quarantineSave struct {
-	traits   map[suspect.Trait]savedTrait
-	inFlight bool
-	// next is when the next save may begin, nextSuspicion when one may begin for open
-	// suspicions only.
-	next, nextSuspicion time.Duration
+	saveState
+	traits map[suspect.Trait]savedTrait
+	// nextSuspicion is when a save may begin for open suspicions only.
+	nextSuspicion time.Duration
 }
 
 // savedTrait is a trait as it was saved.
@@ -47,7 +46,7 @@
 
 // due reports whether a list of suspects is to be saved now.
 func (q *quarantineSave) due(now time.Duration, list []suspect.Suspect) bool {
-	if q.inFlight || now < q.next {
+	if !q.mayBegin(now) {
 		return false
 	}
 	return q.quarantineChanged(list) || now >= q.nextSuspicion && q.suspicionsChanged(list)
@@ -131,7 +130,7 @@
 			LastCrashMs: uint64(max(0, now-t.Last).Milliseconds()),
 		})
 	}
-	save.inFlight = true
+	save.begin()
 	go func() {
 		err := s.cfg.Quarantine.PutQuarantine(ctx, declared)
 		s.quarantineSaved(declared.GetTerm(), list, err)
@@ -143,10 +142,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	save := &s.mu.quarantineSave
-	save.inFlight = false
+	save.end(s.now(), err, quarantineRetryDelay)
 	save.nextSuspicion = s.now() + suspicionSaveInterval
 	if err != nil {
-		save.next = s.now() + quarantineRetryDelay
 		s.cfg.Log.Warn("quarantine not saved", "term", term, "traits", len(list), "error", err)
 		return
 	}
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -81,7 +81,10 @@
 	Quarantine QuarantineStore
 	// Evacuations may be nil if no data centre is ever evacuated.
 	Evacuations EvacuationStore
-	Platform    Platform
+	// Versions may be nil if this VM is never replaced as the leader: without it no other
+	// leader learns which software versions are in use.
+	Versions VersionStore
+	Platform Platform
 	// Decode decodes a catalog's document.
 	Decode func(document []byte) (*catalog.Catalog, error)
 	// Holder names this VM in orders.
@@ -99,6 +102,10 @@
 	EngineOrder(kind string)
 	// WarmingEndpoints records how many endpoints warm up by the leader's list.
 	WarmingEndpoints(n int)
+	// RecordedStreams records for how many streams the leader knows the software version.
+	RecordedStreams(n int)
+	// StreamAnswer counts an answer about a stream by its kind, a StreamAnswer.
+	StreamAnswer(kind string)
 }
 
 // Server is the directory of one control VM. It is safe for concurrent use.
@@ -121,6 +128,9 @@
 		suspectsVersion uint64
 		quarantineSave  quarantineSave
 		evacuations     evacuations
+		versions        *StreamVersions
+		versionsSave    versionsSave
+		countedStreams  int        // as last recorded in the metrics
 		list            []Endpoint // as the platform lists them
 		listed          bool
 		published       *endpointList // as sent to the control VMs
@@ -181,6 +191,8 @@
 	if term == 0 {
 		return
 	}
+	s.saveVersions(ctx)
+	s.countStreams()
 	s.updateEvacuations(ctx)
 	s.updateCatalog(ctx)
 	s.updateWarmUps()
@@ -266,6 +278,8 @@
 	s.mu.levels = NewLevels()
 	s.mu.watchers = newWatchers()
 	s.mu.suspects, s.mu.listedSuspects, s.mu.suspectsVersion = suspect.New(), nil, 0
+	s.mu.versions, s.mu.versionsSave = NewStreamVersions(s.cfg.Versions != nil), versionsSave{}
+	s.countStreamsLocked()
 	s.mu.list, s.mu.listed = nil, false
 	s.mu.nextList, s.mu.listInFlight = 0, false
 	s.mu.reports, s.mu.allPolled = newReportScheduler(s.now()), false
--- a/internal/coordination/directory/streams.go
+++ b/internal/coordination/directory/streams.go
@@ -2,11 +2,99 @@
 
 import (
 	"context"
+	"time"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 )
 
-// Streams records at which software versions streams began, and answers for others.
-func (s *Server) Streams(_ context.Context, _ *peerv1.StreamsRequest) (*peerv1.StreamsResponse, error) {
-	return nil, notLeading()
+// Streams records at which software versions streams began, and answers for others. A
+// later leader may know versions that this one does not, so answers need a quorum that
+// confirms the leadership after the call arrived.
+func (s *Server) Streams(ctx context.Context, r *peerv1.StreamsRequest) (*peerv1.StreamsResponse, error) {
+	term, err := s.recordStreams(r.GetBegun())
+	if err != nil {
+		return nil, err
+	}
+	out := &peerv1.StreamsResponse{Term: term}
+	if len(r.GetQueries()) == 0 {
+		return out, nil
+	}
+	if err := s.confirmTerm(ctx, term); err != nil {
+		return nil, err
+	}
+	out.SoftwareVersions, err = s.answerStreams(term, r.GetQueries())
+	return out, err
+}
+
+// streamsTermLocked returns the term in which this VM can answer for streams.
+func (s *Server) streamsTermLocked() (uint64, error) {
+	if s.mu.term == 0 || s.frozenLocked() {
+		return 0, notLeading()
+	}
+	if !s.mu.listed || !s.mu.versions.Opened() {
+		return 0, errNotListed
+	}
+	return s.mu.term, nil
+}
+
+// recordStreams records reports and returns the term.
+func (s *Server) recordStreams(begun []*peerv1.BegunStream) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	term, err := s.streamsTermLocked()
+	if err != nil {
+		return 0, err
+	}
+	now := s.now()
+	for _, b := range begun {
+		s.mu.versions.Record(now, b.GetStream(), b.GetSoftwareVersion(), time.Duration(b.GetAgeMs())*time.Millisecond)
+	}
+	s.countStreamsLocked()
+	return term, nil
+}
+
+// confirmTerm returns an error unless a quorum confirms that this VM leads in the term.
+// The term is read last: this VM may have led in two terms.
+func (s *Server) confirmTerm(ctx context.Context, term uint64) error {
+	if _, err := s.cfg.Leadership.ConfirmOwnership(ctx); err != nil {
+		return err
+	}
+	if current, leading := s.cfg.Leadership.Leading(ctx); !leading || current != term {
+		return notLeading()
+	}
+	return nil
+}
+
+func (s *Server) answerStreams(term uint64, queries []*peerv1.StreamQuery) ([]string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if current, err := s.streamsTermLocked(); err != nil || current != term {
+		return nil, notLeading()
+	}
+	now := s.now()
+	out := make([]string, len(queries))
+	for i, q := range queries {
+		var kind StreamAnswer
+		out[i], kind = s.mu.versions.Answer(now, q.GetStream(), q.GetService())
+		s.cfg.Metrics.StreamAnswer(string(kind))
+	}
+	return out, nil
+}
+
+func (s *Server) countStreams() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.countStreamsLocked()
+}
+
+// countStreamsLocked records the number of recorded streams if it changed.
+func (s *Server) countStreamsLocked() {
+	n := 0
+	if s.mu.versions != nil {
+		n = s.mu.versions.Streams(s.now())
+	}
+	if n != s.mu.countedStreams {
+		s.mu.countedStreams = n
+		s.cfg.Metrics.RecordedStreams(n)
+	}
 }
--- a/internal/coordination/directory/warmups_test.go
+++ b/internal/coordination/directory/warmups_test.go
@@ -148,6 +148,8 @@
 
 func (noMetrics) EngineOrder(string)   {}
 func (noMetrics) WarmingEndpoints(int) {}
+func (noMetrics) RecordedStreams(int)  {}
+func (noMetrics) StreamAnswer(string)  {}
 
 // Guards against a planner that counts a slow engine as a whole replica, so that the
 // demand for its models stays there, and against one that takes such models for
--- a/internal/coordination/forward/recovery_test.go
+++ b/internal/coordination/forward/recovery_test.go
@@ -241,6 +241,8 @@
 
 func (noOrderMetrics) EngineOrder(string)   {}
 func (noOrderMetrics) WarmingEndpoints(int) {}
+func (noOrderMetrics) RecordedStreams(int)  {}
+func (noOrderMetrics) StreamAnswer(string)  {}
 
 func recoveryCatalog() *catalog.Catalog {
 	c := testCatalog()
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -88,7 +88,7 @@
 		log.Warn("invalid entry of the endpoint list skipped", "reason", reason)
 	}}
 	directoryServer := directory.New(directory.Config{
-		Leadership: server, Quarantine: server, Evacuations: server, Platform: endpoints, Decode: decodePackedCatalog,
+		Leadership: server, Quarantine: server, Evacuations: server, Versions: server, Platform: endpoints, Decode: decodePackedCatalog,
 		Holder: s.VM, OrderLease: s.Bounds.OrderLease, Metrics: metrics, Log: log,
 	})
 	relay := directory.NewRelay(directory.RelayConfig{
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -48,16 +48,24 @@
 	OrderSetRole       = "set_role"
 )
 
+// Kinds of answers about the software version of a stream, which are label values.
+const (
+	StreamRecorded    = "recorded"
+	StreamOnlyVersion = "only_version"
+	StreamUnknown     = "unknown"
+)
+
 // Metrics holds the instruments of one process. All methods are safe for
 // concurrent use, and none blocks.
 type Metrics struct {
-	handler    http.Handler
-	provider   *sdk.MeterProvider
-	known      atomic.Pointer[names]
-	codes      map[resultcode.Code]metric.MeasurementOption
-	reasons    map[string]metric.MeasurementOption
-	orderKinds map[string]metric.MeasurementOption
-	other      metric.MeasurementOption
+	handler     http.Handler
+	provider    *sdk.MeterProvider
+	known       atomic.Pointer[names]
+	codes       map[resultcode.Code]metric.MeasurementOption
+	reasons     map[string]metric.MeasurementOption
+	orderKinds  map[string]metric.MeasurementOption
+	other       metric.MeasurementOption
+	answerKinds map[string]metric.MeasurementOption
 
 	refusals       metric.Int64Counter
 	retries        metric.Int64Counter
@@ -87,6 +95,8 @@
 	slotDecisions  metric.Int64Counter
 	leaderWarming  metric.Int64Gauge
 	entryWarming   metric.Int64Gauge
+	streams        metric.Int64Gauge
+	streamAnswers  metric.Int64Counter
 	callerMemory   metric.Int64Gauge
 	closedConns    metric.Int64Counter
 }
@@ -116,11 +126,12 @@
 		return nil, fmt.Errorf("create the Prometheus exporter: %w", err)
 	}
 	m := &Metrics{
-		handler:    promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
-		provider:   sdk.NewMeterProvider(sdk.WithReader(exporter), sdk.WithCardinalityLimit(maxSeries)),
-		codes:      make(map[resultcode.Code]metric.MeasurementOption),
-		reasons:    make(map[string]metric.MeasurementOption),
-		orderKinds: make(map[string]metric.MeasurementOption),
+		handler:     promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		provider:    sdk.NewMeterProvider(sdk.WithReader(exporter), sdk.WithCardinalityLimit(maxSeries)),
+		codes:       make(map[resultcode.Code]metric.MeasurementOption),
+		reasons:     make(map[string]metric.MeasurementOption),
+		orderKinds:  make(map[string]metric.MeasurementOption),
+		answerKinds: make(map[string]metric.MeasurementOption),
 	}
 	m.buildLabels()
 	m.SetKnown(nil, nil)
@@ -140,6 +151,9 @@
 	for _, reason := range []string{RetryResume, RetryExclusive} {
 		m.reasons[reason] = label("reason", reason)
 	}
+	for _, kind := range []string{StreamRecorded, StreamOnlyVersion, StreamUnknown, Other} {
+		m.answerKinds[kind] = label("kind", kind)
+	}
 	for _, kind := range []string{OrderLoadModel, OrderUnloadModel, OrderLoadAdapter, OrderUnloadAdapter, OrderSetRole, Other} {
 		m.orderKinds[kind] = label("kind", kind)
 	}
@@ -221,6 +235,8 @@
 	m.freshnessLease = i.gauge("radishloom.freshness.lease", "", "1 while the freshness lease is valid.")
 	m.leaderWarming = i.gauge("radishloom.leader.endpoints.warming", "", "Endpoints that warm up, as the leader knows.")
 	m.entryWarming = i.gauge("radishloom.entry.endpoints.warming", "", "Endpoints that this entry treats as warming up.")
+	m.streams = i.gauge("radishloom.streams.recorded", "", "Streams whose software version this VM knows, if it leads.")
+	m.streamAnswers = i.counter("radishloom.stream.version.answers", "Answers of the leader about the software version of streams, by kind.")
 	m.openRequests = i.gauge("radishloom.open.requests", "", "Open requests of callers at this VM.")
 	m.callerMemory = i.gauge("radishloom.caller.memory", "By", "Memory reserved for callers by kind, and the total that may be.")
 	m.closedConns = i.counter("radishloom.connections.closed", "Connections of callers that this VM closed or refused, by reason.")
@@ -401,6 +417,18 @@
 	m.leaderWarming.Record(context.Background(), int64(n))
 }
 
+// RecordedStreams records for how many streams the leader knows the software version.
+func (m *Metrics) RecordedStreams(n int) { m.streams.Record(context.Background(), int64(n)) }
+
+// StreamAnswer counts an answer of the leader about a stream by its kind.
+func (m *Metrics) StreamAnswer(kind string) {
+	option, ok := m.answerKinds[kind]
+	if !ok {
+		option = m.answerKinds[Other]
+	}
+	m.streamAnswers.Add(context.Background(), 1, option)
+}
+
 // EntryWarmingEndpoints records how many endpoints this entry treats as warming up.
 func (m *Metrics) EntryWarmingEndpoints(n int) {
 	m.entryWarming.Record(context.Background(), int64(n))
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -50,6 +50,8 @@
 	m.EvacuatedDataCentres(2)
 	m.WarmingEndpoints(4)
 	m.EntryWarmingEndpoints(5)
+	m.RecordedStreams(6)
+	m.StreamAnswer("only_version")
 	m.Freshness(9, true)
 	m.OpenRequests(3)
 	m.CallerMemory("bodies", 5)
@@ -83,6 +85,8 @@
 		`radishloom_evacuated_data_centres 2`,
 		`radishloom_leader_endpoints_warming 4`,
 		`radishloom_entry_endpoints_warming 5`,
+		`radishloom_streams_recorded 6`,
+		`radishloom_stream_version_answers_total{kind="only_version"} 1`,
 		`radishloom_config_version 9`,
 		`radishloom_freshness_lease 1`,
 		`radishloom_open_requests 3`,
