directory test: a stream without an attempt has no record

Cause: no test fails if a report for the stream zero is recorded, which then answers for each caller that does not state its attempt.

Change: such a report is part of the test with three versions.

Result: the broken variant is found.

--- a/internal/coordination/directory/streamversions_test.go
+++ b/internal/coordination/directory/streamversions_test.go
@@ -54,6 +54,7 @@
 	for i := range uint64(3) {
 		wantAnswer(t, v, time.Second, i+1, fmt.Sprint("v", i+1), StreamRecorded)
 	}
+	v.Record(0, 0, "v1", 0) // of a caller that did not state its attempt
 	wantAnswer(t, v, time.Second, 9, "", StreamUnknown)
 	wantAnswer(t, v, time.Second, 0, "", StreamUnknown)
 }
