pool: slots restricted to a software version

Cause: a broker cannot be asked for an endpoint of one software version, so an entry cannot keep a stream at the version that began it.

Change: Query.SoftwareVersion, which slot requests carry to brokers, treats endpoints of other versions like excluded ones. A restricted request whose version has no endpoint left that may be used and has its model and adapter is refused at once with no_endpoint, and orders no load, which might go to another version. The limit on waiters that a dispatch tries, and the count of requests in front, are kept by version: requests for the few full endpoints of one version would otherwise hold up those for another. Explain names the obstacle. TestSlotsAreReleasedUnderFaults draws versions.

--- a/internal/coordination/pool/broker.go
+++ b/internal/coordination/pool/broker.go
@@ -205,7 +205,7 @@
 			Service: r.GetService(), Model: r.GetModel(), Adapter: r.GetAdapter(), Affinity: r.GetAffinity(), Urgency: int(r.GetUrgency()),
 			PromptTokens: int(r.GetPromptTokens()), HeldTokens: int(r.GetHeldTokens()), Exclude: r.GetExclude(), Avoid: r.GetAvoid(),
 			Preference: preferenceOf(key.from.Address), DataCentre: r.GetDataCentre(), Paused: b.decodePauses(r),
-			Work: int(r.GetWork()), Customer: r.GetCustomer(),
+			Work: int(r.GetWork()), Customer: r.GetCustomer(), SoftwareVersion: r.GetSoftwareVersion(),
 		},
 		Target:   b.now + milliseconds(int64(r.GetTargetMs())),
 		Deadline: b.now + milliseconds(int64(r.GetWaitMs())),
@@ -416,6 +416,9 @@
 	b.noteContention(key, q.anyOnTime(b.now))
 	full := false
 	for _, w := range q.waiters {
+		if w.unservedVersion() {
+			continue // it is refused, and a load might be ordered at another version
+		}
 		switch w.reason {
 		case NoModel:
 			b.missing[MissingModel{Service: key.service, Model: key.model}] = true
--- a/internal/coordination/pool/choose.go
+++ b/internal/coordination/pool/choose.go
@@ -181,7 +181,13 @@
 // excluded reports whether a request may not be sent to an endpoint, whatever its
 // load.
 func (t *Table) excluded(now time.Duration, e *endpoint, q *Query) bool {
-	return e.outOfUse(now) || now < e.ejectedUntil || slices.Contains(q.Exclude, e.ID) || slices.Contains(q.Avoid, e.ID)
+	return e.outOfUse(now) || now < e.ejectedUntil || slices.Contains(q.Exclude, e.ID) || slices.Contains(q.Avoid, e.ID) || !e.hasVersion(q.SoftwareVersion)
+}
+
+// hasVersion reports whether an endpoint has the software version that a request is
+// restricted to.
+func (e *endpoint) hasVersion(version string) bool {
+	return version == "" || e.SoftwareVersion == version
 }
 
 // candidates returns the endpoints of the service that may have the model.
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -130,6 +130,7 @@
 		TargetMs: int32((req.target - c.now).Milliseconds()), WaitMs: int32((req.expires - c.now).Milliseconds()),
 		Exclude: q.Exclude, Avoid: c.avoidedEndpoints(), DataCentre: c.dataCentre, Paused: c.pauses(c.now),
 		Customer: q.Customer, Work: uint32(min(max(0, q.Work), math.MaxUint32)),
+		SoftwareVersion: q.SoftwareVersion,
 	})
 }
 
--- a/internal/coordination/pool/entry_test.go
+++ b/internal/coordination/pool/entry_test.go
@@ -358,7 +358,8 @@
 // requests.
 func TestSlotsAreReleasedUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFleet(4, []Endpoint{engineWith("e1", 2, "m", "n"), engineWith("e2", 2, "n")})
+		versions := map[string]string{"e1": "v1", "e2": "v2"}
+		f := newFleet(4, []Endpoint{versioned("e1", versions["e1"], 2, "m", "n"), versioned("e2", versions["e2"], 2, "n")})
 		loss := rapid.IntRange(0, 30).Draw(t, "loss in 100")
 		f.delays = func(string, string) []time.Duration {
 			if rapid.IntRange(0, 99).Draw(t, "fate") < loss {
@@ -406,9 +407,13 @@
 			default:
 				r := &request{entry: name, incarnation: f.entries[name]}
 				q := &Query{Service: "models", Model: rapid.SampledFrom([]string{"m", "n"}).Draw(t, "model"), PromptTokens: 10, HeldTokens: 10}
+				q.SoftwareVersion = rapid.SampledFrom([]string{"", "v1", "v2"}).Draw(t, "version")
 				r.slotRequest = f.request(name, q, 100*time.Millisecond, 400*time.Millisecond, func(o Outcome) {
 					r.outcomes++
 					r.grant = o.Grant
+					if r.grant != nil && q.SoftwareVersion != "" && versions[r.grant.EndpointID] != q.SoftwareVersion {
+						t.Fatalf("slot at %s for a request that is restricted to %s", r.grant.EndpointID, q.SoftwareVersion)
+					}
 				})
 				all = append(all, r)
 			}
--- a/internal/coordination/pool/explain.go
+++ b/internal/coordination/pool/explain.go
@@ -205,6 +205,8 @@
 			return "evacuated"
 		case slices.Contains(q.Avoid, e.ID):
 			return "unreachable"
+		case !e.hasVersion(q.SoftwareVersion):
+			return "other software version"
 		default:
 			return "ejected"
 		}
--- a/internal/coordination/pool/forecast.go
+++ b/internal/coordination/pool/forecast.go
@@ -151,12 +151,12 @@
 	return inUse
 }
 
-// endpointMask returns the set of endpoints that have the model and adapter of a
-// query, as bits by position in the list of endpoints of the model.
+// endpointMask returns the set of endpoints that have the model, adapter and software
+// version of a query, as bits by position in the list of endpoints of the model.
 func (t *Table) endpointMask(now time.Duration, q *Query) uint64 {
 	var mask uint64
 	for i, e := range t.candidates(q) {
-		if i < maxMaskBits && (q.Model == "" || e.has(now, q.Model, q.Adapter)) {
+		if i < maxMaskBits && e.hasVersion(q.SoftwareVersion) && (q.Model == "" || e.has(now, q.Model, q.Adapter)) {
 			mask |= 1 << i
 		}
 	}
@@ -232,33 +232,39 @@
 type aheadCounts struct {
 	now   time.Duration
 	table *Table
-	// position is the position in counts of an adapter. last is that of lastAdapter.
-	position    map[string]int
-	counts      []maskCount
-	lastAdapter string
-	last        int
+	// position is the position in counts of the requests with the same needs. last is
+	// that of lastNeeds.
+	position  map[endpointNeeds]int
+	counts    []maskCount
+	lastNeeds endpointNeeds
+	last      int
 }
 
+// endpointNeeds is what tells apart the endpoints for the requests of a queue.
+type endpointNeeds struct{ adapter, version string }
+
 func newAheadCounts(now time.Duration, t *Table) *aheadCounts {
-	return &aheadCounts{now: now, table: t, position: map[string]int{}, last: -1}
+	return &aheadCounts{now: now, table: t, position: map[endpointNeeds]int{}, last: -1}
 }
 
 func (a *aheadCounts) of(q *Query) int {
-	if a.last >= 0 && q.Adapter == a.lastAdapter {
+	needs := endpointNeeds{q.Adapter, q.SoftwareVersion}
+	if a.last >= 0 && needs == a.lastNeeds {
 		return a.last
 	}
-	at, known := a.position[q.Adapter]
+	at, known := a.position[needs]
 	if !known {
 		at = len(a.counts)
 		a.counts = append(a.counts, maskCount{mask: a.table.endpointMask(a.now, q)})
-		a.position[q.Adapter] = at
+		a.position[needs] = at
 	}
-	a.lastAdapter, a.last = q.Adapter, at
+	a.lastNeeds, a.last = needs, at
 	return at
 }
 
 // ahead returns how many requests compete with q at all of its endpoints. Those
-// that need an adapter of only some of these do not delay it at the others.
+// that need an adapter or a software version of only some of these do not delay it at
+// the others.
 func (a *aheadCounts) ahead(q *Query) int {
 	mask, n := a.counts[a.of(q)].mask, 0
 	for _, c := range a.counts {
--- a/internal/coordination/pool/futility.go
+++ b/internal/coordination/pool/futility.go
@@ -20,6 +20,8 @@
 	switch {
 	case w.reason <= NoModel && b.table.ServiceEvacuated(b.now, w.Query.Service):
 		return futility{code: resultcode.NoEndpoint, after: b.overloadRetryAfter()}, true
+	case w.unservedVersion():
+		return futility{code: resultcode.NoEndpoint}, true
 	case w.reason == NoModel && b.readyAt[key] > w.Deadline:
 		return futility{code: resultcode.ModelLoading, after: b.readyAt[key] - b.now}, true
 	case w.reason == NoEndpoints && len(w.Query.Exclude) > 0:
--- a/internal/coordination/pool/queue.go
+++ b/internal/coordination/pool/queue.go
@@ -120,8 +120,8 @@
 }
 
 // RefuseFutile removes the waiters that no endpoint takes before their wait ends, by
-// what the endpoints state, because all of them are evacuated, and by the expected wait
-// for a slot at a plain service.
+// what the endpoints state, because all of them are evacuated, because none has the software
+// version, and by the expected wait for a slot at a plain service.
 func (q *Queue) RefuseFutile(now time.Duration, t *Table) {
 	var refused []*Waiter
 	for _, w := range q.waiters {
@@ -144,10 +144,17 @@
 }
 
 // futile reports whether a request to a plain service waits in vain, by what the
-// endpoints state or because all of them are evacuated.
+// endpoints state, because all of them are evacuated, or because none has its software
+// version.
 func (w *Waiter) futile(now time.Duration, t *Table) bool {
 	return w.reason == Limited && t.AvailableAt(now, w.Query) > w.Deadline ||
-		w.reason == NoEndpoints && t.ServiceEvacuated(now, w.Query.Service)
+		w.reason == NoEndpoints && t.ServiceEvacuated(now, w.Query.Service) || w.unservedVersion()
+}
+
+// unservedVersion reports whether a request is restricted to a software version of which
+// no endpoint that may be used has its model and adapter.
+func (w *Waiter) unservedVersion() bool {
+	return w.Query.SoftwareVersion != "" && w.reason >= NoEndpoints && w.reason <= NoAdapter
 }
 
 func (q *Queue) refuse(w *Waiter) {
@@ -176,7 +183,7 @@
 			kept = append(kept, w)
 			continue
 		}
-		if reason, exhausted := full.exhausted(w.Query.Service); exhausted {
+		if reason, exhausted := full.exhausted(w.Query); exhausted {
 			w.reason = reason
 			kept = append(kept, w)
 			continue
@@ -186,7 +193,7 @@
 		if reservation == nil {
 			kept = append(kept, w)
 			if why >= Limited {
-				full.add(w.Query.Service, why)
+				full.add(w.Query, why)
 			}
 			continue
 		}
@@ -201,30 +208,32 @@
 	}
 }
 
-// fullCounts counts, by service, the waiters that a dispatch found no slot for.
+// fullCounts counts, by service and software version, the waiters that a dispatch found
+// no slot for.
 type fullCounts []fullCount
 
 type fullCount struct {
-	service string
-	waiters int
-	reason  UnavailableReason // of the last one
+	service, version string
+	waiters          int
+	reason           UnavailableReason // of the last one
 }
 
-func (c *fullCounts) add(service string, reason UnavailableReason) {
+func (c *fullCounts) add(q *Query, reason UnavailableReason) {
 	for i := range *c {
-		if f := &(*c)[i]; f.service == service {
+		if f := &(*c)[i]; f.service == q.Service && f.version == q.SoftwareVersion {
 			f.waiters++
 			f.reason = reason
 			return
 		}
 	}
-	*c = append(*c, fullCount{service, 1, reason})
+	*c = append(*c, fullCount{q.Service, q.SoftwareVersion, 1, reason})
 }
 
-// exhausted reports whether no more waiters for a service are tried, and why.
-func (c fullCounts) exhausted(service string) (UnavailableReason, bool) {
+// exhausted reports whether no more waiters with the service and the software version of
+// a query are tried, and why.
+func (c fullCounts) exhausted(q *Query) (UnavailableReason, bool) {
 	for _, f := range c {
-		if f.service == service {
+		if f.service == q.Service && f.version == q.SoftwareVersion {
 			return f.reason, f.waiters >= maxFullPerDispatch
 		}
 	}
--- a/internal/coordination/pool/table.go
+++ b/internal/coordination/pool/table.go
@@ -434,6 +434,15 @@
 	return e != nil && e.Evacuated
 }
 
+// SoftwareVersion returns the software version of an endpoint; empty if the endpoint is
+// unknown.
+func (t *Table) SoftwareVersion(id string) string {
+	if e := t.endpoints[id]; e != nil {
+		return e.SoftwareVersion
+	}
+	return ""
+}
+
 // ServiceEvacuated reports whether a service has no endpoint left to use because of an
 // evacuation. A request for it would wait in vain.
 func (t *Table) ServiceEvacuated(now time.Duration, service string) bool {
--- /dev/null
+++ b/internal/coordination/pool/version_test.go
@@ -0,0 +1,153 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/radishloom/radishloom/internal/coordination/directory"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// versioned returns an engine with a software version.
+func versioned(id, version string, slots int, models ...string) Endpoint {
+	e := engineWith(id, slots, models...)
+	e.SoftwareVersion = version
+	return e
+}
+
+// versionQuery is a request for the model m that is restricted to a software version.
+func versionQuery(version string) *Query {
+	return &Query{Service: "models", Model: "m", PromptTokens: 1, HeldTokens: 1, SoftwareVersion: version}
+}
+
+// Guards against a broker that grants an endpoint of another software version than the
+// one that a request is restricted to.
+func TestGrantsHaveTheSoftwareVersion(t *testing.T) {
+	f := newFleet(3, []Endpoint{versioned("e1", "v1", 4, "m"), versioned("e2", "v2", 4, "m"), versioned("e3", "v1.1", 4, "m")})
+	for _, name := range f.names {
+		var got Outcome
+		f.request(name, versionQuery("v1"), time.Second, time.Second, func(o Outcome) { got = o })
+		f.run(20 * time.Millisecond)
+		if got.Grant == nil || got.Grant.EndpointID != "e1" {
+			t.Fatalf("outcome %+v, want a slot at e1", got)
+		}
+	}
+}
+
+// Guards against a request that waits, or that loads its model somewhere, although no
+// endpoint that may be used has both the model and the software version.
+func TestUnservedSoftwareVersionIsRefusedAtOnce(t *testing.T) {
+	leaving := versioned("e1", "v1", 4, "m")
+	leaving.Leaving = true
+	q := versionQuery("v1")
+	q.Exclude = []string{"e1"}
+	adapter := versionQuery("v1")
+	adapter.Adapter = "a"
+	for name, test := range map[string]struct {
+		query *Query
+		list  []Endpoint
+	}{
+		"other version":       {versionQuery("v1"), []Endpoint{versioned("e2", "v2", 4, "m")}},
+		"no endpoint":         {versionQuery("v1"), nil},
+		"leaving":             {versionQuery("v1"), []Endpoint{leaving, versioned("e2", "v2", 4, "m")}},
+		"tried":               {q, []Endpoint{versioned("e1", "v1", 4, "m"), versioned("e2", "v2", 4, "m")}},
+		"without the model":   {versionQuery("v1"), []Endpoint{versioned("e1", "v1", 4, "n"), versioned("e2", "v2", 4, "m")}},
+		"without the adapter": {adapter, []Endpoint{versioned("e1", "v1", 4, "m")}},
+	} {
+		f := newFleet(3, test.list)
+		var got Outcome
+		f.request(f.names[0], test.query, time.Second, 2*time.Second, func(o Outcome) { got = o })
+		f.run(10 * time.Millisecond)
+		if got.Refusal != resultcode.NoEndpoint || got.RetryAfter != 0 {
+			t.Errorf("%s: outcome %+v, want an immediate refusal", name, got)
+		}
+		for _, e := range f.entries {
+			if missing := e.TakeMissingModels(); len(missing) > 0 {
+				t.Errorf("%s: asks to load %v", name, missing)
+			}
+		}
+		explained := f.entries[f.names[0]].Explain(f.now, test.query, f.now+time.Second, f.now+2*time.Second, &Queue{})
+		if explained.Refusal != resultcode.NoEndpoint {
+			t.Errorf("%s: explained as %+v", name, explained)
+		}
+	}
+}
+
+// Guards against a request that is refused although the endpoints of its version are
+// only full.
+func TestFullSoftwareVersionIsAwaited(t *testing.T) {
+	f := newFleet(3, []Endpoint{versioned("e1", "v1", 1, "m"), versioned("e2", "v2", 8, "m")})
+	var first, second Outcome
+	f.request(f.names[0], versionQuery("v1"), time.Second, time.Second, func(o Outcome) { first = o })
+	f.run(20 * time.Millisecond)
+	f.request(f.names[1], versionQuery("v1"), time.Second, time.Second, func(o Outcome) { second = o })
+	f.run(300 * time.Millisecond)
+	if second != (Outcome{}) {
+		t.Fatalf("outcome %+v, want the request to wait", second)
+	}
+	f.release(f.names[0], first.Grant, Succeeded)
+	f.run(20 * time.Millisecond)
+	if second.Grant == nil || second.Grant.EndpointID != "e1" {
+		t.Fatalf("outcome %+v, want a slot at e1", second)
+	}
+}
+
+// Guards against requests for the full endpoints of one version that keep others from
+// the free endpoints of another.
+func TestFullSoftwareVersionHoldsUpNoOther(t *testing.T) {
+	f := newFleet(1, []Endpoint{versioned("e1", "v1", 1, "m"), versioned("e2", "v2", 8, "m")})
+	for range 2 * maxFullPerDispatch {
+		f.request(f.names[0], versionQuery("v1"), time.Second, time.Second, func(Outcome) {})
+	}
+	var got Outcome
+	f.request(f.names[0], versionQuery("v2"), time.Second, time.Second, func(o Outcome) { got = o })
+	f.run(20 * time.Millisecond)
+	if got.Grant == nil {
+		t.Fatalf("outcome %+v, want a slot at e2", got)
+	}
+}
+
+// Guards against a stream of a plain service that goes on at another version, or that
+// waits although no endpoint has its version.
+func TestPlainServiceKeepsTheSoftwareVersion(t *testing.T) {
+	endpoint := func(id, version string) Endpoint {
+		return Endpoint{Endpoint: directory.Endpoint{ID: id, Service: "plain", Address: id + ":1", Slots: 1, SoftwareVersion: version}}
+	}
+	table, queue := NewTable(), &Queue{}
+	table.Update([]Endpoint{endpoint("p1", "v1"), endpoint("p2", "v2")})
+	granted, refused := map[string]int{}, 0
+	request := func(version string) {
+		queue.Add(&Waiter{
+			Query: &Query{Service: "plain", SoftwareVersion: version}, Target: time.Second, Deadline: time.Second,
+			Granted: func(r *Reservation) { granted[r.EndpointID]++ }, Refused: func() { refused++ },
+		})
+		queue.Dispatch(0, table)
+		queue.RefuseFutile(0, table)
+	}
+	request("v2")
+	request("v2")
+	if granted["p2"] != 1 || granted["p1"] != 0 || refused != 0 || queue.Len() != 1 {
+		t.Errorf("granted %v, %d refused, %d wait, want one at p2 and one that waits", granted, refused, queue.Len())
+	}
+	request("v3")
+	if refused != 1 {
+		t.Errorf("%d refused, want 1", refused)
+	}
+}
+
+// Guards against requests for the endpoints of one version that count as a queue in front
+// of those for another.
+func TestWaitBehindOtherSoftwareVersionsIsNotExpected(t *testing.T) {
+	table := NewTable()
+	table.Update([]Endpoint{versioned("e1", "v1", 1, "m"), versioned("e2", "v2", 1, "m")})
+	counts := newAheadCounts(0, table)
+	for range 3 {
+		counts.add(versionQuery("v1"))
+	}
+	counts.add(versionQuery(""))
+	for version, want := range map[string]int{"v1": 4, "v2": 1, "": 1} {
+		if got := counts.ahead(versionQuery(version)); got != want {
+			t.Errorf("version %q: %d requests in front, want %d", version, got, want)
+		}
+	}
+}
