forward: resume a broken stream at its software version only

Cause: an entry that relays a stream which breaks off asks any endpoint of the service for the rest. While two software versions serve, the caller gets one stream with events of both.

Change: StreamRegister records, when the first event of a resumable stream is passed on, the version of its endpoint by the entry's list. The rest is asked for at that version only, checked when the slot is granted, when the request is sent, and before the next event is passed on. Until an event has been passed on, any version may serve. A stream whose version cannot be told is not resumed: its endpoint is not in the list, changed its version between the send and the first event, or has another version in the next list while the stream began less than 5 s before the old list was last confirmed. The identifier of the last event is recorded when the event is passed on, no longer when it arrives. A counter and log fields show it. The endpoints of the test fixture get a version, since a stream without one is not resumed.

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -96,6 +96,13 @@
 	// endpointLeaving is set if the endpoint of the current send stated that it is
 	// leaving.
 	endpointLeaving bool
+
+	// stream identifies the stream that the request begins; zero without an identifier. current is the slot of the current send. begun is set once
+	// an event has been passed on of a stream that another endpoint may resume.
+	stream            uint64
+	current           *slot
+	begun             *begunStream
+	resumptionRefused bool
 }
 
 func (c *call) serve(r *http.Request) {
@@ -107,6 +114,7 @@
 	defer cancel()
 	c.ctx = ctx
 	defer c.releaseHeld()
+	c.stream = streamKey(c.service.Name, c.req.ID)
 	c.run()
 }
 
@@ -127,6 +135,9 @@
 		if err == nil {
 			err = c.checkStop()
 		}
+		if err == nil {
+			err = c.restrictVersion()
+		}
 		if err != nil {
 			c.finish(err)
 			return
@@ -134,6 +145,7 @@
 		to, err := c.acquireSlot()
 		c.waited += c.server.now() - started
 		if err != nil {
+			c.countVersionRefusal(err)
 			c.finish(err)
 			return
 		}
@@ -158,7 +170,8 @@
 			return
 		}
 		c.server.cfg.Metrics.Retry(err.Code.Info().Name)
-		c.server.log.Info("retrying at another endpoint", "request", c.req.ID, "endpoint", to.EndpointID, "code", err.Code, "error", err.Error(), "sends", c.sends)
+		c.server.log.Info("retrying at another endpoint", "request", c.req.ID, "endpoint", to.EndpointID, "code", err.Code, "error", err.Error(), "sends", c.sends,
+			"stream_version", c.query.SoftwareVersion)
 	}
 }
 
@@ -202,7 +215,7 @@
 	if c.ctx.Err() != nil || c.deadline-c.server.now() < minTimeLeft {
 		return false
 	}
-	if c.relay != nil && !c.relay.resumable() {
+	if c.relay != nil && (!c.relay.resumable() || c.restrictVersion() != nil) {
 		return false
 	}
 	if err.Code.Info().Run != resultcode.NotRun {
--- a/internal/coordination/forward/fixture_test.go
+++ b/internal/coordination/forward/fixture_test.go
@@ -170,6 +170,7 @@
 func (noMetrics) OutputEstimate(int, int)                  {}
 func (noMetrics) SlotDecisions(string, uint64)             {}
 func (noMetrics) SlotWaits(string, uint64)                 {}
+func (noMetrics) ResumptionRefused()                       {}
 
 // fakeLoader returns a fixed time until a model is ready.
 type fakeLoader struct{ ready time.Duration }
@@ -211,10 +212,10 @@
 func testEndpoints() []pool.Endpoint {
 	models := []directory.Resident{{Model: "m"}}
 	return []pool.Endpoint{
-		{Endpoint: directory.Endpoint{ID: "p1", Service: "plain", Address: "p1:1", Slots: 4}},
-		{Endpoint: directory.Endpoint{ID: "p2", Service: "plain", Address: "p2:1", Slots: 4}},
-		{Endpoint: directory.Endpoint{ID: "e1", Service: "models", Address: "e1:1", Slots: 4, Models: models}},
-		{Endpoint: directory.Endpoint{ID: "e2", Service: "models", Address: "e2:1", Slots: 4, Models: models}},
+		{Endpoint: directory.Endpoint{ID: "p1", Service: "plain", Address: "p1:1", Slots: 4, SoftwareVersion: "v1"}},
+		{Endpoint: directory.Endpoint{ID: "p2", Service: "plain", Address: "p2:1", Slots: 4, SoftwareVersion: "v1"}},
+		{Endpoint: directory.Endpoint{ID: "e1", Service: "models", Address: "e1:1", Slots: 4, SoftwareVersion: "v1", Models: models}},
+		{Endpoint: directory.Endpoint{ID: "e2", Service: "models", Address: "e2:1", Slots: 4, SoftwareVersion: "v1", Models: models}},
 	}
 }
 
--- a/internal/coordination/forward/fresh.go
+++ b/internal/coordination/forward/fresh.go
@@ -106,5 +106,7 @@
 	if s.mu.listState.unconfirmed && c.ctx.Err() == nil {
 		return false
 	}
-	return !s.mu.entry.Table.Evacuated(to.EndpointID)
+	table := s.mu.entry.Table
+	to.version = table.SoftwareVersion(to.EndpointID)
+	return !table.Evacuated(to.EndpointID) && fitsVersion(table, &c.query, to.EndpointID)
 }
--- a/internal/coordination/forward/relay.go
+++ b/internal/coordination/forward/relay.go
@@ -43,6 +43,8 @@
 	stream     bool
 	eventCount int
 	pending    []byte
+	// confirmed is set once an event of the current response has been passed on.
+	confirmed bool
 	// held is the part of pending that is counted in the server's total.
 	held   int64
 	lastID string
@@ -81,7 +83,7 @@
 
 // copy passes the body on. It returns an error if the response is not complete.
 func (r *relay) copy(resp *exchange.Response) error {
-	r.pending, r.tail = r.pending[:0], r.tail[:0]
+	r.pending, r.tail, r.confirmed = r.pending[:0], r.tail[:0], false
 	buf := make([]byte, readSize)
 	for {
 		n, err := resp.Body.Read(buf)
@@ -166,6 +168,15 @@
 	if len(p) == 0 {
 		return nil
 	}
+	if r.wholeEvents && !r.confirmed {
+		if err := r.call.confirmVersion(); err != nil {
+			return err
+		}
+		r.confirmed = true
+	}
+	if r.wholeEvents {
+		r.recordLastID(p)
+	}
 	if r.stream {
 		r.eventCount += countEvents(r.tail, p)
 	}
@@ -198,7 +209,6 @@
 	end := lastEventEnd(r.pending)
 	out := bytes.Clone(r.pending[:end])
 	r.pending = append(r.pending[:0], r.pending[end:]...)
-	r.recordLastID(out)
 	return out
 }
 
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -24,6 +24,7 @@
 		return pool.Unknown, resultcode.New(resultcode.DeadlineTooClose, "only %d ms left until the deadline, too little to send the request", left.Milliseconds())
 	}
 	c.sends++
+	c.current = to
 	a := Attempt{EndpointID: to.EndpointID, Customer: c.customerName(), TimeLeft: left, ResumeAfter: c.req.LastEventID}
 	if c.relay != nil && c.relay.lastID != "" {
 		a.ResumeAfter = c.relay.lastID
@@ -166,7 +167,11 @@
 		c.relay = newRelay(c, resp)
 	}
 	if err := c.relay.copy(resp); err != nil {
-		return c.failed(err)
+		result, coded := c.failed(err)
+		if coded.Code == resultcode.StreamBroken {
+			result = pool.Unknown // only the endpoint's software version does not fit
+		}
+		return result, coded
 	}
 	return pool.Succeeded, nil
 }
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -35,6 +35,9 @@
 	SlotDecisions(kind string, n uint64)
 	// SlotWaits counts waits for slots by how they compare with what was expected.
 	SlotWaits(result string, n uint64)
+	// ResumptionRefused counts streams that broke off and were not resumed at another
+	// endpoint, because of the software version that began them.
+	ResumptionRefused()
 }
 
 // Loader asks the leader to load a model or adapter that no endpoint has.
@@ -90,6 +93,7 @@
 		evidence     evidence
 		outputs      outputModel
 		listState    listState
+		streams      *StreamRegister
 	}
 }
 
@@ -111,6 +115,7 @@
 	s.mu.loading = map[pool.MissingModel]bool{}
 	s.mu.evidence = newEvidence()
 	s.mu.outputs = newOutputModel()
+	s.mu.streams = NewStreamRegister()
 	return s
 }
 
@@ -175,6 +180,9 @@
 		}
 		e.SetEndpoints(now, list)
 		s.mu.hasEndpoints = true
+		if n := s.mu.streams.SetEndpoints(s.mu.listState.confirmedAt, e.Table.SoftwareVersion); n > 0 {
+			s.log.Info("endpoints changed their software version", "doubtful_streams", n)
+		}
 		s.dispatchLocked(now, e.Table)
 	})
 }
--- a/internal/coordination/forward/slot.go
+++ b/internal/coordination/forward/slot.go
@@ -17,6 +17,8 @@
 	EndpointID, Address string
 	grant               *pool.Grant
 	reservation         *pool.Reservation
+	// version is the software version of the endpoint when the request is sent.
+	version string
 }
 
 // acquireSlot waits for a slot for the request.
@@ -53,8 +55,8 @@
 }
 
 // grantState reports what this entry knows about the endpoint of a grant, since the
-// broker may know an older state: whether it may be used, whether it is leaving, which
-// the broker is told, and whether it wants no requests from this entry. An evacuated
+// broker may know an older state: whether it may be used and has the software version
+// of the stream, whether it is leaving, which the broker is told, and whether it wants no requests from this entry. An evacuated
 // endpoint is not reported as leaving, since it gets requests again once the evacuation
 // ends. The broker learns of the evacuation from its own list.
 func (c *call) grantState(grant *pool.Grant) (usable, leaving, paused bool) {
@@ -62,8 +64,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, table := s.now(), s.mu.entry.Table
-	usable = table.Usable(now, grant.EndpointID)
-	return usable, !usable && !table.Evacuated(grant.EndpointID), table.Paused(now, grant.EndpointID)
+	inUse := table.Usable(now, grant.EndpointID)
+	usable = inUse && fitsVersion(table, &c.query, grant.EndpointID)
+	return usable, !inUse && !table.Evacuated(grant.EndpointID), table.Paused(now, grant.EndpointID)
 }
 
 // requestSlot makes one slot request to the broker and waits for its outcome. It
@@ -174,7 +177,7 @@
 func (c *call) futileError(w *pool.Waiter) *resultcode.Error {
 	switch w.UnavailableReason() {
 	case pool.NoEndpoints:
-		return c.evacuatedError()
+		return c.noEndpointError()
 	case pool.Limited:
 		return c.limitedError()
 	}
@@ -183,6 +186,19 @@
 	return err
 }
 
+// noEndpointError returns the error for a request to a plain service that has no endpoint
+// to use, because of an evacuation or because none has the software version of the stream.
+func (c *call) noEndpointError() *resultcode.Error {
+	s := c.server
+	s.mu.Lock()
+	evacuated := s.mu.entry.Table.ServiceEvacuated(s.now(), c.query.Service)
+	s.mu.Unlock()
+	if evacuated {
+		return c.evacuatedError()
+	}
+	return resultcode.New(resultcode.NoEndpoint, "service %q has no endpoint that the request may use", c.query.Service)
+}
+
 func (c *call) evacuatedError() *resultcode.Error {
 	err := resultcode.New(resultcode.NoEndpoint, "service %q has no endpoint outside of evacuated data centres", c.query.Service)
 	err.RetryAfter = evacuatedRetryAfter + rand.N(evacuatedRetrySpread)
--- /dev/null
+++ b/internal/coordination/forward/versions.go
@@ -0,0 +1,67 @@
+package forward
+
+import (
+	"github.com/radishloom/radishloom/internal/coordination/pool"
+	"github.com/radishloom/radishloom/internal/resultcode"
+)
+
+// restrictVersion restricts the next send to the software version that began the stream.
+// Until an event has been passed on, a new stream may begin at any version. It returns
+// an error if the version has become unknown.
+func (c *call) restrictVersion() *resultcode.Error {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.begun != nil {
+		c.query.SoftwareVersion = c.begun.version
+		if c.begun.version == "" {
+			c.countResumptionRefused()
+			return resultcode.New(resultcode.StreamBroken, "the software version that began the stream is unknown")
+		}
+		return nil
+	}
+	return nil
+}
+
+// countVersionRefusal counts a stream that is not resumed because no usable endpoint has
+// the software version that began it.
+func (c *call) countVersionRefusal(err *resultcode.Error) {
+	if err.Code == resultcode.NoEndpoint && c.begun != nil {
+		c.countResumptionRefused()
+	}
+}
+
+// countResumptionRefused counts, once, that the stream of this request is not resumed
+// because of its software version.
+func (c *call) countResumptionRefused() {
+	if !c.resumptionRefused {
+		c.resumptionRefused = true
+		c.server.cfg.Metrics.ResumptionRefused()
+	}
+}
+
+// confirmVersion is called before the first event of each response is passed on. It
+// records the begin of a stream, or confirms that the endpoint still has the version
+// that began it: the list of endpoints may have changed since the request was sent.
+func (c *call) confirmVersion() *resultcode.Error {
+	s, from := c.server, c.current
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version := from.version
+	if s.mu.entry.Table.SoftwareVersion(from.EndpointID) != version {
+		version = ""
+	}
+	if required := c.query.SoftwareVersion; required != "" && version != required {
+		return resultcode.New(resultcode.StreamBroken, "endpoint %s no longer has the software version %q, which began the stream", from.EndpointID, required)
+	}
+	if c.begun == nil {
+		c.begun = s.mu.streams.Began(s.now(), c.stream, c.service.Name, from.EndpointID, version)
+	}
+	return nil
+}
+
+// fitsVersion reports whether an endpoint has the software version that a request is
+// restricted to, by the list of this entry.
+func fitsVersion(t *pool.Table, q *pool.Query, endpoint string) bool {
+	return q.SoftwareVersion == "" || t.SoftwareVersion(endpoint) == q.SoftwareVersion
+}
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -288,10 +288,13 @@
 			Endpoint: directory.Endpoint{
 				ID: e.GetId(), Service: e.GetService(), Address: e.GetAddress(), DataCentre: e.GetDataCentre(),
 				Slots: int(e.GetSlots()), Leaving: e.GetLeaving(), Evacuated: e.GetEvacuated(),
+				SoftwareVersion: e.GetSoftwareVersion(),
 			},
 			Draining:  map[string]bool{},
 			KVTotal:   int(e.GetKvTotal()),
 			WarmingUp: e.GetWarmingUp(),
+
+			VersionsDiffer: e.GetVersionsDiffer(),
 		}
 		for _, m := range e.GetModels() {
 			decoded.Models = append(decoded.Models, directory.Resident{Model: m.GetModel(), Adapters: m.GetAdapters()})
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -89,6 +89,7 @@
 	entryWarming   metric.Int64Gauge
 	callerMemory   metric.Int64Gauge
 	closedConns    metric.Int64Counter
+	unresumed      metric.Int64Counter
 }
 
 // names holds the customers and profiles that have a label value of their own.
@@ -224,6 +225,7 @@
 	m.openRequests = i.gauge("radishloom.open.requests", "", "Open requests of callers at this VM.")
 	m.callerMemory = i.gauge("radishloom.caller.memory", "By", "Memory reserved for callers by kind, and the total that may be.")
 	m.closedConns = i.counter("radishloom.connections.closed", "Connections of callers that this VM closed or refused, by reason.")
+	m.unresumed = i.counter("radishloom.stream.resumptions.refused", "Streams that broke off and were not resumed at another endpoint because of the software version that began them.")
 	return i.err
 }
 
@@ -442,3 +444,7 @@
 func (m *Metrics) SlotWaits(result string, n uint64) {
 	m.slotWaits.Add(context.Background(), int64(n), label("result", result))
 }
+
+// ResumptionRefused counts a stream that broke off and was not resumed at another
+// endpoint because of the software version that began it.
+func (m *Metrics) ResumptionRefused() { m.unresumed.Add(context.Background(), 1) }
