resultcode: 4013 stream_not_resumable

Cause: no code tells a caller that its stream cannot be continued but a new one can begin. With 4001 it would retry the same request later, in vain.

--- a/internal/resultcode/gen/main.go
+++ b/internal/resultcode/gen/main.go
@@ -25,7 +25,8 @@
 
 On a platform, each refusal with status 503 or 429 has a ` + "`Retry-After`" + ` in seconds. With 2004 it is the time until the
 requests in front are served or, under lasting overload, 3 to 5 s, at most a third of the time that the request has left; with 4009 the time until the model
-is expected to be ready; with 4012 at an engine the time until the limit permits the request; with the other 4xxx codes,
+is expected to be ready; with 4012 at an engine the time until the limit permits the request; with 4013 only some
+milliseconds, since a new stream can begin at once; with the other 4xxx codes,
 and where nothing is known, a random time from 0.3 to 1 s.
 `
 
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -60,6 +60,9 @@
 	RetryNever Retry = iota + 1
 	// RetryLater: the same request can succeed after a wait.
 	RetryLater
+	// RetryNewStream: the same request without the position of the stream that it
+	// continues can succeed at once.
+	RetryNewStream
 	// RetrySameKey: retry only with the same idempotency key.
 	RetrySameKey
 )
@@ -71,6 +74,8 @@
 		return "never"
 	case RetryLater:
 		return "later"
+	case RetryNewStream:
+		return "at once, as a new stream"
 	case RetrySameKey:
 		return "same idempotency key only"
 	default:
@@ -123,6 +128,7 @@
 	EndpointUnreachable Code = 4010
 	PromptPartCrashes   Code = 4011
 	EndpointLimited     Code = 4012
+	StreamNotResumable  Code = 4013
 
 	NoFreshState Code = 5001
 	Draining     Code = 5002
@@ -215,6 +221,7 @@
 		{EndpointUnreachable, "endpoint_unreachable", http.StatusBadGateway, NotRun, RetryLater, "No connection to an endpoint could be made; nothing was sent."},
 		{PromptPartCrashes, "prompt_part_crashes_endpoints", http.StatusServiceUnavailable, NotRun, RetryLater, "Endpoints crashed when they began to answer requests with a part of this prompt; requests with it are refused for a limited time."},
 		{EndpointLimited, "endpoint_limited", http.StatusServiceUnavailable, NotRun, RetryLater, "Every endpoint that could take the request has reached the limit that it states, or wants no requests for longer than the request can wait."},
+		{StreamNotResumable, "stream_not_resumable", http.StatusServiceUnavailable, NotRun, RetryNewStream, "The request continues a stream, and the software version that began it is unknown or no endpoint that may be used has it. A new stream can begin at once."},
 
 		{NoFreshState, "no_fresh_state", http.StatusServiceUnavailable, NotRun, RetryLater, "This VM has not confirmed its configuration with a quorum for some seconds and cannot know which keys are withdrawn."},
 		{Draining, "draining", http.StatusServiceUnavailable, NotRun, RetryLater, "This VM is shutting down or draining."},
