--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -99,6 +99,16 @@
 	// keptConnection is set if the response to the current send came over a connection
 	// that had carried another request.
 	keptConnection bool
+
+	// stream identifies the stream that the request begins or takes up; zero if its
+	// attempt is not stated. current is the slot of the current send. begun is set once
+	// an event has been passed on of a stream that another endpoint may resume.
+	stream  uint64
+	current *slot
+	begun   *begunStream
+	// takeUp is the outcome of a request that takes up a stream; empty for others.
+	takeUp            string
+	resumptionRefused bool
 }
 
 func (c *call) serve(r *http.Request) {
@@ -110,6 +120,11 @@
 	defer cancel()
 	c.ctx = ctx
 	defer c.releaseHeld()
+	defer c.countTakeUp()
+	if err := c.takeUpStream(); err != nil {
+		c.finish(err)
+		return
+	}
 	c.run()
 }
 
@@ -130,6 +145,9 @@
 		if err == nil {
 			err = c.checkStop()
 		}
+		if err == nil {
+			err = c.restrictVersion()
+		}
 		if err != nil {
 			c.finish(err)
 			return
@@ -137,7 +155,7 @@
 		to, err := c.acquireSlot()
 		c.waited += c.server.now() - started
 		if err != nil {
-			c.finish(err)
+			c.finish(c.versionRefusal(err))
 			return
 		}
 		if held, _ := c.held(); held || c.checkQuarantine() != nil || !c.maySend(to) {
@@ -162,7 +180,7 @@
 		}
 		c.server.cfg.Metrics.Retry(err.Code.Info().Name)
 		c.server.log.Info("retrying at another endpoint", "request", c.req.ID, "endpoint", to.EndpointID, "address", to.Address,
-			"code", err.Code, "error", err.Error(), "sends", c.sends, "kept_connection", c.keptConnection)
+			"code", err.Code, "error", err.Error(), "sends", c.sends, "kept_connection", c.keptConnection, "stream_version", c.query.SoftwareVersion)
 	}
 }
 
@@ -206,7 +224,7 @@
 	if c.ctx.Err() != nil || c.deadline-c.server.now() < minTimeLeft {
 		return false
 	}
-	if c.relay != nil && !c.relay.resumable() {
+	if c.relay != nil && (!c.relay.resumable() || c.restrictVersion() != nil) {
 		return false
 	}
 	if err.Code.Info().Run != resultcode.NotRun {
--- a/internal/coordination/forward/fixture_test.go
+++ b/internal/coordination/forward/fixture_test.go
@@ -30,7 +30,7 @@
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	req := &Request{
 		ID: r.Header.Get("Id"), Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: path,
-		Header: r.Header, Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Resume"),
+		Header: r.Header, Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Resume"), Resumes: r.Header.Get("Resumes"),
 	}
 	req.Model, req.Adapter, _ = strings.Cut(r.Header.Get("Model"), "/")
 	for _, id := range strings.Split(r.Header.Get("Parts"), ",") {
@@ -171,6 +171,8 @@
 func (noMetrics) OutputEstimate(int, int)                  {}
 func (noMetrics) SlotDecisions(string, uint64)             {}
 func (noMetrics) SlotWaits(string, uint64)                 {}
+func (noMetrics) TakeUp(string)                            {}
+func (noMetrics) ResumptionRefused()                       {}
 
 // fakeLoader returns a fixed time until a model is ready.
 type fakeLoader struct{ ready time.Duration }
@@ -212,10 +214,10 @@
 func testEndpoints() []pool.Endpoint {
 	models := []directory.Resident{{Model: "m"}}
 	return []pool.Endpoint{
-		{Endpoint: directory.Endpoint{ID: "p1", Service: "plain", Address: "p1:1", Slots: 4}},
-		{Endpoint: directory.Endpoint{ID: "p2", Service: "plain", Address: "p2:1", Slots: 4}},
-		{Endpoint: directory.Endpoint{ID: "e1", Service: "models", Address: "e1:1", Slots: 4, Models: models}},
-		{Endpoint: directory.Endpoint{ID: "e2", Service: "models", Address: "e2:1", Slots: 4, Models: models}},
+		{Endpoint: directory.Endpoint{ID: "p1", Service: "plain", Address: "p1:1", Slots: 4, SoftwareVersion: "v1"}},
+		{Endpoint: directory.Endpoint{ID: "p2", Service: "plain", Address: "p2:1", Slots: 4, SoftwareVersion: "v1"}},
+		{Endpoint: directory.Endpoint{ID: "e1", Service: "models", Address: "e1:1", Slots: 4, SoftwareVersion: "v1", Models: models}},
+		{Endpoint: directory.Endpoint{ID: "e2", Service: "models", Address: "e2:1", Slots: 4, SoftwareVersion: "v1", Models: models}},
 	}
 }
 
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -37,6 +37,11 @@
 	SlotDecisions(kind string, n uint64)
 	// SlotWaits counts waits for slots by how they compare with what was expected.
 	SlotWaits(result string, n uint64)
+	// TakeUp counts requests that take up a stream by their outcome.
+	TakeUp(outcome string)
+	// ResumptionRefused counts streams that broke off and were not resumed at another
+	// endpoint, because of the software version that began them.
+	ResumptionRefused()
 }
 
 // Loader asks the leader to load a model or adapter that no endpoint has.
@@ -92,6 +97,8 @@
 		evidence     evidence
 		outputs      outputModel
 		listState    listState
+		streams      *StreamRegister
+		lookups      lookups
 	}
 }
 
@@ -113,6 +120,8 @@
 	s.mu.loading = map[pool.MissingModel]bool{}
 	s.mu.evidence = newEvidence()
 	s.mu.outputs = newOutputModel()
+	s.mu.streams = NewStreamRegister()
+	s.mu.lookups = newLookups()
 	return s
 }
 
@@ -177,6 +186,9 @@
 		}
 		e.SetEndpoints(now, list)
 		s.mu.hasEndpoints = true
+		if n := s.mu.streams.SetEndpoints(s.mu.listState.confirmedAt, e.Table.SoftwareVersion, servicesWithVersions(list)); n > 0 {
+			s.log.Info("endpoints changed their software version", "doubtful_streams", n)
+		}
 		s.dispatchLocked(now, e.Table)
 	})
 }
--- /dev/null
+++ b/internal/coordination/forward/streams.go
@@ -0,0 +1,229 @@
+package forward
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+)
+
+const (
+	// streamMemory is how long the software version that began a stream is known: longer
+	// than a stream and its retries last. maxStreams bounds the number of streams.
+	streamMemory = 60 * time.Second
+	maxStreams   = 1 << 16
+	// versionLag exceeds the time in which a list that a control VM has just confirmed
+	// may still show the software version that an endpoint had before a restart.
+	versionLag = 5 * time.Second
+	// maxBegunPerReport bounds the streams of one report to the leader.
+	maxBegunPerReport = 4096
+)
+
+// StreamRegister knows at which software versions the streams began that this entry has
+// relayed lately, and which of them the leader has to be told. It does no I/O and reads
+// no clock.
+type StreamRegister struct {
+	byKey map[uint64]*begunStream
+	// order holds the streams by the time of their begin, the oldest first.
+	order []*begunStream
+	// differ is the set of services with endpoints of several software versions, whose
+	// streams are reported.
+	differ map[string]bool
+	// unreported are the streams that wait to be reported. ready has an element while
+	// there are any.
+	unreported []*begunStream
+	ready      chan struct{}
+	// term is the term of the leader that answered last; zero before.
+	term uint64
+}
+
+// begunStream is a stream whose first event was passed on to its caller.
+type begunStream struct {
+	key               uint64 // zero if its attempt has no identifier
+	service, endpoint string
+	// version is the software version of the endpoint; empty if it cannot be told.
+	version string
+	at      time.Duration
+	// ambiguous is set if attempts with the same identifier began at several versions.
+	ambiguous bool
+	// reported is set once the stream has been sent to the leader, queued while it waits
+	// for that.
+	reported, queued bool
+}
+
+// NewStreamRegister returns a register without streams.
+func NewStreamRegister() *StreamRegister {
+	return &StreamRegister{byKey: map[uint64]*begunStream{}, differ: map[string]bool{}, ready: make(chan struct{}, 1)}
+}
+
+// streamKey identifies the stream that an attempt began, at all entries and at the
+// leader. It is zero without an identifier of the attempt.
+func streamKey(service, attempt string) uint64 {
+	if attempt == "" {
+		return 0
+	}
+	return cmp.Or(xxhash.Sum64String(service+"\x00"+attempt), 1)
+}
+
+// Began records that the first event of a stream was passed on, from an endpoint with a
+// software version, which is empty if it cannot be told.
+func (r *StreamRegister) Began(now time.Duration, key uint64, service, endpoint, version string) *begunStream {
+	r.expire(now)
+	b := &begunStream{key: key, service: service, endpoint: endpoint, version: version, at: now}
+	r.order = append(r.order, b)
+	if key == 0 {
+		return b
+	}
+	if old := r.byKey[key]; old != nil {
+		b.ambiguous = old.ambiguous || old.version != version
+	}
+	r.byKey[key] = b
+	if r.differ[service] {
+		r.report(b)
+	}
+	return b
+}
+
+// expire forgets streams that began too long ago, and the oldest if there are too many.
+func (r *StreamRegister) expire(now time.Duration) {
+	for len(r.order) >= maxStreams || len(r.order) > 0 && now-r.order[0].at > streamMemory {
+		if oldest := r.order[0]; r.byKey[oldest.key] == oldest {
+			delete(r.byKey, oldest.key)
+		}
+		r.order[0], r.order = nil, r.order[1:]
+	}
+}
+
+// Version returns the software version at which a stream began; empty if it cannot be
+// told. found is false if this entry does not know the stream.
+func (r *StreamRegister) Version(now time.Duration, key uint64) (version string, found bool) {
+	b := r.byKey[key]
+	if b == nil || now-b.at > streamMemory {
+		return "", false
+	}
+	return b.known(), true
+}
+
+// known returns the software version of the stream with the identifier; empty if it
+// cannot be told.
+func (b *begunStream) known() string {
+	if b.ambiguous {
+		return ""
+	}
+	return b.version
+}
+
+// SetEndpoints applies a new list of endpoints: version returns the software version of
+// an endpoint, and differ has the services whose endpoints have several. The list before
+// was current at the time confirmed. It returns how many streams began since then, or
+// shortly before, at an endpoint that has another version by the new list: which of the
+// two began them is unknown.
+func (r *StreamRegister) SetEndpoints(confirmed time.Duration, version func(endpoint string) string, differ map[string]bool) (doubtful int) {
+	for service := range differ {
+		if !r.differ[service] {
+			r.reportService(service)
+		}
+	}
+	r.differ = differ
+	for i := len(r.order) - 1; i >= 0 && r.order[i].at >= confirmed-versionLag; i-- {
+		b := r.order[i]
+		if v := version(b.endpoint); b.version != "" && v != "" && v != b.version {
+			r.doubt(b)
+			doubtful++
+		}
+	}
+	return doubtful
+}
+
+// reportService queues the streams of a service that were not reported yet.
+func (r *StreamRegister) reportService(service string) {
+	for _, b := range r.order {
+		if b.service == service && r.byKey[b.key] == b && !b.reported {
+			r.report(b)
+		}
+	}
+}
+
+// doubt records that the software version that began a stream is unknown.
+func (r *StreamRegister) doubt(b *begunStream) {
+	b.version = ""
+	latest := r.byKey[b.key]
+	if latest == nil {
+		return
+	}
+	latest.version = ""
+	if r.differ[latest.service] {
+		r.report(latest)
+	}
+}
+
+// report queues a stream for the next report.
+func (r *StreamRegister) report(b *begunStream) {
+	if b.queued {
+		return
+	}
+	b.queued = true
+	r.unreported = append(r.unreported, b)
+	select {
+	case r.ready <- struct{}{}:
+	default:
+	}
+}
+
+// TakeUnreported returns the streams of the next report, oldest first. Reported or
+// NotReported must be called with them.
+func (r *StreamRegister) TakeUnreported(now time.Duration) []*begunStream {
+	waiting := r.unreported
+	r.unreported = nil
+	var batch []*begunStream
+	for _, b := range waiting {
+		b.queued = false
+		switch {
+		case now-b.at > streamMemory || !r.differ[b.service]:
+			b.reported = false
+		case len(batch) < maxBegunPerReport:
+			b.reported = true
+			batch = append(batch, b)
+		default:
+			r.report(b)
+		}
+	}
+	return batch
+}
+
+// NotReported queues the streams of a report that failed again.
+func (r *StreamRegister) NotReported(batch []*begunStream) {
+	for _, b := range batch {
+		r.report(b)
+	}
+}
+
+// Answered records an answer of the leader of a term to a report of some streams. A
+// leader of another term has no record of those that were reported before.
+func (r *StreamRegister) Answered(term uint64, batch []*begunStream) {
+	last := r.term
+	r.term = term
+	if last == 0 || last == term {
+		return
+	}
+	for _, b := range r.order {
+		b.reported = false
+	}
+	for _, b := range batch {
+		b.reported = true
+	}
+	for service := range r.differ {
+		r.reportService(service)
+	}
+}
+
+// encodeBegun returns the message for streams.
+func encodeBegun(now time.Duration, batch []*begunStream) []*peerv1.BegunStream {
+	out := make([]*peerv1.BegunStream, 0, len(batch))
+	for _, b := range batch {
+		out = append(out, &peerv1.BegunStream{Stream: b.key, SoftwareVersion: b.known(), AgeMs: uint32((now - b.at).Milliseconds())})
+	}
+	return out
+}
