forward: a stream that its caller takes up stays at its software version

Cause: a caller whose stream broke off sends a new attempt to any entry, which asks any endpoint for the rest. While two software versions serve, the caller gets one stream with events of both.

Change: a request on a resumable route with the identifier of its last event is restricted to the version that began the stream: by the entry's own register, under the attempt in Request.Resumes, else by the leader's answer to the call Streams. Queries of concurrent requests are joined, with one call in flight. A request waits for 600 ms at most, within which a new leader is asked once more. It is refused with 4013, not run, if the version is unknown or no endpoint that may be used has it. A request that takes up a stream is recorded as part of that stream, not as a new one. On a route with several services the entry's own register tells the service; the leader cannot, so that an unknown stream is refused there.

While the endpoints of a service have several versions, entries report the streams that begin to the leader, in batches, and all of them again to a leader of a new term. Nothing is sent while there is nothing to report.

Result: TestTakenUpStreamIsNotContinuedAtUnknownVersion fails without this change (status 200 with events of any version) and passes with it.

--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 
 	"github.com/radishloom/radishloom/internal/coordination/pool"
@@ -30,7 +29,7 @@
 	if c.req.Timeout > 0 {
 		c.deadline = min(c.deadline, c.arrived+c.req.Timeout)
 	}
-	c.service = c.index.Service(c.route.PickService(rand.Float64()))
+	c.service = c.index.Service(c.pickService())
 	c.query = c.newQuery()
 	if err := c.checkQuarantine(); err != nil {
 		return err
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -97,11 +97,14 @@
 	// leaving.
 	endpointLeaving bool
 
-	// stream identifies the stream that the request begins; zero without an identifier. current is the slot of the current send. begun is set once
+	// stream identifies the stream that the request begins or takes up; zero if its
+	// attempt is not stated. current is the slot of the current send. begun is set once
 	// an event has been passed on of a stream that another endpoint may resume.
-	stream            uint64
-	current           *slot
-	begun             *begunStream
+	stream  uint64
+	current *slot
+	begun   *begunStream
+	// takeUp is the outcome of a request that takes up a stream; empty for others.
+	takeUp            string
 	resumptionRefused bool
 }
 
@@ -114,7 +117,11 @@
 	defer cancel()
 	c.ctx = ctx
 	defer c.releaseHeld()
-	c.stream = streamKey(c.service.Name, c.req.ID)
+	defer c.countTakeUp()
+	if err := c.takeUpStream(); err != nil {
+		c.finish(err)
+		return
+	}
 	c.run()
 }
 
@@ -145,8 +152,7 @@
 		to, err := c.acquireSlot()
 		c.waited += c.server.now() - started
 		if err != nil {
-			c.countVersionRefusal(err)
-			c.finish(err)
+			c.finish(c.versionRefusal(err))
 			return
 		}
 		if held, _ := c.held(); held || c.checkQuarantine() != nil || !c.maySend(to) {
--- a/internal/coordination/forward/fixture_test.go
+++ b/internal/coordination/forward/fixture_test.go
@@ -30,7 +30,7 @@
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	req := &Request{
 		ID: r.Header.Get("Id"), Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: path,
-		Header: r.Header, Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Resume"),
+		Header: r.Header, Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Resume"), Resumes: r.Header.Get("Resumes"),
 	}
 	req.Model, req.Adapter, _ = strings.Cut(r.Header.Get("Model"), "/")
 	for _, id := range strings.Split(r.Header.Get("Parts"), ",") {
@@ -170,6 +170,7 @@
 func (noMetrics) OutputEstimate(int, int)                  {}
 func (noMetrics) SlotDecisions(string, uint64)             {}
 func (noMetrics) SlotWaits(string, uint64)                 {}
+func (noMetrics) TakeUp(string)                            {}
 func (noMetrics) ResumptionRefused()                       {}
 
 // fakeLoader returns a fixed time until a model is ready.
--- /dev/null
+++ b/internal/coordination/forward/lookup.go
@@ -0,0 +1,216 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+)
+
+const (
+	// lookupTimeout bounds the wait for the software version of a stream that a caller
+	// takes up. Within it a query can wait for the call in flight to fail, and for one of
+	// its own. streamsCallTimeout bounds a call to the leader.
+	lookupTimeout      = 600 * time.Millisecond
+	streamsCallTimeout = 280 * time.Millisecond
+	// maxQueriesPerCall bounds the queries of one call.
+	maxQueriesPerCall = 1024
+	// The streams that began are reported at most once in reportInterval plus
+	// reportIntervalPerEntry for each live entry, which bounds the calls at the leader.
+	reportInterval         = 100 * time.Millisecond
+	reportIntervalPerEntry = 2 * time.Millisecond
+)
+
+// lookup asks the leader for the software version that began a stream. The same lookup
+// serves all requests that ask before it is sent: an answer to a call that was sent
+// earlier may be older than the first event of the stream.
+type lookup struct {
+	query lookupKey
+	// until is when nobody waits any more.
+	until time.Duration
+	// version is valid once done is closed; empty if it is unknown.
+	version string
+	done    chan struct{}
+}
+
+type lookupKey struct {
+	stream  uint64 // zero if the attempt is not stated
+	service string
+}
+
+// lookups are the lookups that wait to be sent. They are guarded by Server.mu. ready has
+// an element while there are any.
+type lookups struct {
+	waiting map[lookupKey]*lookup
+	order   []*lookup
+	ready   chan struct{}
+}
+
+func newLookups() lookups {
+	return lookups{waiting: map[lookupKey]*lookup{}, ready: make(chan struct{}, 1)}
+}
+
+func (l *lookups) signal() {
+	select {
+	case l.ready <- struct{}{}:
+	default:
+	}
+}
+
+// add returns the lookup of a stream that is not sent yet.
+func (l *lookups) add(now time.Duration, key lookupKey) *lookup {
+	out := l.waiting[key]
+	if out == nil {
+		out = &lookup{query: key, done: make(chan struct{})}
+		l.waiting[key] = out
+		l.order = append(l.order, out)
+	}
+	out.until = now + lookupTimeout
+	l.signal()
+	return out
+}
+
+// take returns the lookups of the next call, without those that nobody waits for.
+func (l *lookups) take(now time.Duration) []*lookup {
+	var out []*lookup
+	for len(l.order) > 0 && len(out) < maxQueriesPerCall {
+		next := l.order[0]
+		l.order = l.order[1:]
+		delete(l.waiting, next.query)
+		if next.until > now {
+			out = append(out, next)
+		}
+	}
+	if len(l.order) > 0 {
+		l.signal()
+	}
+	return out
+}
+
+// lookUpStream asks the leader for the software version that began a stream. It returns
+// an empty string if that is unknown, or if there is no answer in time.
+func (s *Server) lookUpStream(ctx context.Context, key lookupKey) string {
+	s.mu.Lock()
+	l := s.mu.lookups.add(s.now(), key)
+	s.mu.Unlock()
+	end := time.NewTimer(lookupTimeout)
+	defer end.Stop()
+	select {
+	case <-l.done:
+		return l.version
+	case <-end.C:
+	case <-ctx.Done():
+	}
+	return ""
+}
+
+func (s *Server) takeLookups() []*lookup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.lookups.take(s.now())
+}
+
+// takeBegun returns the streams of the next report to the leader and its message.
+func (s *Server) takeBegun() ([]*begunStream, []*peerv1.BegunStream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	batch := s.mu.streams.TakeUnreported(now)
+	return batch, encodeBegun(now, batch)
+}
+
+func (s *Server) begunNotReported(batch []*begunStream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.streams.NotReported(batch)
+}
+
+// leaderAnswered records an answer of the leader of a term.
+func (s *Server) leaderAnswered(term uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.streams.Answered(term)
+}
+
+// streamReportInterval returns the least time between two reports of streams.
+func (s *Server) streamReportInterval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return reportInterval + time.Duration(s.mu.budget.entries)*reportIntervalPerEntry
+}
+
+// lookUpStreams sends the lookups of requests to the leader, one call at a time.
+func (w *Watcher) lookUpStreams(ctx context.Context, s *Server) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.mu.lookups.ready:
+		}
+		batch := s.takeLookups()
+		if len(batch) == 0 {
+			continue
+		}
+		versions := w.askLeader(ctx, s, batch)
+		for i, l := range batch {
+			if versions != nil {
+				l.version = versions[i]
+			}
+			close(l.done)
+		}
+	}
+}
+
+// askLeader returns the software versions that lookups ask for, or nil if no leader
+// answers. If another VM has become the leader meanwhile, it is asked as well.
+func (w *Watcher) askLeader(ctx context.Context, s *Server, batch []*lookup) []string {
+	r := &peerv1.StreamsRequest{}
+	for _, l := range batch {
+		r.Queries = append(r.Queries, &peerv1.StreamQuery{Stream: l.query.stream, Service: l.query.service})
+	}
+	address := w.controls.loadAddress()
+	resp, err := w.callStreams(ctx, address, r)
+	if leader := w.controls.loadAddress(); err != nil && leader != address {
+		resp, err = w.callStreams(ctx, leader, r)
+	}
+	if err != nil {
+		s.log.Info("software versions of streams not learned", "streams", len(batch), "error", err.Error())
+		return nil
+	}
+	s.leaderAnswered(resp.GetTerm())
+	if len(resp.GetSoftwareVersions()) != len(batch) {
+		s.log.Info("answer on software versions of streams does not match its call", "streams", len(batch), "answers", len(resp.GetSoftwareVersions()))
+		return nil
+	}
+	return resp.GetSoftwareVersions()
+}
+
+// reportStreams reports to the leader at which software versions streams began, one call
+// at a time.
+func (w *Watcher) reportStreams(ctx context.Context, s *Server) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.mu.streams.ready:
+		}
+		sleep(ctx, s.streamReportInterval())
+		batch, begun := s.takeBegun()
+		if len(batch) == 0 {
+			continue
+		}
+		resp, err := w.callStreams(ctx, w.controls.loadAddress(), &peerv1.StreamsRequest{Begun: begun})
+		if err != nil {
+			s.log.Info("streams not reported", "streams", len(batch), "error", err.Error())
+			s.begunNotReported(batch)
+			continue
+		}
+		s.leaderAnswered(resp.GetTerm())
+	}
+}
+
+func (w *Watcher) callStreams(ctx context.Context, address string, r *peerv1.StreamsRequest) (*peerv1.StreamsResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, streamsCallTimeout)
+	defer cancel()
+	return w.cfg.Directory.Streams(ctx, address, r)
+}
--- a/internal/coordination/forward/recovery_test.go
+++ b/internal/coordination/forward/recovery_test.go
@@ -237,6 +237,12 @@
 	return p[address].Report(ctx, r)
 }
 
+func (p inProcess) Streams(ctx context.Context, address string, r *peerv1.StreamsRequest) (*peerv1.StreamsResponse, error) {
+	time.Sleep(networkDelay)
+	defer time.Sleep(networkDelay)
+	return p[address].Streams(ctx, r)
+}
+
 type noOrderMetrics struct{}
 
 func (noOrderMetrics) EngineOrder(string)   {}
--- a/internal/coordination/forward/refuse.go
+++ b/internal/coordination/forward/refuse.go
@@ -31,7 +31,8 @@
 	if c.relay != nil {
 		took := c.server.now() - c.arrived
 		c.server.log.Info("response truncated", "request", c.req.ID, "code", err.Code, "model", c.req.Model, "sends", c.sends, "ms", took.Milliseconds(),
-			"first_ms", c.relay.first.Milliseconds(), "silent_ms", (took - c.relay.last).Milliseconds(), "error", err.Error())
+			"first_ms", c.relay.first.Milliseconds(), "silent_ms", (took - c.relay.last).Milliseconds(), "error", err.Error(),
+			"stream_version", c.query.SoftwareVersion)
 		c.relay.abort()
 	}
 	c.refuse(err)
@@ -72,7 +73,8 @@
 		version = c.index.Version()
 	}
 	c.server.log.Info("request refused", "request", c.req.ID, "code", err.Code, "customer", c.customerName(), "model", c.req.Model,
-		"catalog", version, "control_age_ms", c.server.controlAge().Milliseconds(), "sends", c.sends, "ms", (c.server.now() - c.arrived).Milliseconds(), "error", err.Error())
+		"catalog", version, "control_age_ms", c.server.controlAge().Milliseconds(), "sends", c.sends, "ms", (c.server.now() - c.arrived).Milliseconds(), "error", err.Error(),
+		"stream_version", c.query.SoftwareVersion, "take_up", c.takeUp)
 	info := err.Code.Info()
 	if err.Code == resultcode.CallerGone {
 		panic(http.ErrAbortHandler)
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -37,6 +37,9 @@
 	// LastEventID is the identifier of the event after which the caller resumes a
 	// stream.
 	LastEventID string
+	// Resumes is the identifier of the attempt that brought the first event of this
+	// stream; empty if it is not stated.
+	Resumes string
 }
 
 // PromptPart is a part of a prompt that other requests may share.
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -35,6 +35,8 @@
 	SlotDecisions(kind string, n uint64)
 	// SlotWaits counts waits for slots by how they compare with what was expected.
 	SlotWaits(result string, n uint64)
+	// TakeUp counts requests that take up a stream by their outcome.
+	TakeUp(outcome string)
 	// ResumptionRefused counts streams that broke off and were not resumed at another
 	// endpoint, because of the software version that began them.
 	ResumptionRefused()
@@ -94,6 +96,7 @@
 		outputs      outputModel
 		listState    listState
 		streams      *StreamRegister
+		lookups      lookups
 	}
 }
 
@@ -116,6 +119,7 @@
 	s.mu.evidence = newEvidence()
 	s.mu.outputs = newOutputModel()
 	s.mu.streams = NewStreamRegister()
+	s.mu.lookups = newLookups()
 	return s
 }
 
@@ -180,7 +184,7 @@
 		}
 		e.SetEndpoints(now, list)
 		s.mu.hasEndpoints = true
-		if n := s.mu.streams.SetEndpoints(s.mu.listState.confirmedAt, e.Table.SoftwareVersion); n > 0 {
+		if n := s.mu.streams.SetEndpoints(s.mu.listState.confirmedAt, e.Table.SoftwareVersion, servicesWithVersions(list)); n > 0 {
 			s.log.Info("endpoints changed their software version", "doubtful_streams", n)
 		}
 		s.dispatchLocked(now, e.Table)
--- a/internal/coordination/forward/streams.go
+++ b/internal/coordination/forward/streams.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 )
 
 const (
@@ -15,14 +17,26 @@
 	// versionLag exceeds the time in which a list that a control VM has just confirmed
 	// may still show the software version that an endpoint had before a restart.
 	versionLag = 5 * time.Second
+	// maxBegunPerReport bounds the streams of one report to the leader.
+	maxBegunPerReport = 4096
 )
 
 // StreamRegister knows at which software versions the streams began that this entry has
-// relayed lately. It does no I/O and reads no clock.
+// relayed lately, and which of them the leader has to be told. It does no I/O and reads
+// no clock.
 type StreamRegister struct {
 	byKey map[uint64]*begunStream
 	// order holds the streams by the time of their begin, the oldest first.
 	order []*begunStream
+	// differ is the set of services with endpoints of several software versions, whose
+	// streams are reported.
+	differ map[string]bool
+	// unreported are the streams that wait to be reported. ready has an element while
+	// there are any.
+	unreported []*begunStream
+	ready      chan struct{}
+	// term is the term of the leader that answered last; zero before.
+	term uint64
 }
 
 // begunStream is a stream whose first event was passed on to its caller.
@@ -34,11 +48,14 @@
 	at      time.Duration
 	// ambiguous is set if attempts with the same identifier began at several versions.
 	ambiguous bool
+	// reported is set once the stream has been sent to the leader, queued while it waits
+	// for that.
+	reported, queued bool
 }
 
 // NewStreamRegister returns a register without streams.
 func NewStreamRegister() *StreamRegister {
-	return &StreamRegister{byKey: map[uint64]*begunStream{}}
+	return &StreamRegister{byKey: map[uint64]*begunStream{}, differ: map[string]bool{}, ready: make(chan struct{}, 1)}
 }
 
 // streamKey identifies the stream that an attempt began, at all entries and at the
@@ -63,6 +80,9 @@
 		b.ambiguous = old.ambiguous || old.version != version
 	}
 	r.byKey[key] = b
+	if r.differ[service] {
+		r.report(b)
+	}
 	return b
 }
 
@@ -96,11 +116,17 @@
 }
 
 // SetEndpoints applies a new list of endpoints: version returns the software version of
-// an endpoint. The list before was current at the time confirmed. It returns how many
-// streams began since then, or
+// an endpoint, and differ has the services whose endpoints have several. The list before
+// was current at the time confirmed. It returns how many streams began since then, or
 // shortly before, at an endpoint that has another version by the new list: which of the
 // two began them is unknown.
-func (r *StreamRegister) SetEndpoints(confirmed time.Duration, version func(endpoint string) string) (doubtful int) {
+func (r *StreamRegister) SetEndpoints(confirmed time.Duration, version func(endpoint string) string, differ map[string]bool) (doubtful int) {
+	for service := range differ {
+		if !r.differ[service] {
+			r.reportService(service)
+		}
+	}
+	r.differ = differ
 	for i := len(r.order) - 1; i >= 0 && r.order[i].at >= confirmed-versionLag; i-- {
 		b := r.order[i]
 		if v := version(b.endpoint); b.version != "" && v != "" && v != b.version {
@@ -111,10 +137,90 @@
 	return doubtful
 }
 
+// reportService queues the streams of a service that were not reported yet.
+func (r *StreamRegister) reportService(service string) {
+	for _, b := range r.order {
+		if b.service == service && r.byKey[b.key] == b && !b.reported {
+			r.report(b)
+		}
+	}
+}
+
 // doubt records that the software version that began a stream is unknown.
 func (r *StreamRegister) doubt(b *begunStream) {
 	b.version = ""
-	if latest := r.byKey[b.key]; latest != nil {
-		latest.version = ""
+	latest := r.byKey[b.key]
+	if latest == nil {
+		return
+	}
+	latest.version, latest.reported = "", false
+	if r.differ[latest.service] {
+		r.report(latest)
+	}
+}
+
+// report queues a stream for the next report.
+func (r *StreamRegister) report(b *begunStream) {
+	if b.queued {
+		return
+	}
+	b.queued = true
+	r.unreported = append(r.unreported, b)
+	select {
+	case r.ready <- struct{}{}:
+	default:
+	}
+}
+
+// TakeUnreported returns the streams of the next report, oldest first. If
+// it fails, NotReported must be called with them.
+func (r *StreamRegister) TakeUnreported(now time.Duration) []*begunStream {
+	waiting := r.unreported
+	r.unreported = nil
+	var batch []*begunStream
+	for _, b := range waiting {
+		b.queued = false
+		switch {
+		case now-b.at > streamMemory || !r.differ[b.service]:
+			b.reported = false
+		case len(batch) < maxBegunPerReport:
+			b.reported = true
+			batch = append(batch, b)
+		default:
+			r.report(b)
+		}
+	}
+	return batch
+}
+
+// NotReported queues the streams of a report that failed again.
+func (r *StreamRegister) NotReported(batch []*begunStream) {
+	for _, b := range batch {
+		r.report(b)
+	}
+}
+
+// Answered records an answer of the leader of a term. A leader of another term has no
+// record of the streams that were reported before.
+func (r *StreamRegister) Answered(term uint64) {
+	last := r.term
+	r.term = term
+	if last == 0 || last == term {
+		return
+	}
+	for _, b := range r.order {
+		b.reported = false
+	}
+	for service := range r.differ {
+		r.reportService(service)
+	}
+}
+
+// encodeBegun returns the message for streams.
+func encodeBegun(now time.Duration, batch []*begunStream) []*peerv1.BegunStream {
+	out := make([]*peerv1.BegunStream, 0, len(batch))
+	for _, b := range batch {
+		out = append(out, &peerv1.BegunStream{Stream: b.key, SoftwareVersion: b.known(), AgeMs: uint32((now - b.at).Milliseconds())})
 	}
+	return out
 }
--- a/internal/coordination/forward/streams_test.go
+++ b/internal/coordination/forward/streams_test.go
@@ -1,13 +1,187 @@
 package forward
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 )
 
+// Guards against reports while a service has one version, and against streams that the
+// leader does not learn of when a second one appears.
+func TestStreamsAreReportedWhileVersionsDiffer(t *testing.T) {
+	withLeader(t, &streamLeader{term: 1}, versionedEndpoints("v1", "v1"), func(t *testing.T, e *ledEntry) {
+		begin := func(attempt string) {
+			e.do("/resumed/x", map[string]string{"Id": attempt}, reply{status: 200, header: sealed(), body: firstEvent, length: -1})
+		}
+		begin("id-0")
+		time.Sleep(time.Second)
+		if e.leader.calls() != 0 {
+			t.Errorf("%d calls while the service has one version, want none", e.leader.calls())
+		}
+		list := versionedEndpoints("v1", "v1", "v2")
+		for i := range list {
+			list[i].VersionsDiffer = true
+		}
+		e.server.SetEndpoints(list)
+		begin("id-2")
+		time.Sleep(time.Second)
+		if got := e.leader.begun(); len(got) != 2 || got[streamOf("id-0")] != "v1" || got[streamOf("id-2")] == "" {
+			t.Errorf("reported %v, want both streams", got)
+		}
+		calls := e.leader.calls()
+		for i := range 100 {
+			begin(fmt.Sprintf("id-%d", 3+i))
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		if n := e.leader.calls() - calls; n > 11 || len(e.leader.begun()) != 102 {
+			t.Errorf("%d calls in a second for %d streams, want at most 11 and all 102", n, len(e.leader.begun()))
+		}
+		calls = e.leader.calls()
+		time.Sleep(10 * time.Second)
+		if n := e.leader.calls() - calls; n != 0 {
+			t.Errorf("%d calls with nothing to report", n)
+		}
+	})
+}
+
+// Guards against streams that a new leader never learns of, and against the loss of a
+// report that failed.
+func TestStreamsAreReportedAgainToANewLeader(t *testing.T) {
+	list := versionedEndpoints("v1", "v1")
+	list[0].VersionsDiffer = true
+	withLeader(t, &streamLeader{term: 1, fails: 3}, list, func(t *testing.T, e *ledEntry) {
+		begin := func(attempt string) {
+			e.do("/resumed/x", map[string]string{"Id": attempt}, reply{status: 200, header: sealed(), body: firstEvent, length: -1})
+		}
+		begin("id-0")
+		time.Sleep(time.Second)
+		e.leader.mu.Lock()
+		e.leader.term, e.leader.requests = 2, nil
+		e.leader.mu.Unlock()
+		begin("id-2")
+		time.Sleep(time.Second)
+		if got := e.leader.begun(); len(got) != 2 || e.leader.calls() != 2 {
+			t.Errorf("the new leader knows %v after %d calls, want both streams after 2", got, e.leader.calls())
+		}
+	})
+}
+
+// recordedStreams is a leader's record of streams, as their reports say.
+type recordedStreams map[uint64]map[string]bool
+
+func (r recordedStreams) apply(begun []*peerv1.BegunStream) {
+	for _, b := range begun {
+		if r[b.GetStream()] == nil {
+			r[b.GetStream()] = map[string]bool{}
+		}
+		r[b.GetStream()][b.GetSoftwareVersion()] = true
+	}
+}
+
+// Guards against a register that names another version than that at which all attempts of
+// a stream began, that forgets to report a stream or a doubt, or that grows without
+// bound, in any order of events.
+func TestRegisterNeverNamesAWrongVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewStreamRegister()
+		now := time.Duration(0)
+		listed := map[string]string{"e1": "v1", "e2": "v2"}
+		began := map[uint64][]*begunStream{} // the versions as of the begin
+		truth := map[uint64]map[string]bool{}
+		leader, term := recordedStreams{}, uint64(1)
+		differ := map[string]bool{}
+		version := func(id string) string { return listed[id] }
+		report := func() {
+			batch := r.TakeUnreported(now)
+			if rapid.Bool().Draw(t, "lost") {
+				r.NotReported(batch)
+				return
+			}
+			leader.apply(encodeBegun(now, batch))
+			r.Answered(term)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 8000).Draw(t, "pause")) * time.Millisecond
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0, 1:
+				key := uint64(rapid.IntRange(0, 3).Draw(t, "stream"))
+				endpoint := rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "endpoint")
+				began[key] = append(began[key], r.Began(now, key, "s", endpoint, listed[endpoint]))
+				if truth[key] == nil {
+					truth[key] = map[string]bool{}
+				}
+				truth[key][listed[endpoint]] = true
+			case 2:
+				listed[rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "changed")] = rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version")
+				confirmed := now - time.Duration(rapid.IntRange(0, 2000).Draw(t, "age"))*time.Millisecond
+				r.SetEndpoints(confirmed, version, differ)
+				for key, streams := range began {
+					for _, b := range streams {
+						if now-b.at <= versionLag && listed[b.endpoint] != b.version && b.version != "" {
+							t.Fatalf("the stream that began %v ago counts as begun at %q; its endpoint has %q", now-b.at, b.version, listed[b.endpoint])
+						}
+						if got, _ := r.Version(now, key); now-b.at <= versionLag && b.version == "" && got != "" {
+							t.Fatalf("stream %d has the version %q although it is in doubt", key, got)
+						}
+					}
+				}
+			case 3:
+				differ = map[string]bool{}
+				if rapid.Bool().Draw(t, "differ") {
+					differ["s"] = true
+				}
+				r.SetEndpoints(now, version, differ)
+			case 4:
+				report()
+			case 5:
+				term++
+				leader = recordedStreams{}
+			}
+			for key, versions := range truth {
+				got, found := r.Version(now, key)
+				if key == 0 && found {
+					t.Fatal("a stream without an identifier is known")
+				}
+				recent := map[string]bool{}
+				for _, b := range began[key] {
+					if now-b.at <= streamMemory {
+						recent[b.version] = true
+					}
+				}
+				if got != "" && (!versions[got] || len(recent) > 1) {
+					t.Fatalf("stream %d has the version %q, but began at %v", key, got, versions)
+				}
+			}
+			if len(r.order) > maxStreams || len(r.byKey) > 3 {
+				t.Fatalf("%d streams are kept", len(r.order))
+			}
+		}
+		if !differ["s"] {
+			return
+		}
+		// The first answer may be that of a new leader, which the second report is for.
+		for range 2 {
+			batch := r.TakeUnreported(now)
+			leader.apply(encodeBegun(now, batch))
+			r.Answered(term)
+		}
+		for key := range r.byKey {
+			if want, found := r.Version(now, key); found && !leader[key][want] {
+				t.Fatalf("stream %d has the version %q, which the leader does not know: %v", key, want, leader[key])
+			}
+		}
+	})
+}
+
 // Guards against a register that keeps every stream of a busy minute.
 func TestRegisterIsBounded(t *testing.T) {
 	r := NewStreamRegister()
+	r.SetEndpoints(0, func(string) string { return "" }, map[string]bool{"s": true})
 	for i := range 2 * maxStreams {
 		r.Began(time.Second, uint64(i+1), "s", "e", "v")
 	}
--- /dev/null
+++ b/internal/coordination/forward/takeup_test.go
@@ -0,0 +1,393 @@
+package forward
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	"github.com/radishloom/radishloom/internal/coordination/pool"
+	"github.com/radishloom/radishloom/internal/state/catalog"
+)
+
+// takeUp is the header of a request that takes up the stream of the attempt id-0.
+func takeUp() map[string]string { return map[string]string{"Resume": "1", "Resumes": "id-0"} }
+
+func streamOf(attempt string) uint64 { return streamKey("models", attempt) }
+
+// Guards against a stream that its caller takes up and that goes on at another version
+// than that which the leader names.
+func TestStreamTakenUpGoesOnAtTheVersionThatTheLeaderNames(t *testing.T) {
+	leader := &streamLeader{versions: map[uint64]string{streamOf("id-0"): "v1.1"}}
+	withLeader(t, leader, versionedEndpoints("v1", "v2", "v1.1", "v1"), func(t *testing.T, e *ledEntry) {
+		for range 8 {
+			if status, code, _ := e.do("/resumed/x", takeUp(), restOfStream()); status != 200 {
+				t.Fatalf("status %d, result %s", status, code)
+			}
+		}
+		if sent := e.sentTo(); slices.ContainsFunc(sent, func(id string) bool { return id != "e3" }) {
+			t.Errorf("sent to %v, want e3 only", sent)
+		}
+		if n := leader.calls(); n != 1 {
+			t.Errorf("%d calls to the leader for one stream, want 1: the entry knows it then", n)
+		}
+	})
+}
+
+// Guards against a stream that its caller takes up at the entry which began it, and that
+// goes on at another version or asks the leader for what the entry knows.
+func TestEntryKnowsTheVersionOfItsStreams(t *testing.T) {
+	leader := &streamLeader{}
+	withLeader(t, leader, versionedEndpoints("v1", "v2", "v1", "v2"), func(t *testing.T, e *ledEntry) {
+		e.do("/resumed/x", map[string]string{"Id": "id-0"}, reply{status: 200, header: sealed(), body: firstEvent, length: -1})
+		for range 8 {
+			if status, code, _ := e.do("/resumed/x", takeUp(), restOfStream()); status != 200 {
+				t.Fatalf("status %d, result %s", status, code)
+			}
+		}
+		odd := func(id string) bool { return id == "e1" || id == "e3" }
+		for _, id := range e.sentTo() {
+			if odd(id) != odd(e.sentTo()[0]) {
+				t.Errorf("sent to %v", e.sentTo())
+			}
+		}
+		if leader.calls() != 0 {
+			t.Errorf("%d calls to the leader, want none", leader.calls())
+		}
+	})
+}
+
+// Guards against an attempt that takes up a stream and that counts as the begin of
+// another one, at whose version the stream would go on.
+func TestAttemptThatTakesUpAStreamBeginsNone(t *testing.T) {
+	leader := &streamLeader{versions: map[uint64]string{streamOf("id-0"): "v1"}}
+	withLeader(t, leader, versionedEndpoints("v1", "v2"), func(t *testing.T, e *ledEntry) {
+		e.do("/resumed/x", takeUp(), restOfStream())
+		if _, found := e.server.mu.streams.Version(e.server.now(), streamOf("id-1")); found {
+			t.Error("the attempt counts as a stream")
+		}
+		if v, _ := e.server.mu.streams.Version(e.server.now(), streamOf("id-0")); v != "v1" {
+			t.Errorf("the stream has the version %q, want v1", v)
+		}
+	})
+}
+
+// Guards against a request that takes up a stream and waits long for a leader that does
+// not answer, or that is run although nobody knows the version.
+func TestStreamIsRefusedInTimeWithoutLeader(t *testing.T) {
+	for name, leader := range map[string]*streamLeader{
+		"silent":     {delay: -1},
+		"fails":      {fails: 1 << 20},
+		"not in use": {versions: map[uint64]string{}},
+	} {
+		withLeader(t, leader, versionedEndpoints("v1", "v1"), func(t *testing.T, e *ledEntry) {
+			var running sync.WaitGroup
+			for range 50 {
+				running.Go(func() {
+					if status, code, took := e.do("/resumed/x", takeUp()); status != 503 || code != "4013" || took > lookupTimeout {
+						t.Errorf("%s: status %d, result %s after %v", name, status, code, took)
+					}
+				})
+				time.Sleep(7 * time.Millisecond)
+			}
+			running.Wait()
+			if sent := e.sentTo(); len(sent) != 0 {
+				t.Errorf("%s: sent to %v", name, sent)
+			}
+		})
+	}
+}
+
+// Guards against a stream that is not continued because the leader was replaced while it
+// was asked.
+func TestNewLeaderIsAskedAgain(t *testing.T) {
+	leader := &streamLeader{fails: 1, versions: map[uint64]string{streamOf("id-0"): "v1"}}
+	withLeader(t, leader, versionedEndpoints("v1", "v2"), func(t *testing.T, e *ledEntry) {
+		leader.failed = func() { e.watcher.controls.answered("c2") }
+		if status, code, _ := e.do("/resumed/x", takeUp(), restOfStream()); status != 200 {
+			t.Errorf("status %d, result %s", status, code)
+		}
+		if !slices.Equal(leader.addresses, []string{"c", "c2"}) {
+			t.Errorf("called %v", leader.addresses)
+		}
+	})
+}
+
+// Guards against a caller that does not state the attempt which began its stream, and
+// whose stream goes on at any version.
+func TestCallerWithoutResumesIsAskedForByItsService(t *testing.T) {
+	for _, version := range []string{"v1", ""} {
+		leader := &streamLeader{versions: map[uint64]string{0: version}}
+		withLeader(t, leader, versionedEndpoints("v2", "v1"), func(t *testing.T, e *ledEntry) {
+			status, code, _ := e.do("/resumed/x", map[string]string{"Resume": "1"}, restOfStream())
+			if served := status == 200 && slices.Equal(e.sentTo(), []string{"e2"}); served != (version != "") {
+				t.Errorf("version %q: status %d, result %s, sent to %v", version, status, code, e.sentTo())
+			}
+			if q := leader.requests[0].GetQueries(); len(q) != 1 || q[0].GetService() != "models" {
+				t.Errorf("queries %v", q)
+			}
+		})
+	}
+}
+
+// Guards against a request that waits, or is run elsewhere, although no endpoint has the
+// version of its stream any more.
+func TestStreamOfAVersionThatNoLongerServesIsRefusedAtOnce(t *testing.T) {
+	evacuated := versionedEndpoints("v1", "v2")
+	evacuated[0].Evacuated = true
+	leaving := versionedEndpoints("v1", "v2")
+	leaving[0].Leaving = true
+	withoutModel := versionedEndpoints("v1", "v2")
+	withoutModel[0].Models = nil
+	for name, list := range map[string][]pool.Endpoint{
+		"gone": versionedEndpoints("v2", "v2"), "evacuated": evacuated, "leaving": leaving, "without the model": withoutModel,
+	} {
+		leader := &streamLeader{versions: map[uint64]string{streamOf("id-0"): "v1"}}
+		withLeader(t, leader, list, func(t *testing.T, e *ledEntry) {
+			status, code, took := e.do("/resumed/x", takeUp(), restOfStream())
+			if status != 503 || code != "4013" || took > 2*pool.TickInterval || len(e.sentTo()) != 0 {
+				t.Errorf("%s: status %d, result %s after %v, sent to %v", name, status, code, took, e.sentTo())
+			}
+			if len(e.server.mu.loading) != 0 {
+				t.Errorf("%s: the leader is asked to load %v", name, e.server.mu.loading)
+			}
+		})
+	}
+}
+
+// Guards against a caller that is told to begin a new stream while its service gets no
+// requests at all.
+func TestStreamOfAnEvacuatedServiceIsNotBegunAnew(t *testing.T) {
+	list := versionedEndpoints("v1", "v1")
+	list[0].Evacuated, list[1].Evacuated = true, true
+	leader := &streamLeader{versions: map[uint64]string{streamOf("id-0"): "v1"}}
+	withLeader(t, leader, list, func(t *testing.T, e *ledEntry) {
+		if status, code, _ := e.do("/resumed/x", takeUp()); status != 503 || code != "4001" {
+			t.Errorf("status %d, result %s, want 503 and 4001", status, code)
+		}
+	})
+}
+
+// Guards against an endpoint without a version, or one that left the list and came back
+// with another version, at which streams of other versions go on.
+func TestStreamsStayAwayFromAHoleInTheList(t *testing.T) {
+	leader := &streamLeader{}
+	withLeader(t, leader, versionedEndpoints("", ""), func(t *testing.T, e *ledEntry) {
+		e.do("/resumed/x", map[string]string{"Id": "id-0"}, brokenStream(), restOfStream())
+		if status, code, _ := e.do("/resumed/x", takeUp(), restOfStream()); status != 503 || code != "4013" || len(e.sentTo()) != 1 {
+			t.Errorf("without versions: status %d, result %s, sent to %v", status, code, e.sentTo())
+		}
+	})
+	withLeader(t, leader, versionedEndpoints("v1"), func(t *testing.T, e *ledEntry) {
+		e.do("/resumed/x", map[string]string{"Id": "id-0"}, reply{status: 200, header: sealed(), body: firstEvent, length: -1})
+		e.server.SetEndpoints(nil)
+		e.server.SetEndpoints(versionedEndpoints("v2", "v1"))
+		if status, code, _ := e.do("/resumed/x", takeUp(), restOfStream()); status != 503 || code != "4013" || len(e.sentTo()) != 1 {
+			t.Errorf("back in the list: status %d, result %s, sent to %v", status, code, e.sentTo())
+		}
+	})
+}
+
+// Guards against many requests that take up streams and each of which costs the leader a
+// call of its own.
+func TestManyStreamsTakenUpAtOnceMakeFewCalls(t *testing.T) {
+	leader := &streamLeader{delay: 20 * time.Millisecond, versions: map[uint64]string{}}
+	var attempts []string
+	for i := range 300 {
+		attempts = append(attempts, "a"+string(rune('A'+i)))
+		leader.versions[streamOf(attempts[i])] = "v1"
+	}
+	withLeader(t, leader, versionedEndpoints("v1", "v2"), func(t *testing.T, e *ledEntry) {
+		var running sync.WaitGroup
+		for _, attempt := range attempts {
+			running.Go(func() {
+				if v := e.server.lookUpStream(t.Context(), lookupKey{streamOf(attempt), "models"}); v != "v1" {
+					t.Errorf("stream %s: version %q", attempt, v)
+				}
+			})
+		}
+		running.Wait()
+		if leader.calls() > 5 || leader.mostRunning != 1 {
+			t.Errorf("%d calls, up to %d at once, want at most 5 and 1", leader.calls(), leader.mostRunning)
+		}
+	})
+}
+
+// Guards against a stream that began before an entry learned that its endpoint has
+// another version, and that goes on at the version which the entry believed.
+func TestStreamIsUnknownOnceItsEndpointHasChangedItsVersion(t *testing.T) {
+	before, after := versionedEndpoints("v1", "v1"), versionedEndpoints("v2", "v1")
+	for i := range before {
+		before[i].VersionsDiffer, after[i].VersionsDiffer = true, true
+	}
+	before[1].Leaving = true // the stream begins at e1
+	withLeader(t, &streamLeader{term: 1}, before, func(t *testing.T, e *ledEntry) {
+		e.do("/resumed/x", map[string]string{"Id": "id-0"}, reply{status: 200, header: sealed(), body: firstEvent, length: -1})
+		time.Sleep(time.Second)
+		if v := e.leader.begun()[streamOf("id-0")]; v != "v1" {
+			t.Fatalf("reported as %q, want v1", v)
+		}
+		e.server.SetEndpoints(after)
+		if status, code, _ := e.do("/resumed/x", takeUp(), restOfStream()); status != 503 || code != "4013" || len(e.sentTo()) != 1 {
+			t.Errorf("status %d, result %s, sent to %v", status, code, e.sentTo())
+		}
+		time.Sleep(time.Second)
+		if v, reported := e.leader.begun()[streamOf("id-0")]; !reported || v != "" {
+			t.Errorf("reported as %q, want as unknown", v)
+		}
+	})
+}
+
+// Guards against events of an endpoint that turned out to have another version between
+// the send and its first event.
+func TestVersionThatChangesBeforeTheFirstEventEndsTheStream(t *testing.T) {
+	list := versionedEndpoints("v1")
+	w := newFixture(t)
+	w.server.SetEndpoints(list)
+	w.server.mu.streams.Began(w.server.now(), streamOf("id-0"), "models", "e0", "v1")
+	w.server.cfg.Client = changingClient{w.endpoints, func() { w.server.SetEndpoints(versionedEndpoints("v2")) }}
+	w.endpoints.replies = []reply{restOfStream()}
+	_, _, body, err := w.do("/resumed/x", map[string]string{"Model": "m", "Resume": "1", "Resumes": "id-0"})
+	if err == nil || body != "" {
+		t.Errorf("body %q, error %v, want no event and a broken answer", body, err)
+	}
+}
+
+// Guards against a stream that counts as begun at the version which its endpoint had when
+// the request was sent, or has afterwards, if it has changed meanwhile.
+func TestVersionThatChangesWhileAStreamBeginsIsUnknown(t *testing.T) {
+	w := newFixture(t)
+	w.server.SetEndpoints(versionedEndpoints("v1"))
+	w.server.cfg.Client = changingClient{w.endpoints, func() { w.server.SetEndpoints(versionedEndpoints("v2", "v1", "v2")) }}
+	w.endpoints.replies = []reply{brokenStream(), restOfStream()}
+	if _, _, body, err := w.do("/resumed/x", map[string]string{"Model": "m"}); err == nil || body != firstEvent {
+		t.Errorf("body %q, error %v, want the first event and a broken answer", body, err)
+	}
+	if v, found := w.server.mu.streams.Version(w.server.now(), streamOf("id-1")); v != "" || !found {
+		t.Errorf("the stream has the version %q, want it to be unknown", v)
+	}
+}
+
+// Guards against an entry whose list of endpoints is older or newer than that of the
+// broker, and that sends a stream to the endpoint which the broker believes to fit.
+func TestGrantOfABrokerWithAnotherListIsNotUsed(t *testing.T) {
+	servers := map[string]*Server{}
+	var sent []*fakeEndpoints
+	for _, name := range []string{"a", "b"} {
+		endpoints := &fakeEndpoints{replies: []reply{restOfStream()}}
+		s := newServer(t, endpoints)
+		s.mu.entry = pool.NewEntry(pool.Sender{Address: name, Incarnation: 1}, "")
+		s.cfg.Send = func(to string, m *peerv1.PlaceMessage) { go servers[to].Receive(m) }
+		servers[name], sent = s, append(sent, endpoints)
+	}
+	newer, older := versionedEndpoints("v2", "v2", "v2", "v1"), versionedEndpoints("v1", "v1", "v1", "v1")
+	for i, lists := range [][][]pool.Endpoint{{newer, older}, {older, newer}} {
+		servers["a"].SetEndpoints(lists[0])
+		servers["b"].SetEndpoints(lists[1])
+		asking := servers[[]string{"a", "b"}[i]]
+		for _, s := range servers {
+			s.SetEntries([]string{"a", "b"})
+		}
+		asking.mu.streams.Began(asking.now(), streamOf("id-0"), "models", "e0", "v1")
+		e := &ledEntry{endpoints: sent[i], server: asking}
+		status, code, _ := e.do("/resumed/x", takeUp())
+		if status != 200 || !slices.Equal(e.sentTo(), []string{"e4"}) {
+			t.Errorf("status %d, result %s, sent to %v, want e4", status, code, e.sentTo())
+		}
+	}
+}
+
+// Guards against a stream that is continued at another service of its route.
+func TestStreamStaysAtTheServiceThatBeganIt(t *testing.T) {
+	other := versionedEndpoints("v1", "v1")
+	for i := range other {
+		other[i].ID, other[i].Service, other[i].Address = "o"+other[i].ID, "other", "o"+other[i].Address
+	}
+	leader := &streamLeader{versions: map[uint64]string{0: "v1", streamKey("other", "id-9"): "v1"}}
+	withLeader(t, leader, append(versionedEndpoints("v1", "v1"), other...), func(t *testing.T, e *ledEntry) {
+		c := testCatalog()
+		c.Version++
+		models := c.Services[1]
+		models.Name = "other"
+		c.Services = append(c.Services, models)
+		for i := range c.Routes {
+			if c.Routes[i].Name == "resumed" {
+				c.Routes[i].Splits = []catalog.Split{{Service: "other", Weight: 99}, {Service: "models", Weight: 1}}
+			}
+		}
+		e.server.SetCatalog(catalog.NewIndex(c))
+		e.server.mu.streams.Began(e.server.now(), streamOf("id-0"), "models", "e1", "v1")
+		for range 8 {
+			e.do("/resumed/x", takeUp(), restOfStream())
+		}
+		if sent := e.sentTo(); len(sent) != 8 || slices.ContainsFunc(sent, func(id string) bool { return id != "e1" && id != "e2" }) {
+			t.Errorf("sent to %v", sent)
+		}
+		if status, code, _ := e.do("/resumed/x", map[string]string{"Resume": "1", "Resumes": "id-9"}); status != 503 || code != "4013" {
+			t.Errorf("unknown service: status %d, result %s", status, code)
+		}
+	})
+}
+
+// Guards against requests of other routes that are refused because of a field which has
+// no meaning there.
+func TestOtherRoutesIgnoreTheVersion(t *testing.T) {
+	w := newFixture(t, restOfStream())
+	w.server.SetEndpoints(versionedEndpoints("v1", "v2"))
+	if status, _, _, err := w.do("/stream/x", map[string]string{"Model": "m", "Resume": "1", "Resumes": "id-0"}); err != nil || status != 200 {
+		t.Errorf("status %d, error %v", status, err)
+	}
+}
+
+// outcomes counts requests that take up a stream, and resumptions that are refused.
+type outcomes struct {
+	noMetrics
+	counts map[string]int
+}
+
+func (o outcomes) TakeUp(outcome string) { o.counts[outcome]++ }
+func (o outcomes) ResumptionRefused()    { o.counts["resumption"]++ }
+
+// Guards against take-ups and refused resumptions that operators do not see.
+func TestOutcomesOfTakeUpsAreCounted(t *testing.T) {
+	leader := &streamLeader{versions: map[uint64]string{streamOf("known"): "v1", streamOf("gone"): "v0"}}
+	withLeader(t, leader, versionedEndpoints("v1"), func(t *testing.T, e *ledEntry) {
+		got := outcomes{counts: map[string]int{}}
+		e.server.cfg.Metrics = got
+		for _, attempt := range []string{"known", "known", "gone", "lost"} {
+			e.do("/resumed/x", map[string]string{"Resume": "1", "Resumes": attempt}, reply{status: 200, header: sealed(), body: nextEvent, length: -1})
+		}
+		e.endpoints.replies = nil
+		e.do("/resumed/x", map[string]string{"Id": "id-2"}, brokenStream())
+		want := map[string]int{takeUpLeader: 1, takeUpOwnMemory: 1, takeUpNoEndpoint: 1, takeUpUnknown: 1, "resumption": 1}
+		if !maps.Equal(got.counts, want) {
+			t.Errorf("counted %v, want %v", got.counts, want)
+		}
+	})
+}
+
+// Guards against a request that is refused because it came while a call to the leader
+// was in flight that nobody answered.
+func TestLookupBehindASilentCallIsAnswered(t *testing.T) {
+	leader := &streamLeader{delay: -1, versions: map[uint64]string{streamOf("id-0"): "v1"}}
+	withLeader(t, leader, versionedEndpoints("v1", "v2"), func(t *testing.T, e *ledEntry) {
+		go e.do("/resumed/x", map[string]string{"Resume": "1", "Resumes": "other"})
+		time.Sleep(10 * time.Millisecond)
+		leader.mu.Lock()
+		leader.delay = 5 * time.Millisecond
+		leader.mu.Unlock()
+		if status, code, _ := e.do("/resumed/x", takeUp(), restOfStream()); status != 200 {
+			t.Errorf("status %d, result %s", status, code)
+		}
+	})
+}
+
+// Guards against an entry that does not read the versions in its list.
+func TestListHasSoftwareVersions(t *testing.T) {
+	got := decodeEndpoints([]*peerv1.DirectoryEndpoint{{Id: "e1", SoftwareVersion: "v1", VersionsDiffer: true}, {Id: "e2"}})
+	if got[0].SoftwareVersion != "v1" || !got[0].VersionsDiffer || got[1].SoftwareVersion != "" || got[1].VersionsDiffer {
+		t.Errorf("decoded as %+v", got)
+	}
+}
--- a/internal/coordination/forward/versions.go
+++ b/internal/coordination/forward/versions.go
@@ -3,8 +3,13 @@
 import (
 	"github.com/radishloom/radishloom/internal/coordination/pool"
 	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/state/catalog"
 )
 
+// resumable reports whether the route's streams can be continued by another request, or
+// at another endpoint.
+func (c *call) resumable() bool { return c.route.Kind == catalog.Streaming && c.route.Resumable }
+
 // restrictVersion restricts the next send to the software version that began the stream.
 // Until an event has been passed on, a new stream may begin at any version. It returns
 // an error if the version has become unknown.
@@ -20,15 +25,29 @@
 		}
 		return nil
 	}
+	if c.query.SoftwareVersion == "" {
+		return nil
+	}
+	if version, found := s.mu.streams.Version(s.now(), c.stream); found && version != c.query.SoftwareVersion {
+		c.takeUp = takeUpUnknown
+		return notResumable("the software version that began the stream has become unknown")
+	}
 	return nil
 }
 
-// countVersionRefusal counts a stream that is not resumed because no usable endpoint has
-// the software version that began it.
-func (c *call) countVersionRefusal(err *resultcode.Error) {
-	if err.Code == resultcode.NoEndpoint && c.begun != nil {
+// versionRefusal returns the error for a request that got no slot because no usable
+// endpoint has the software version that began the stream, and err for any other.
+func (c *call) versionRefusal(err *resultcode.Error) *resultcode.Error {
+	// A retry-after time tells that the service is evacuated: a new stream cannot begin.
+	if err.Code != resultcode.NoEndpoint || err.RetryAfter > 0 || c.query.SoftwareVersion == "" {
+		return err
+	}
+	if c.begun != nil {
 		c.countResumptionRefused()
+		return err
 	}
+	c.takeUp = takeUpNoEndpoint
+	return notResumable("service %q has no endpoint left with the software version %q, which began the stream", c.service.Name, c.query.SoftwareVersion)
 }
 
 // countResumptionRefused counts, once, that the stream of this request is not resumed
@@ -65,3 +84,15 @@
 func fitsVersion(t *pool.Table, q *pool.Query, endpoint string) bool {
 	return q.SoftwareVersion == "" || t.SoftwareVersion(endpoint) == q.SoftwareVersion
 }
+
+// servicesWithVersions returns the services whose endpoints have several software
+// versions.
+func servicesWithVersions(list []pool.Endpoint) map[string]bool {
+	out := map[string]bool{}
+	for i := range list {
+		if list[i].VersionsDiffer {
+			out[list[i].Service] = true
+		}
+	}
+	return out
+}
--- a/internal/coordination/forward/versions_test.go
+++ b/internal/coordination/forward/versions_test.go
@@ -1,11 +1,14 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/radishloom/radishloom/internal/coordination/directory"
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/coordination/pool"
 )
 
@@ -35,6 +38,17 @@
 	return out
 }
 
+// changingClient calls change with each request that it sends.
+type changingClient struct {
+	exchange.Client
+	change func()
+}
+
+func (c changingClient) Do(ctx context.Context, r *exchange.Request) (*exchange.Response, error) {
+	c.change()
+	return c.Client.Do(ctx, r)
+}
+
 // versionsSentTo returns the software versions of the endpoints that got the requests.
 func (w *fixture) versionsSentTo(list []pool.Endpoint) []string {
 	var out []string
@@ -95,3 +109,22 @@
 		}
 	}
 }
+
+// Guards against a stream that its caller takes up at an entry which does not know the
+// software version that began it, for example after a restart, and which continues it at
+// any version.
+func TestTakenUpStreamIsNotContinuedAtUnknownVersion(t *testing.T) {
+	w := newFixture(t, restOfStream())
+	w.server.SetEndpoints(versionedEndpoints("v1", "v2"))
+	started := time.Now()
+	status, h, body, err := w.do("/resumed/x", map[string]string{"Model": "m", "Resume": "1", "Resumes": "id-0"})
+	if err != nil || status != 503 || h.Get("Radishloom-Result") != "4013" || len(w.endpoints.sends()) != 0 {
+		t.Fatalf("status %d, result %s, body %q, error %v after %d sends, want 503 and 4013 without a send", status, h.Get("Radishloom-Result"), body, err, len(w.endpoints.sends()))
+	}
+	if took := time.Since(started); took > time.Second {
+		t.Errorf("refused after %v", took)
+	}
+	if h.Get("Retry-After") != "0.02" {
+		t.Errorf("Retry-After %q, want that of a stream that can begin at once", h.Get("Retry-After"))
+	}
+}
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -42,6 +42,7 @@
 	Watch(ctx context.Context, address string, r *peerv1.WatchRequest) (*peerv1.WatchResponse, error)
 	Load(ctx context.Context, address string, r *peerv1.LoadRequest) (*peerv1.LoadResponse, error)
 	Report(ctx context.Context, address string, r *peerv1.EvidenceReport) (*peerv1.EvidenceResponse, error)
+	Streams(ctx context.Context, address string, r *peerv1.StreamsRequest) (*peerv1.StreamsResponse, error)
 }
 
 // WatcherConfig configures a Watcher.
@@ -89,9 +90,11 @@
 // SetSeeds replaces the addresses of the control VMs from the settings.
 func (w *Watcher) SetSeeds(addresses []string) { w.controls.setSeeds(addresses) }
 
-// Run polls a control VM, and reports evidence to the leader, until ctx ends.
+// Run polls a control VM, and reports evidence and streams to the leader, until ctx ends.
 func (w *Watcher) Run(ctx context.Context, s *Server) {
 	go w.reportEvidence(ctx, s)
+	go w.reportStreams(ctx, s)
+	go w.lookUpStreams(ctx, s)
 	failures := 0
 	w.lastResponse = time.Now()
 	for ctx.Err() == nil {
--- a/internal/coordination/forward/watch_test.go
+++ b/internal/coordination/forward/watch_test.go
@@ -31,6 +31,10 @@
 	return &peerv1.EvidenceResponse{}, nil
 }
 
+func (s *partitionedControl) Streams(context.Context, string, *peerv1.StreamsRequest) (*peerv1.StreamsResponse, error) {
+	return &peerv1.StreamsResponse{}, nil
+}
+
 // An entry whose first control VMs do not know a leader must call all others too: in
 // a network partition the first ones may all be on the side without the leader.
 func TestWatcherFindsLeaderAcrossPartition(t *testing.T) {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -89,6 +89,7 @@
 	entryWarming   metric.Int64Gauge
 	callerMemory   metric.Int64Gauge
 	closedConns    metric.Int64Counter
+	takeUps        metric.Int64Counter
 	unresumed      metric.Int64Counter
 }
 
@@ -225,6 +226,7 @@
 	m.openRequests = i.gauge("radishloom.open.requests", "", "Open requests of callers at this VM.")
 	m.callerMemory = i.gauge("radishloom.caller.memory", "By", "Memory reserved for callers by kind, and the total that may be.")
 	m.closedConns = i.counter("radishloom.connections.closed", "Connections of callers that this VM closed or refused, by reason.")
+	m.takeUps = i.counter("radishloom.stream.takeups", "Requests that take up a stream, by outcome.")
 	m.unresumed = i.counter("radishloom.stream.resumptions.refused", "Streams that broke off and were not resumed at another endpoint because of the software version that began them.")
 	return i.err
 }
@@ -445,6 +447,11 @@
 	m.slotWaits.Add(context.Background(), int64(n), label("result", result))
 }
 
+// TakeUp counts a request that took up a stream, by its outcome.
+func (m *Metrics) TakeUp(outcome string) {
+	m.takeUps.Add(context.Background(), 1, label("outcome", outcome))
+}
+
 // ResumptionRefused counts a stream that broke off and was not resumed at another
 // endpoint because of the software version that began it.
 func (m *Metrics) ResumptionRefused() { m.unresumed.Add(context.Background(), 1) }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -58,6 +58,7 @@
 	m.StreamTimes(time.Second, time.Millisecond)
 	m.OutputEstimate(60, 50)
 	m.SlotDecisions("refused_late", 2)
+	m.TakeUp("leader")
 	m.ResumptionRefused()
 	m.SlotWaits("longer", 3)
 	text := scrape(t, m)
