--- a/internal/coordination/forward/lookup.go
+++ b/internal/coordination/forward/lookup.go
@@ -125,11 +125,11 @@
 	s.mu.streams.NotReported(batch)
 }
 
-// leaderAnswered records an answer of the leader of a term to a report of some streams.
-func (s *Server) leaderAnswered(term uint64, batch []*begunStream) {
+// leaderAnswered records an answer of the leader of a term.
+func (s *Server) leaderAnswered(term uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mu.streams.Answered(term, batch)
+	s.mu.streams.Answered(term)
 }
 
 // streamReportInterval returns the least time between two reports of streams.
@@ -177,7 +177,7 @@
 		s.log.Info("software versions of streams not learned", "streams", len(batch), "error", err.Error())
 		return nil
 	}
-	s.leaderAnswered(resp.GetTerm(), nil)
+	s.leaderAnswered(resp.GetTerm())
 	if len(resp.GetSoftwareVersions()) != len(batch) {
 		s.log.Info("answer on software versions of streams does not match its call", "streams", len(batch), "answers", len(resp.GetSoftwareVersions()))
 		return nil
@@ -205,7 +205,7 @@
 			s.begunNotReported(batch)
 			continue
 		}
-		s.leaderAnswered(resp.GetTerm(), batch)
+		s.leaderAnswered(resp.GetTerm())
 	}
 }
 
--- a/internal/coordination/forward/streams.go
+++ b/internal/coordination/forward/streams.go
@@ -153,7 +153,7 @@
 	if latest == nil {
 		return
 	}
-	latest.version = ""
+	latest.version, latest.reported = "", false
 	if r.differ[latest.service] {
 		r.report(latest)
 	}
@@ -172,8 +172,8 @@
 	}
 }
 
-// TakeUnreported returns the streams of the next report, oldest first. Reported or
-// NotReported must be called with them.
+// TakeUnreported returns the streams of the next report, oldest first. If
+// it fails, NotReported must be called with them.
 func (r *StreamRegister) TakeUnreported(now time.Duration) []*begunStream {
 	waiting := r.unreported
 	r.unreported = nil
@@ -200,9 +200,9 @@
 	}
 }
 
-// Answered records an answer of the leader of a term to a report of some streams. A
-// leader of another term has no record of those that were reported before.
-func (r *StreamRegister) Answered(term uint64, batch []*begunStream) {
+// Answered records an answer of the leader of a term. A leader of another term has no
+// record of the streams that were reported before.
+func (r *StreamRegister) Answered(term uint64) {
 	last := r.term
 	r.term = term
 	if last == 0 || last == term {
@@ -211,9 +211,6 @@
 	for _, b := range r.order {
 		b.reported = false
 	}
-	for _, b := range batch {
-		b.reported = true
-	}
 	for service := range r.differ {
 		r.reportService(service)
 	}
--- a/internal/coordination/forward/streams_test.go
+++ b/internal/coordination/forward/streams_test.go
@@ -103,7 +103,7 @@
 				return
 			}
 			leader.apply(encodeBegun(now, batch))
-			r.Answered(term, batch)
+			r.Answered(term)
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 8000).Draw(t, "pause")) * time.Millisecond
@@ -168,10 +168,7 @@
 		for range 2 {
 			batch := r.TakeUnreported(now)
 			leader.apply(encodeBegun(now, batch))
-			r.Answered(term, batch)
-		}
-		if r.term != term || len(r.unreported) > 0 {
-			return // nothing was reported to the last leader
+			r.Answered(term)
 		}
 		for key := range r.byKey {
 			if want, found := r.Version(now, key); found && !leader[key][want] {
