pool, forward: a stream waits for its model at its software version

What callers saw: a stream that they took up was refused (4013) although endpoints of its version served, because the only one of them with its model had crashed.

Cause: a model or adapter that no endpoint of the version had counted like a version without endpoints, and loads were asked for without a version.

Change: while an endpoint of the version may be used, the request waits for its model as any other one does, and the leader is asked to load it at that version. If the leader answers that none can load it, the request is refused at once; if the load takes too long, with the time that it takes. The cases "without the model" and "without the adapter" of TestUnservedSoftwareVersionIsRefusedAtOnce asserted the old rule; they are in TestMissingModelIsLoadedAtTheSoftwareVersion now, which checks what is asked for and where the request goes on.

Result: tests of pool and forward pass, the new ones with the race detector.

--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -46,8 +46,9 @@
 
 // Loader asks the leader to load a model or adapter that no endpoint has.
 type Loader interface {
-	// Load returns the expected time until the model or adapter is resident.
-	Load(ctx context.Context, model, adapter string) (time.Duration, error)
+	// Load returns the expected time until the model or adapter is resident. It fails with
+	// NoEndpoint if no endpoint with the software version can load it.
+	Load(ctx context.Context, m pool.MissingModel) (time.Duration, error)
 }
 
 // Config holds the dependencies and settings of a Server.
--- a/internal/coordination/forward/slot.go
+++ b/internal/coordination/forward/slot.go
@@ -287,13 +287,18 @@
 func (s *Server) load(n pool.MissingModel) time.Duration {
 	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
-	ready, err := s.cfg.Loader.Load(ctx, n.Model, n.Adapter)
+	ready, err := s.cfg.Loader.Load(ctx, n)
 	if err != nil {
-		s.log.Info("load request failed", "model", n.Model, "adapter", n.Adapter, "error", err.Error())
-		return loadRetryDelay
+		s.log.Info("load request failed", "model", n.Model, "adapter", n.Adapter, "software_version", n.SoftwareVersion, "error", err.Error())
 	}
-	if n.Adapter == "" {
-		s.step(func(now time.Duration, e *pool.Entry) { e.SetReady(now, n.Service, n.Model, now+ready) })
+	switch {
+	case n.SoftwareVersion != "" && resultcode.Of(err) == resultcode.NoEndpoint:
+		s.step(func(now time.Duration, e *pool.Entry) { e.SetUnavailable(now, n) })
+		return loadPollInterval
+	case err != nil:
+		return loadRetryDelay
+	case n.Adapter == "":
+		s.step(func(now time.Duration, e *pool.Entry) { e.SetReady(now, n, now+ready) })
 	}
 	return loadPollInterval
 }
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -311,8 +311,9 @@
 }
 
 // Load implements Loader.
-func (w *Watcher) Load(ctx context.Context, model, adapter string) (time.Duration, error) {
-	resp, err := w.cfg.Directory.Load(ctx, w.controls.loadAddress(), &peerv1.LoadRequest{Model: model, Adapter: adapter})
+func (w *Watcher) Load(ctx context.Context, m pool.MissingModel) (time.Duration, error) {
+	r := &peerv1.LoadRequest{Model: m.Model, Adapter: m.Adapter, SoftwareVersion: m.SoftwareVersion}
+	resp, err := w.cfg.Directory.Load(ctx, w.controls.loadAddress(), r)
 	return time.Duration(resp.GetReadyMs()) * time.Millisecond, err
 }
 
--- a/internal/coordination/pool/broker.go
+++ b/internal/coordination/pool/broker.go
@@ -34,6 +34,13 @@
 	retryAfterSpread = 2 * time.Second
 )
 
+// versionedModel identifies a model at endpoints of one software version; an empty version
+// stands for all endpoints.
+type versionedModel struct {
+	modelKey
+	version string
+}
+
 // requestKey identifies a slot request across all entries.
 type requestKey struct {
 	from Sender
@@ -67,9 +74,10 @@
 	lastSeen time.Duration
 }
 
-// MissingModel is a model, or an adapter of it, that requests wait for and that
-// no endpoint has.
-type MissingModel struct{ Service, Model, Adapter string }
+// MissingModel is a model, or an adapter of it, that requests wait for and that no
+// endpoint has. If they are restricted to a software version, no endpoint with that
+// version has it.
+type MissingModel struct{ Service, Model, Adapter, SoftwareVersion string }
 
 // Broker grants slots at engines to the requests of all entries.
 type Broker struct {
@@ -83,8 +91,9 @@
 	// holders is keyed by address. A new incarnation of an entry releases the
 	// slots of the previous one.
 	holders map[string]*holder
-	// readyAt is when a model that is resident nowhere is expected to be ready.
-	readyAt map[modelKey]time.Duration
+	// readyAt is when a model that is resident nowhere is expected to be ready; never if
+	// it cannot be loaded at its software version.
+	readyAt map[versionedModel]time.Duration
 	// missing collects what waiting requests lack until TakeMissingModels is
 	// called.
 	missing map[MissingModel]bool
@@ -109,7 +118,7 @@
 		table: t, owners: o, out: out,
 		queues: map[modelKey]*Queue{}, pending: map[requestKey]*pendingRequest{},
 		granted: map[requestKey]*grantedSlot{}, ended: map[requestKey]endedRequest{},
-		holders: map[string]*holder{}, readyAt: map[modelKey]time.Duration{},
+		holders: map[string]*holder{}, readyAt: map[versionedModel]time.Duration{},
 		missing: map[MissingModel]bool{}, waiting: map[modelKey]bool{},
 		contention: map[modelKey]contention{}, holds: map[modelKey]*holdTimes{},
 	}
@@ -273,8 +282,9 @@
 	return true
 }
 
-func (b *Broker) setReady(key modelKey, at time.Duration) {
-	b.readyAt[key] = at
+func (b *Broker) setReady(m MissingModel, at time.Duration) {
+	key := modelKey{m.Service, m.Model}
+	b.readyAt[versionedModel{key, m.SoftwareVersion}] = at
 	b.dispatch(key)
 	for k, req := range b.pending {
 		if req.key == key {
@@ -416,14 +426,13 @@
 	b.noteContention(key, q.anyOnTime(b.now))
 	full := false
 	for _, w := range q.waiters {
-		if w.unservedVersion() {
-			continue // it is refused, and a load might be ordered at another version
-		}
+		lacking := MissingModel{Service: key.service, Model: key.model, SoftwareVersion: w.Query.SoftwareVersion}
 		switch w.reason {
 		case NoModel:
-			b.missing[MissingModel{Service: key.service, Model: key.model}] = true
+			b.missing[lacking] = true
 		case NoAdapter:
-			b.missing[MissingModel{Service: key.service, Model: key.model, Adapter: w.Query.Adapter}] = true
+			lacking.Adapter = w.Query.Adapter
+			b.missing[lacking] = true
 		case Full:
 			full = true
 		case None, NoEndpoints, Limited:
--- a/internal/coordination/pool/choose.go
+++ b/internal/coordination/pool/choose.go
@@ -47,7 +47,7 @@
 // the request.
 func (t *Table) choose(now time.Duration, q *Query) (*endpoint, UnavailableReason) {
 	reason := NoEndpoints
-	if q.Model != "" && len(t.services[q.Service]) > 0 {
+	if q.Model != "" && t.mayLoadModel(now, q) {
 		reason = NoModel
 	}
 	var best *endpoint
@@ -71,6 +71,16 @@
 	return nil, reason
 }
 
+// mayLoadModel reports whether an endpoint may get the model of a request. One that only
+// endpoints of another software version have is no reason to wait.
+func (t *Table) mayLoadModel(now time.Duration, q *Query) bool {
+	list := t.services[q.Service]
+	if q.SoftwareVersion == "" {
+		return len(list) > 0
+	}
+	return slices.ContainsFunc(list, func(e *endpoint) bool { return !t.excluded(now, e, q) })
+}
+
 func (t *Table) unavailableReason(now time.Duration, e *endpoint, q *Query) UnavailableReason {
 	if q.Model != "" && !e.has(now, q.Model, "") {
 		return NoModel
--- a/internal/coordination/pool/entry.go
+++ b/internal/coordination/pool/entry.go
@@ -143,12 +143,16 @@
 
 // SetReady sets when a model that is resident nowhere is expected to be ready.
 // Requests that cannot wait for it are refused.
-func (e *Entry) SetReady(now time.Duration, service, model string, at time.Duration) {
+func (e *Entry) SetReady(now time.Duration, m MissingModel, at time.Duration) {
 	e.setNow(now)
-	e.broker.setReady(modelKey{service, model}, at)
+	e.broker.setReady(m, at)
 	e.deliverToSelf()
 }
 
+// SetUnavailable records that no endpoint with the software version can load a model.
+// Requests for it are refused.
+func (e *Entry) SetUnavailable(now time.Duration, m MissingModel) { e.SetReady(now, m, never) }
+
 // TakeMissingModels returns and clears the models and adapters that waiting
 // requests have lacked since the last call.
 func (e *Entry) TakeMissingModels() []MissingModel {
--- a/internal/coordination/pool/futility.go
+++ b/internal/coordination/pool/futility.go
@@ -17,13 +17,16 @@
 // futility decides whether waiting longer cannot help a request. It changes no state
 // besides budgets, which grow with time.
 func (b *Broker) futility(key modelKey, w *Waiter) (f futility, futile bool) {
+	readyAt := b.readyAt[versionedModel{key, w.Query.SoftwareVersion}]
 	switch {
 	case w.reason <= NoModel && b.table.ServiceEvacuated(b.now, w.Query.Service):
 		return futility{code: resultcode.NoEndpoint, after: b.overloadRetryAfter()}, true
 	case w.unservedVersion():
 		return futility{code: resultcode.NoEndpoint}, true
-	case w.reason == NoModel && b.readyAt[key] > w.Deadline:
-		return futility{code: resultcode.ModelLoading, after: b.readyAt[key] - b.now}, true
+	case w.reason == NoModel && readyAt == never:
+		return futility{code: resultcode.NoEndpoint}, true
+	case w.reason == NoModel && readyAt > w.Deadline:
+		return futility{code: resultcode.ModelLoading, after: readyAt - b.now}, true
 	case w.reason == NoEndpoints && len(w.Query.Exclude) > 0:
 		return futility{code: resultcode.NoEndpoint}, true
 	case b.now >= w.Deadline:
--- a/internal/coordination/pool/queue.go
+++ b/internal/coordination/pool/queue.go
@@ -152,9 +152,9 @@
 }
 
 // unservedVersion reports whether a request is restricted to a software version of which
-// no endpoint that may be used has its model and adapter.
+// no endpoint may be used.
 func (w *Waiter) unservedVersion() bool {
-	return w.Query.SoftwareVersion != "" && w.reason >= NoEndpoints && w.reason <= NoAdapter
+	return w.Query.SoftwareVersion != "" && w.reason == NoEndpoints
 }
 
 func (q *Queue) refuse(w *Waiter) {
