directory: load a model at a requested software version

Cause: a stream that its caller takes up may only be continued at the version that began it. When the only engine of that version with the model had crashed and engines of another version held it, nothing loaded it at an engine of its version.

Change: a request for a model may name a software version. The planner then loads the model at an engine of the version unless one holds it or is about to load it, as it does for a model that no engine holds. Such loads of one model come before one for any version, which they also serve. A model that was itself requested for the version of its engine is kept there for its load time and minReplicaUse, so that two models do not evict each other in turn. A version without a usable engine is refused with no_endpoint. TestOrdersNeverOvercommit also requests models for versions.

--- a/internal/coordination/directory/demand.go
+++ b/internal/coordination/directory/demand.go
@@ -51,6 +51,8 @@
 	updatedAt       time.Duration
 	lastUsed        time.Duration
 	loadRequestedAt time.Duration // when an entry last requested a load
+	// versionRequestedAt is when an entry last requested the model for a software version.
+	versionRequestedAt map[string]time.Duration
 }
 
 // demandOf returns the demand for a model or MODEL/ADAPTER, with its means decayed
--- a/internal/coordination/directory/evacuations_test.go
+++ b/internal/coordination/directory/evacuations_test.go
@@ -161,7 +161,7 @@
 	s := testService(4)
 	p, now := newPlannerWith(s, []string{"m0", "m1"}, []string{"m0"})
 	list := []Endpoint{{ID: "a", Service: "s", Address: "a", Slots: 8}, {ID: "b", Service: "s", Address: "b", Slots: 8}}
-	p.RequestModel(now, "m3")
+	p.RequestModel(now, "m3", "")
 	if got := p.Plan(now, s); len(got) != 1 || got[0].Engine.ID != "b" {
 		t.Fatalf("decisions: %+v", got)
 	}
@@ -169,8 +169,8 @@
 	p.engines["a"].draining["m1"], p.engines["a"].replacement = now, "m3"
 	list[0].Evacuated = true
 	p.SetEndpoints(list)
-	p.RequestModel(now, "m1")
-	p.RequestModel(now, "m0")
+	p.RequestModel(now, "m1", "")
+	p.RequestModel(now, "m0", "")
 	got := p.Plan(now+drainDelay, s)
 	if len(got) != 1 || got[0].Engine.ID != "b" || got[0].Order.Model != "m1" {
 		t.Fatalf("decisions while a is evacuated: %+v, want the load of m1 on b", got)
--- a/internal/coordination/directory/observe.go
+++ b/internal/coordination/directory/observe.go
@@ -202,9 +202,14 @@
 }
 
 // RequestModel records that an entry needs a model that is not resident on any
-// engine.
-func (p *Planner) RequestModel(now time.Duration, model string) {
-	p.demandOf(now, model).loadRequestedAt = now
+// engine of a software version, which is empty for any version.
+func (p *Planner) RequestModel(now time.Duration, model, version string) {
+	d := p.demandOf(now, model)
+	if version == "" {
+		d.loadRequestedAt = now
+		return
+	}
+	d.requestVersion(now, version)
 }
 
 // ClearWaiting removes the waiting requests of an entry for each model and adapter
--- a/internal/coordination/directory/orders.go
+++ b/internal/coordination/directory/orders.go
@@ -44,7 +44,7 @@
 		}
 	}
 	for _, start := range s.mu.planner.TakeReplicaStarts() {
-		s.cfg.Log.Info("adding a replica", "model", start.Model, "endpoint", start.Engine, "evicted", start.Evicted, "copies", start.Replicas, "local", start.Local,
+		s.cfg.Log.Info("adding a replica", "model", start.Model, "endpoint", start.Engine, "version", start.SoftwareVersion, "requested_version", start.RequestedVersion, "evicted", start.Evicted, "copies", start.Replicas, "local", start.Local,
 			"demand", round2(start.Demand), "expected", round2(start.Expected), "pool_load", round2(start.PoolLoad), "report_age_ms", start.ReportAge.Milliseconds())
 	}
 	return out
@@ -103,7 +103,9 @@
 	return s.cfg.Platform.Order(ctx, d.Engine, d.Order)
 }
 
-// Load handles the request of an entry for a model or adapter that is not resident.
+// Load handles the request of an entry for a model or adapter that is not resident on any
+// engine of a software version, which is empty for any version. It fails with NoEndpoint
+// if no engine of the version can be used.
 func (s *Server) Load(ctx context.Context, r *peerv1.LoadRequest) (*peerv1.LoadResponse, error) {
 	s.mu.Lock()
 	if s.mu.term == 0 {
@@ -112,23 +114,37 @@
 	}
 	if r.GetAdapter() == "" {
 		defer s.mu.Unlock()
-		return s.requestModelLocked(r.GetModel()), nil
+		return s.requestModelLocked(r.GetModel(), r.GetSoftwareVersion())
 	}
 	s.mu.Unlock()
 	return s.loadAdapter(ctx, r.GetModel(), r.GetAdapter())
 }
 
-// requestModelLocked records the request for a model and returns when it should be
-// ready.
-func (s *Server) requestModelLocked(model string) *peerv1.LoadResponse {
-	s.mu.planner.RequestModel(s.now(), model)
+// requestModelLocked records the request for a model at a software version and returns
+// when it should be ready.
+func (s *Server) requestModelLocked(model, version string) (*peerv1.LoadResponse, error) {
+	if err := s.checkVersionLocked(model, version); err != nil {
+		return nil, err
+	}
+	s.mu.planner.RequestModel(s.now(), model, version)
 	service := s.serviceOfLocked(model)
 	if service == nil {
-		return &peerv1.LoadResponse{}
+		return &peerv1.LoadResponse{}, nil
 	}
-	ready := s.mu.planner.EstimateReady(s.now(), service, model)
+	ready := s.mu.planner.EstimateReady(s.now(), service, model, version)
 	ready += max(0, s.cfg.OrderLease+orderMargin-(s.now()-s.mu.termStart))
-	return &peerv1.LoadResponse{ReadyMs: uint32(ready.Milliseconds())}
+	return &peerv1.LoadResponse{ReadyMs: uint32(ready.Milliseconds())}, nil
+}
+
+// checkVersionLocked returns NoEndpoint if no engine of a software version, which is empty
+// for any version, can be used. Until this leader knows the endpoints and the catalog, any
+// may have the version.
+func (s *Server) checkVersionLocked(model, version string) error {
+	service := s.serviceOfLocked(model)
+	if version == "" || !s.mu.listed || service == nil || s.mu.planner.VersionUsable(service, version) {
+		return nil
+	}
+	return resultcode.New(resultcode.NoEndpoint, "no engine of software version %q can load model %q", version, model)
 }
 
 // serviceOfLocked returns the service whose engines run a model, or nil.
--- a/internal/coordination/directory/place.go
+++ b/internal/coordination/directory/place.go
@@ -37,7 +37,7 @@
 	if best == nil {
 		return Decision{}, false
 	}
-	d, _, sendNow := r.startLoad(best, bestModel)
+	d, _, sendNow := r.startLoad(best, bestModel, "")
 	return d, sendNow
 }
 
@@ -74,9 +74,7 @@
 	return r.usedMemoryMB(e, except)+m.MemoryMB <= r.service.Engine.MemoryMB
 }
 
-// unreachable lists the models in demand that no engine holds or is about to load,
-// those with the most demand first. Requests for such a model may be refused at
-// once, so the demand decides before the number of waiting requests.
+// unreachable lists the models in demand that no engine holds or is about to load.
 func (r *plan) unreachable() []string {
 	var out []string
 	for name := range r.models {
@@ -84,12 +82,16 @@
 			out = append(out, name)
 		}
 	}
-	slices.SortFunc(out, func(a, b string) int {
-		return cmp.Or(cmp.Compare(r.load[b], r.load[a]), cmp.Compare(r.demand[b].waitingRequests(), r.demand[a].waitingRequests()), cmp.Compare(a, b))
-	})
 	return out
 }
 
+// compareDemand orders models by their demand, the highest first. Requests for a model
+// that no engine holds may be refused at once, so the demand decides before the number of
+// waiting requests.
+func (r *plan) compareDemand(a, b string) int {
+	return cmp.Or(cmp.Compare(r.load[b], r.load[a]), cmp.Compare(r.demand[b].waitingRequests(), r.demand[a].waitingRequests()), cmp.Compare(a, b))
+}
+
 // inDemand reports whether a model is requested now.
 func (r *plan) inDemand(model string) bool {
 	d := r.demand[model]
@@ -97,7 +99,7 @@
 		return false
 	}
 	recent := d.lastUsed != 0 && r.now-d.lastUsed < demandWindow
-	return recent || d.slow >= minReachableLoad || d.waitingRequests() > 0 || (d.loadRequestedAt != 0 && r.now-d.loadRequestedAt < time.Second)
+	return recent || d.slow >= minReachableLoad || d.waitingRequests() > 0 || (d.loadRequestedAt != 0 && r.now-d.loadRequestedAt < requestWindow)
 }
 
 // minReachableLoad is the load of a model from which it is kept reachable.
@@ -150,7 +152,7 @@
 		if model == "" {
 			return
 		}
-		d, started, sendNow := r.startReplica(model, false)
+		d, started, sendNow := r.startReplica(versionedModel{model: model}, false)
 		take(d, sendNow)
 		if !started {
 			r.backoffUntil[model] = r.now + backoffTime
@@ -181,19 +183,19 @@
 	cost   float64
 }
 
-// startReplica starts a load of the model on the engine where it costs least. A
-// required model is not reachable at all; for any other one, the engine must have
+// startReplica starts a load of the model on the engine of the version where it costs
+// least. A required model is not reachable there; for any other one, the engine must have
 // clearly less load than the pool. It returns whether a replica was started, and
 // whether there is an order to send now.
-func (r *plan) startReplica(model string, required bool) (d Decision, started, sendNow bool) {
-	m := r.models[model]
+func (r *plan) startReplica(l versionedModel, required bool) (d Decision, started, sendNow bool) {
+	model, m := l.model, r.models[l.model]
 	limit := math.Inf(1)
 	if !required {
 		limit = maxJoinRatio * r.poolLoad(model)
 	}
 	var best *candidate
 	for _, e := range r.engines {
-		if !r.available(e) || r.isPlanned(e, model) || !r.storeAllows(e, m) {
+		if !e.hasVersion(l.version) || !r.available(e) || r.isPlanned(e, model) || !r.storeAllows(e, m) {
 			continue
 		}
 		evict, ok := r.evictionsFor(e, m, required)
@@ -212,7 +214,7 @@
 	if best == nil {
 		return Decision{}, false, false
 	}
-	return r.startLoad(best, m)
+	return r.startLoad(best, m, l.version)
 }
 
 // joinCost returns the cost of a further replica of the model on an engine, given the
@@ -264,9 +266,9 @@
 	}
 }
 
-// startLoad orders a load, or begins to drain the models that have to be evicted
-// first.
-func (r *plan) startLoad(c *candidate, m *catalog.Model) (d Decision, started, sendNow bool) {
+// startLoad orders a load that is needed for a software version, or begins to drain the
+// models that have to be evicted first.
+func (r *plan) startLoad(c *candidate, m *catalog.Model, version string) (d Decision, started, sendNow bool) {
 	e := c.engine
 	for _, evicted := range c.evict {
 		e.draining[evicted] = r.now
@@ -275,7 +277,7 @@
 		r.planned[e] = slices.DeleteFunc(r.planned[e], func(held string) bool { return held == evicted })
 	}
 	r.replicaStarts = append(r.replicaStarts, ReplicaStart{
-		Model: m.Name, Engine: e.ID, Evicted: c.evict, Replicas: len(r.pools[m.Name]), Local: e.hasLocalWeights(m.Name),
+		Model: m.Name, Engine: e.ID, SoftwareVersion: e.SoftwareVersion, RequestedVersion: version, Evicted: c.evict, Replicas: len(r.pools[m.Name]), Local: e.hasLocalWeights(m.Name),
 		Demand: r.demand[m.Name].fast, Expected: r.load[m.Name], PoolLoad: r.poolLoad(m.Name), ReportAge: r.now - e.reportedAt,
 	})
 	r.pools[m.Name] = append(r.pools[m.Name], e)
@@ -293,8 +295,9 @@
 
 // evictionsFor returns the models to evict so that a new one fits on an engine, the
 // least loaded first. Only surplus replicas are evicted, unless the new model is
-// required, which means that it is reachable nowhere: then any replica may be
-// evicted but the last one of a model in demand.
+// required, which means that it is reachable nowhere, or on no engine of a requested
+// software version: then any replica may be evicted but the last one of a model in demand.
+// A model that was itself requested for the engine's version lately is kept.
 func (r *plan) evictionsFor(e *engine, m *catalog.Model, required bool) ([]string, bool) {
 	var evict []string
 	if r.fits(e, m, evict) {
@@ -309,7 +312,7 @@
 			continue
 		}
 		lastReplica := r.ready[h.Model] <= 1 && r.inDemand(h.Model)
-		if lastReplica || (!required && !r.hasSurplus(h.Model, e)) {
+		if lastReplica || r.keptForVersion(e, h.Model) || (!required && !r.hasSurplus(h.Model, e)) {
 			continue
 		}
 		evict = append(evict, h.Model)
--- a/internal/coordination/directory/plan.go
+++ b/internal/coordination/directory/plan.go
@@ -78,6 +78,9 @@
 // led to it.
 type ReplicaStart struct {
 	Model, Engine string
+	// SoftwareVersion is that of the engine, RequestedVersion the one for which the model
+	// was requested, or empty.
+	SoftwareVersion, RequestedVersion string
 	// Evicted lists the models that are evicted for it.
 	Evicted []string
 	// Replicas is the number of replicas before, including those that are not loaded
@@ -138,8 +141,11 @@
 	for _, e := range r.engines {
 		take(r.continueReplacement(e))
 	}
-	for _, m := range r.unreachable() {
-		d, _, now := r.startReplica(m, true)
+	for _, l := range r.requiredLoads() {
+		if r.holds(l) {
+			continue // by a load that was started for another version
+		}
+		d, _, now := r.startReplica(l, true)
 		take(d, now)
 	}
 	r.addReplicas(take)
@@ -245,13 +251,13 @@
 }
 
 // EstimateReady estimates how long it takes until a model is resident on some
-// engine.
-func (p *Planner) EstimateReady(now time.Duration, s *catalog.Service, model string) time.Duration {
+// engine of a software version, which is empty for any version.
+func (p *Planner) EstimateReady(now time.Duration, s *catalog.Service, model, version string) time.Duration {
 	m := findModel(s, model)
 	best := drainDelay + m.LoadTime
 	for _, e := range p.engines {
 		switch {
-		case e.Service != s.Name || e.outOfUse():
+		case e.Service != s.Name || e.outOfUse() || !e.hasVersion(version):
 		case e.loading == model && !e.orderInFlight:
 			best = min(best, max(0, e.loadReadyAt-now))
 		case e.replacement == model:
--- a/internal/coordination/directory/plan_test.go
+++ b/internal/coordination/directory/plan_test.go
@@ -42,7 +42,8 @@
 // simFleet simulates engines for a planner. Orders may get no answer and may be
 // carried out late.
 type simFleet struct {
-	t          *rapid.T
+	t          rapid.TB
+	random     *rapid.T
 	service    *catalog.Service
 	engines    []*simEngine
 	planner    *Planner
@@ -52,7 +53,7 @@
 }
 
 func newSimFleet(t *rapid.T, engines, models int) *simFleet {
-	f := &simFleet{t: t, service: testService(models), planner: NewPlanner(0)}
+	f := &simFleet{t: t, random: t, service: testService(models), planner: NewPlanner(0)}
 	for i := range engines {
 		f.engines = append(f.engines, &simEngine{id: string(rune('a' + i)), models: map[string]map[string]bool{}, onDisk: map[string]bool{}, started: 1})
 	}
@@ -73,8 +74,8 @@
 
 func (f *simFleet) list() []Endpoint {
 	var out []Endpoint
-	for _, e := range f.engines {
-		out = append(out, Endpoint{ID: e.id, Service: "s", Address: e.id, Slots: 8})
+	for i, e := range f.engines {
+		out = append(out, Endpoint{ID: e.id, Service: "s", Address: e.id, Slots: 8, SoftwareVersion: fmt.Sprint("v", i%2)})
 	}
 	return out
 }
@@ -129,7 +130,7 @@
 
 func (f *simFleet) deliver(d Decision) {
 	e := f.engine(d.Engine.ID)
-	switch rapid.IntRange(0, 5).Draw(f.t, "fate") {
+	switch rapid.IntRange(0, 5).Draw(f.random, "fate") {
 	case 0: // lost
 		f.planner.RecordOutcome(f.now, d, 0, false, f.service)
 	case 1: // carried out late, without an answer
@@ -150,43 +151,51 @@
 	return nil
 }
 
+// finishLoad makes a model resident whose load is done.
+func (f *simFleet) finishLoad(e *simEngine) {
+	if e.loading != "" && f.now >= e.until {
+		e.models[e.loading] = map[string]bool{}
+		e.loading = ""
+	}
+}
+
 func (f *simFleet) step() {
 	f.now += 100 * time.Millisecond
 	for _, e := range f.engines {
-		if e.loading != "" && f.now >= e.until {
-			e.models[e.loading] = map[string]bool{}
-			e.loading = ""
-		}
-		if rapid.IntRange(0, 4).Draw(f.t, "report") == 0 {
+		f.finishLoad(e)
+		if rapid.IntRange(0, 4).Draw(f.random, "report") == 0 {
 			// The report shows the state at the time of the request.
 			f.planner.RecordReport(f.now, f.now, e.id, e.report())
 		}
 	}
-	if len(f.delayed) > 0 && rapid.IntRange(0, 9).Draw(f.t, "late") == 0 {
+	if len(f.delayed) > 0 && rapid.IntRange(0, 9).Draw(f.random, "late") == 0 {
 		d := f.delayed[0]
 		f.delayed = f.delayed[1:]
 		f.execute(f.engine(d.Engine.ID), d.Order)
 	}
 	for _, m := range f.service.Engine.Models {
 		tokens := 0
-		if rapid.IntRange(0, 3).Draw(f.t, "asked") == 0 {
+		if rapid.IntRange(0, 3).Draw(f.random, "asked") == 0 {
 			tokens = 3000
 		}
 		f.planner.RecordDemand(f.now, "entry", m.Name, min(1, tokens), tokens, 0)
+		if rapid.IntRange(0, 9).Draw(f.random, "take_up") == 0 {
+			f.planner.RequestModel(f.now, m.Name, rapid.SampledFrom([]string{"v0", "v1", "gone"}).Draw(f.random, "version"))
+		}
 	}
 	for _, d := range f.planner.Plan(f.now, f.service) {
 		f.deliver(d)
 	}
-	if rapid.IntRange(0, 2).Draw(f.t, "adapter") == 0 {
-		m := f.service.Engine.Models[rapid.IntRange(0, len(f.service.Engine.Models)-1).Draw(f.t, "model")]
-		name := "a" + string(rune('0'+rapid.IntRange(0, 4).Draw(f.t, "name")))
+	if rapid.IntRange(0, 2).Draw(f.random, "adapter") == 0 {
+		m := f.service.Engine.Models[rapid.IntRange(0, len(f.service.Engine.Models)-1).Draw(f.random, "model")]
+		name := "a" + string(rune('0'+rapid.IntRange(0, 4).Draw(f.random, "name")))
 		if d, _ := f.planner.PlanAdapter(f.now, f.service, m.Name, name); d != nil {
 			f.planner.RecordSent(*d)
 			f.deliver(*d)
 		}
 	}
-	if rapid.IntRange(0, 80).Draw(f.t, "restart") == 0 {
-		e := f.engines[rapid.IntRange(0, len(f.engines)-1).Draw(f.t, "which")]
+	if rapid.IntRange(0, 80).Draw(f.random, "restart") == 0 {
+		e := f.engines[rapid.IntRange(0, len(f.engines)-1).Draw(f.random, "which")]
 		// Delayed orders name the former incarnation.
 		f.delayed = slices.DeleteFunc(f.delayed, func(d Decision) bool { return d.Engine.ID == e.id })
 		*e = simEngine{id: e.id, models: map[string]map[string]bool{}, onDisk: e.onDisk, started: e.started + 1}
@@ -202,19 +211,25 @@
 		for range rapid.IntRange(10, 150).Draw(t, "steps") {
 			f.step()
 		}
-		const window = 5 * time.Second
-		for i, at := range f.storeLoads {
-			n := 0
-			for _, other := range f.storeLoads[i:] {
-				if other-at <= window {
-					n++
-				}
-			}
-			if limit := f.service.Engine.LoadsPerSecond*window.Seconds()*1.1 + 3; float64(n) > limit {
-				t.Fatalf("%d loads from the weight store within %v, above its rate", n, window)
+		f.checkStoreRate()
+	})
+}
+
+// checkStoreRate fails the test if more loads from the weight store began in any 5 s than
+// the platform allows.
+func (f *simFleet) checkStoreRate() {
+	const window = 5 * time.Second
+	for i, at := range f.storeLoads {
+		n := 0
+		for _, other := range f.storeLoads[i:] {
+			if other-at <= window {
+				n++
 			}
 		}
-	})
+		if limit := f.service.Engine.LoadsPerSecond*window.Seconds()*1.1 + 3; float64(n) > limit {
+			f.t.Fatalf("%d loads from the weight store within %v, above its rate", n, window)
+		}
+	}
 }
 
 // newPlannerWith returns a planner for engines that hold the given models.
@@ -242,7 +257,7 @@
 func TestUnreachableModelIsLoaded(t *testing.T) {
 	s := testService(4)
 	p, now := newPlannerWith(s, []string{"m0", "m1"}, []string{"m0"})
-	p.RequestModel(now, "m3")
+	p.RequestModel(now, "m3", "")
 	got := p.Plan(now, s)
 	if len(got) != 1 || got[0].Engine.ID != "b" || got[0].Order.Model != "m3" || got[0].Order.Operation != Load {
 		t.Fatalf("decisions: %+v", got)
@@ -275,7 +290,7 @@
 	p, now := newPlannerWith(s, []string{"m0", "m1"})
 	p.RecordDemand(now, "entry", "m0", 1, 3000, 0)
 	p.RecordDemand(now, "entry", "m1", 1, 3000, 0)
-	p.RequestModel(now, "m3")
+	p.RequestModel(now, "m3", "")
 	p.Plan(now, s)
 	if n := len(p.engines["a"].draining); n != 0 {
 		t.Fatalf("%d replicas of models in demand are drained, want 0", n)
@@ -287,7 +302,7 @@
 func TestUnloadWaitsForEntries(t *testing.T) {
 	s := testService(4)
 	p, now := newPlannerWith(s, []string{"m0", "m1"})
-	p.RequestModel(now, "m3")
+	p.RequestModel(now, "m3", "")
 	if got := p.Plan(now, s); len(got) != 0 || len(p.engines["a"].draining) != 1 {
 		t.Fatalf("decisions %+v, draining %v", got, p.engines["a"].draining)
 	}
@@ -303,10 +318,10 @@
 func TestUnansweredOrderNeedsANewReport(t *testing.T) {
 	s := testService(4)
 	p, now := newPlannerWith(s, []string{"m0"})
-	p.RequestModel(now, "m3")
+	p.RequestModel(now, "m3", "")
 	d := p.Plan(now, s)[0]
 	p.RecordOutcome(now, d, 0, false, s)
-	p.RequestModel(now, "m3")
+	p.RequestModel(now, "m3", "")
 	if got := p.Plan(now, s); len(got) != 0 {
 		t.Fatalf("orders without a new report: %+v", got)
 	}
@@ -316,7 +331,7 @@
 	}
 	later := now + reportLag
 	p.RecordReport(later, later, "a", Report{Models: []Resident{{Model: "m0"}}})
-	p.RequestModel(later, "m3")
+	p.RequestModel(later, "m3", "")
 	if got := p.Plan(later, s); len(got) != 1 {
 		t.Fatalf("no order after a new report: %+v", got)
 	}
--- a/internal/coordination/directory/warmups_test.go
+++ b/internal/coordination/directory/warmups_test.go
@@ -160,7 +160,7 @@
 	service := warmUpService("slow")
 	service.Engine = &catalog.Engine{MemoryMB: 1000, Models: []catalog.Model{{Name: "m", MemoryMB: 100}}}
 	p.setWarming("e1", true)
-	p.RequestModel(0, "m")
+	p.RequestModel(0, "m", "")
 	r := p.newPlan(0, service)
 	if got := r.capacityOf("m"); got != warmingReplica {
 		t.Errorf("%v replicas, want %v", got, warmingReplica)
