directory: load an adapter at a requested software version

Cause: a request for an adapter was answered with, or caused a load at, an engine of any version.

Change: with a software version only its engines count. A version without a usable engine is refused with no_endpoint; if the adapter cannot be loaded now but may be later, the code is model_loading, since an entry refuses a request for a version at once on no_endpoint. Requests without a version get no_endpoint as before.

Result: with the version ignored, TestAdapterIsLoadedAtRequestedVersion and TestLoadForUnusableVersionIsRefusedAtOnce failed; they pass now.

--- a/internal/coordination/directory/adapter.go
+++ b/internal/coordination/directory/adapter.go
@@ -10,12 +10,13 @@
 
 // PlanAdapter returns the next order on the way to a resident adapter: its load or,
 // if no engine has a free adapter slot, the unload of an idle adapter. If an engine
-// has the adapter already, it returns the identifier of that engine instead.
-func (p *Planner) PlanAdapter(now time.Duration, s *catalog.Service, model, adapter string) (*Decision, string) {
+// has the adapter already, it returns the identifier of that engine instead. Only engines
+// of the software version count, which is empty for any version.
+func (p *Planner) PlanAdapter(now time.Duration, s *catalog.Service, model, adapter, version string) (*Decision, string) {
 	var best *engine
 	var unreported []*engine
 	for _, e := range p.engines {
-		if e.Service != s.Name || !e.serves(model) {
+		if e.Service != s.Name || !e.hasVersion(version) || !e.serves(model) {
 			continue
 		}
 		if slices.Contains(e.adaptersOf(model), adapter) {
--- a/internal/coordination/directory/evacuations_test.go
+++ b/internal/coordination/directory/evacuations_test.go
@@ -175,7 +175,7 @@
 	if len(got) != 1 || got[0].Engine.ID != "b" || got[0].Order.Model != "m1" {
 		t.Fatalf("decisions while a is evacuated: %+v, want the load of m1 on b", got)
 	}
-	if d, on := p.PlanAdapter(now, s, "m1", "x"); d != nil || on != "" {
+	if d, on := p.PlanAdapter(now, s, "m1", "x", ""); d != nil || on != "" {
 		t.Fatalf("adapter order %+v, loaded on %q", d, on)
 	}
 	list[0].Evacuated = false
@@ -184,7 +184,7 @@
 	if e := p.engines["a"]; !e.serves("m0") || !e.serves("m1") || e.replacement != "" {
 		t.Fatalf("after the evacuation: %+v", e)
 	}
-	if d, _ := p.PlanAdapter(now, s, "m1", "x"); d == nil || d.Engine.ID != "a" {
+	if d, _ := p.PlanAdapter(now, s, "m1", "x", ""); d == nil || d.Engine.ID != "a" {
 		t.Fatalf("adapter order after the evacuation: %+v", d)
 	}
 }
--- a/internal/coordination/directory/modelversion_test.go
+++ b/internal/coordination/directory/modelversion_test.go
@@ -167,27 +167,47 @@
 	check("v1", drainDelay+2*time.Second)
 }
 
+// Guards against an adapter that is loaded, or found, at another version than requested.
+func TestAdapterIsLoadedAtRequestedVersion(t *testing.T) {
+	f := newVersionFleet(t, testService(2), versionEngine{"v2", []string{"m0"}}, versionEngine{"v1", []string{"m0"}})
+	f.engines[0].models["m0"]["x"] = true
+	f.run(100 * time.Millisecond)
+	if d, on := f.planner.PlanAdapter(f.now, f.service, "m0", "x", "v1"); d == nil || d.Engine.ID != "b" || d.Order.Adapter != "x" {
+		t.Errorf("order %+v, held by %q, want a load at b", d, on)
+	}
+	if d, on := f.planner.PlanAdapter(f.now, f.service, "m0", "x", "v2"); d != nil || on != "a" {
+		t.Errorf("order %+v, held by %q, want held by a", d, on)
+	}
+	if d, on := f.planner.PlanAdapter(f.now, f.service, "m0", "x", "v3"); d != nil || on != "" {
+		t.Errorf("order %+v, held by %q at a version without engines", d, on)
+	}
+}
+
 // Guards against a take-up that waits until its deadline although no engine of its version
-// can be used, and against one that is refused although the model can be loaded later.
+// can be used, and against one that is refused although the model or adapter can be loaded
+// later.
 func TestLoadForUnusableVersionIsRefusedAtOnce(t *testing.T) {
 	s, _ := newVersionLeader(t, 1, nil)
 	s.mu.index = catalog.NewIndex(&catalog.Catalog{Services: []catalog.Service{*testService(2)}})
-	check := func(version string, want resultcode.Code) {
+	check := func(version, adapter string, want resultcode.Code) {
 		t.Helper()
-		_, err := s.Load(t.Context(), &peerv1.LoadRequest{Model: "m0", SoftwareVersion: version})
+		_, err := s.Load(t.Context(), &peerv1.LoadRequest{Model: "m0", Adapter: adapter, SoftwareVersion: version})
 		if got := resultcode.Of(err); got != want {
-			t.Errorf("version %q: code %v, want %v", version, got, want)
+			t.Errorf("version %q, adapter %q: code %v, want %v", version, adapter, got, want)
 		}
 	}
-	check("v1", resultcode.OK) // the endpoints are not known yet
+	check("v1", "", resultcode.OK) // the endpoints are not known yet
 	endpoints := endpointsAt("v1", "v2", "v3", "v4")
 	endpoints[1].Leaving, endpoints[2].Evacuated = true, true
 	s.mu.listed = true
 	s.mu.planner.SetEndpoints(endpoints)
 	s.mu.planner.RecordReport(time.Second, time.Second, "e3", Report{Leaving: true})
-	check("v1", resultcode.OK)
+	check("v1", "", resultcode.OK)
+	check("v1", "x", resultcode.ModelLoading)
 	for _, version := range []string{"v2", "v3", "v4", "gone"} {
-		check(version, resultcode.NoEndpoint)
+		check(version, "", resultcode.NoEndpoint)
+		check(version, "x", resultcode.NoEndpoint)
 	}
-	check("", resultcode.OK)
+	check("", "", resultcode.OK)
+	check("", "x", resultcode.NoEndpoint)
 }
--- a/internal/coordination/directory/orders.go
+++ b/internal/coordination/directory/orders.go
@@ -116,8 +116,12 @@
 		defer s.mu.Unlock()
 		return s.requestModelLocked(r.GetModel(), r.GetSoftwareVersion())
 	}
+	err := s.checkVersionLocked(r.GetModel(), r.GetSoftwareVersion())
 	s.mu.Unlock()
-	return s.loadAdapter(ctx, r.GetModel(), r.GetAdapter())
+	if err != nil {
+		return nil, err
+	}
+	return s.loadAdapter(ctx, r.GetModel(), r.GetAdapter(), r.GetSoftwareVersion())
 }
 
 // requestModelLocked records the request for a model at a software version and returns
@@ -165,14 +169,14 @@
 // more pair after a conflict.
 const maxAdapterOrders = 4
 
-func (s *Server) loadAdapter(ctx context.Context, model, adapter string) (*peerv1.LoadResponse, error) {
+func (s *Server) loadAdapter(ctx context.Context, model, adapter, version string) (*peerv1.LoadResponse, error) {
 	for range maxAdapterOrders {
-		d, loadedOn := s.planAdapter(model, adapter)
+		d, loadedOn := s.planAdapter(model, adapter, version)
 		if loadedOn != "" {
 			return &peerv1.LoadResponse{Endpoint: loadedOn}, nil
 		}
 		if d == nil {
-			return nil, resultcode.New(resultcode.NoEndpoint, "no engine can load adapter %q of model %q now", adapter, model)
+			return nil, resultcode.New(adapterRefusal(version), "no engine can load adapter %q of model %q now", adapter, model)
 		}
 		out, err := s.send(ctx, *d)
 		if err != nil {
@@ -182,10 +186,19 @@
 			return &peerv1.LoadResponse{Endpoint: d.Engine.ID, ReadyMs: uint32(adapterLoadTime.Milliseconds())}, nil
 		}
 	}
-	return nil, resultcode.New(resultcode.NoEndpoint, "adapter %q of model %q was not loaded: its orders were refused or conflicted with others", adapter, model)
+	return nil, resultcode.New(adapterRefusal(version), "adapter %q of model %q was not loaded: its orders were refused or conflicted with others", adapter, model)
+}
+
+// adapterRefusal is the code of a load of an adapter that may succeed later. A request for
+// a software version is refused at once on NoEndpoint.
+func adapterRefusal(version string) resultcode.Code {
+	if version == "" {
+		return resultcode.NoEndpoint
+	}
+	return resultcode.ModelLoading
 }
 
-func (s *Server) planAdapter(model, adapter string) (*Decision, string) {
+func (s *Server) planAdapter(model, adapter, version string) (*Decision, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.mayOrderLocked() {
@@ -195,7 +208,7 @@
 	if service == nil {
 		return nil, ""
 	}
-	d, loadedOn := s.mu.planner.PlanAdapter(s.now(), service, model, adapter)
+	d, loadedOn := s.mu.planner.PlanAdapter(s.now(), service, model, adapter, version)
 	if d != nil {
 		s.mu.planner.RecordSent(*d)
 	}
--- a/internal/coordination/directory/plan_test.go
+++ b/internal/coordination/directory/plan_test.go
@@ -189,7 +189,7 @@
 	if rapid.IntRange(0, 2).Draw(f.random, "adapter") == 0 {
 		m := f.service.Engine.Models[rapid.IntRange(0, len(f.service.Engine.Models)-1).Draw(f.random, "model")]
 		name := "a" + string(rune('0'+rapid.IntRange(0, 4).Draw(f.random, "name")))
-		if d, _ := f.planner.PlanAdapter(f.now, f.service, m.Name, name); d != nil {
+		if d, _ := f.planner.PlanAdapter(f.now, f.service, m.Name, name, ""); d != nil {
 			f.planner.RecordSent(*d)
 			f.deliver(*d)
 		}
@@ -347,7 +347,7 @@
 	for _, used := range []string{"m0/a1", "m0/a2"} {
 		p.RecordDemand(now, "entry", used, 1, 100, 0)
 	}
-	d, _ := p.PlanAdapter(now, s, "m0", "a3")
+	d, _ := p.PlanAdapter(now, s, "m0", "a3", "")
 	if d == nil || d.Engine.ID != "b" || d.Order.Adapter != "a3" || d.Order.Operation != Load {
 		t.Fatalf("decision: %+v", d)
 	}
