directory: ready time of a load in progress

Cause: the time until a model is ready was estimated from the fastest engine, also while another engine was loading it. Once a load is in progress, the fastest engine gets none.

Change: the estimate is that of the load in progress, or of the order for it, if there is one, and of the fastest engine otherwise.

Result: the extended TestReadyTimeIsThatOfTheVersion failed before (1.4 s for a load that was done in 2 s and in 1.9 s) and passes now.

--- a/internal/coordination/directory/modelversion_test.go
+++ b/internal/coordination/directory/modelversion_test.go
@@ -151,7 +151,7 @@
 // get the load.
 func TestReadyTimeIsThatOfTheVersion(t *testing.T) {
 	f := newVersionFleet(t, testService(2), versionEngine{"v1", []string{"m1"}}, versionEngine{"v1", []string{"m1"}}, versionEngine{"v2", []string{"m1"}})
-	f.engines[1].onDisk["m0"], f.engines[2].onDisk["m0"] = true, true
+	f.engines[2].onDisk["m0"] = true
 	f.run(100 * time.Millisecond)
 	check := func(version string, want time.Duration) {
 		t.Helper()
@@ -159,12 +159,18 @@
 			t.Errorf("version %q: ready in %v, want %v", version, got, want)
 		}
 	}
+	check("v1", drainDelay+2*time.Second)
+	check("v2", drainDelay+time.Second)
+	f.planner.engines["a"].report.OnDisk = []string{"m0"}
 	check("v1", drainDelay+time.Second)
-	f.planner.engines["b"].loading, f.planner.engines["b"].loadReadyAt = "m0", f.now+300*time.Millisecond
-	check("v1", 300*time.Millisecond)
+	b := f.planner.engines["b"]
+	b.loading, b.orderInFlight = "m0", true
+	check("v1", 2*time.Second)
+	b.orderInFlight, b.loadReadyAt = false, f.now+1900*time.Millisecond
+	check("v1", 1900*time.Millisecond)
 	check("v2", drainDelay+time.Second)
-	f.planner.engines["b"].Leaving = true
-	check("v1", drainDelay+2*time.Second)
+	b.Leaving = true
+	check("v1", drainDelay+time.Second)
 }
 
 // Guards against an adapter that is loaded, or found, at another version than requested.
--- a/internal/coordination/directory/plan.go
+++ b/internal/coordination/directory/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -254,17 +255,22 @@
 // engine of a software version, which is empty for any version.
 func (p *Planner) EstimateReady(now time.Duration, s *catalog.Service, model, version string) time.Duration {
 	m := findModel(s, model)
-	best := drainDelay + m.LoadTime
+	coming, possible := time.Duration(math.MaxInt64), drainDelay+m.LoadTime
 	for _, e := range p.engines {
 		switch {
 		case e.Service != s.Name || e.outOfUse() || !e.hasVersion(version):
-		case e.loading == model && !e.orderInFlight:
-			best = min(best, max(0, e.loadReadyAt-now))
+		case e.loading == model && e.orderInFlight:
+			coming = min(coming, e.loadTime(m))
+		case e.loading == model:
+			coming = min(coming, max(0, e.loadReadyAt-now))
 		case e.replacement == model:
-			best = min(best, drainDelay+e.loadTime(m))
+			coming = min(coming, drainDelay+e.loadTime(m))
 		case e.reportedAt != 0:
-			best = min(best, drainDelay+e.loadTime(m))
+			possible = min(possible, drainDelay+e.loadTime(m))
 		}
 	}
-	return best
+	if coming != math.MaxInt64 {
+		return coming // no other engine gets a load meanwhile
+	}
+	return possible
 }
