forward: a stream that is continued may wait longer for its model

What callers saw: streams that they took up were refused because their model would be ready at the version of the stream only after more than half of the time that they had left.

Cause: a request may wait for half of its time, so that its caller can try elsewhere. The model of a stream is loaded once for all entries.

Change: a request that continues a stream may wait for three quarters.

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -44,6 +44,9 @@
 	// queueTimeRatio is the fraction of the time left that a request may wait for a
 	// slot before it is refused as not run.
 	queueTimeRatio = 0.5
+	// streamQueueTimeRatio is the same for a request that continues a stream: another
+	// entry could not serve it sooner, and the rest takes less time than a whole stream.
+	streamQueueTimeRatio = 0.75
 	// Callers of streams are assumed to give up if they wait for an event longer than
 	// the largest of minCallerTimeout, callerTimeoutTargets times the route's target,
 	// and callerTimeoutPauses times the route's longest pause.
--- a/internal/coordination/forward/slot.go
+++ b/internal/coordination/forward/slot.go
@@ -221,7 +221,11 @@
 // a later one, the caller would give up before the first event, or the time left
 // would not suffice for the complete response.
 func (c *call) queueDeadline(now time.Duration) time.Duration {
-	until := now + time.Duration(float64(c.deadline-now)*queueTimeRatio)
+	ratio := queueTimeRatio
+	if c.query.SoftwareVersion != "" {
+		ratio = streamQueueTimeRatio
+	}
+	until := now + time.Duration(float64(c.deadline-now)*ratio)
 	if c.route.Kind == catalog.Streaming {
 		callerTimeout := max(minCallerTimeout, callerTimeoutTargets*c.route.Target, callerTimeoutPauses*c.route.MaxEventGap)
 		until = min(until, c.arrived+callerTimeout-firstEventReserve)
