--- a/internal/coordination/directory/warmups_test.go
+++ b/internal/coordination/directory/warmups_test.go
@@ -148,6 +148,8 @@
 
 func (noMetrics) EngineOrder(string)   {}
 func (noMetrics) WarmingEndpoints(int) {}
+func (noMetrics) RecordedStreams(int)  {}
+func (noMetrics) StreamAnswer(string)  {}
 
 // Guards against a planner that counts a slow engine as a whole replica, so that the
 // demand for its models stays there, and against one that takes such models for
@@ -158,7 +160,7 @@
 	service := warmUpService("slow")
 	service.Engine = &catalog.Engine{MemoryMB: 1000, Models: []catalog.Model{{Name: "m", MemoryMB: 100}}}
 	p.setWarming("e1", true)
-	p.RequestModel(0, "m")
+	p.RequestModel(0, "m", "")
 	r := p.newPlan(0, service)
 	if got := r.capacityOf("m"); got != warmingReplica {
 		t.Errorf("%v replicas, want %v", got, warmingReplica)
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -37,12 +37,18 @@
 	SlotDecisions(kind string, n uint64)
 	// SlotWaits counts waits for slots by how they compare with what was expected.
 	SlotWaits(result string, n uint64)
+	// TakeUp counts requests that take up a stream by their outcome.
+	TakeUp(outcome string)
+	// ResumptionRefused counts streams that broke off and were not resumed at another
+	// endpoint, because of the software version that began them.
+	ResumptionRefused()
 }
 
 // Loader asks the leader to load a model or adapter that no endpoint has.
 type Loader interface {
-	// Load returns the expected time until the model or adapter is resident.
-	Load(ctx context.Context, model, adapter string) (time.Duration, error)
+	// Load returns the expected time until the model or adapter is resident. It fails with
+	// NoEndpoint if no endpoint with the software version can load it.
+	Load(ctx context.Context, m pool.MissingModel) (time.Duration, error)
 }
 
 // Config holds the dependencies and settings of a Server.
@@ -92,6 +98,8 @@
 		evidence     evidence
 		outputs      outputModel
 		listState    listState
+		streams      *StreamRegister
+		lookups      lookups
 	}
 }
 
@@ -113,6 +121,8 @@
 	s.mu.loading = map[pool.MissingModel]bool{}
 	s.mu.evidence = newEvidence()
 	s.mu.outputs = newOutputModel()
+	s.mu.streams = NewStreamRegister()
+	s.mu.lookups = newLookups()
 	return s
 }
 
@@ -177,6 +187,9 @@
 		}
 		e.SetEndpoints(now, list)
 		s.mu.hasEndpoints = true
+		if n := s.mu.streams.SetEndpoints(s.mu.listState.confirmedAt, e.Table.SoftwareVersion, servicesWithVersions(list)); n > 0 {
+			s.log.Info("endpoints changed their software version", "doubtful_streams", n)
+		}
 		s.dispatchLocked(now, e.Table)
 	})
 }
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -42,6 +42,7 @@
 	Watch(ctx context.Context, address string, r *peerv1.WatchRequest) (*peerv1.WatchResponse, error)
 	Load(ctx context.Context, address string, r *peerv1.LoadRequest) (*peerv1.LoadResponse, error)
 	Report(ctx context.Context, address string, r *peerv1.EvidenceReport) (*peerv1.EvidenceResponse, error)
+	Streams(ctx context.Context, address string, r *peerv1.StreamsRequest) (*peerv1.StreamsResponse, error)
 }
 
 // WatcherConfig configures a Watcher.
@@ -89,9 +90,11 @@
 // SetSeeds replaces the addresses of the control VMs from the settings.
 func (w *Watcher) SetSeeds(addresses []string) { w.controls.setSeeds(addresses) }
 
-// Run polls a control VM, and reports evidence to the leader, until ctx ends.
+// Run polls a control VM, and reports evidence and streams to the leader, until ctx ends.
 func (w *Watcher) Run(ctx context.Context, s *Server) {
 	go w.reportEvidence(ctx, s)
+	go w.reportStreams(ctx, s)
+	go w.lookUpStreams(ctx, s)
 	failures := 0
 	w.lastResponse = time.Now()
 	for ctx.Err() == nil {
@@ -288,10 +291,13 @@
 			Endpoint: directory.Endpoint{
 				ID: e.GetId(), Service: e.GetService(), Address: e.GetAddress(), DataCentre: e.GetDataCentre(),
 				Slots: int(e.GetSlots()), Leaving: e.GetLeaving(), Evacuated: e.GetEvacuated(),
+				SoftwareVersion: e.GetSoftwareVersion(),
 			},
 			Draining:  map[string]bool{},
 			KVTotal:   int(e.GetKvTotal()),
 			WarmingUp: e.GetWarmingUp(),
+
+			VersionsDiffer: e.GetVersionsDiffer(),
 		}
 		for _, m := range e.GetModels() {
 			decoded.Models = append(decoded.Models, directory.Resident{Model: m.GetModel(), Adapters: m.GetAdapters()})
@@ -305,8 +311,9 @@
 }
 
 // Load implements Loader.
-func (w *Watcher) Load(ctx context.Context, model, adapter string) (time.Duration, error) {
-	resp, err := w.cfg.Directory.Load(ctx, w.controls.loadAddress(), &peerv1.LoadRequest{Model: model, Adapter: adapter})
+func (w *Watcher) Load(ctx context.Context, m pool.MissingModel) (time.Duration, error) {
+	r := &peerv1.LoadRequest{Model: m.Model, Adapter: m.Adapter, SoftwareVersion: m.SoftwareVersion}
+	resp, err := w.cfg.Directory.Load(ctx, w.controls.loadAddress(), r)
 	return time.Duration(resp.GetReadyMs()) * time.Millisecond, err
 }
 
