entry, enginehttp: a stream is not continued by another incarnation of its engine

A broken stream is resumed at the address of its engine, where another process, maybe of another version, may listen by then. The protocol's 404 for a request that the engine no longer has kept the parts apart, and nothing else: an engine that continued a stream which it had not begun was believed, and the caller got one complete stream of two texts.

The head of a stream now has X-Engine-Incarnation, which differs after each restart. A resumed part that states another one than the first part, or none, is not passed on; it is cancelled at the engine, and the stream ends as broken (4007, ran). Engines that do not state it keep the 404 rule as the only protection.

TestRestartedEngineDoesNotContinueAStream restarts the stand-in at its address. The engine that follows the protocol passed before; the one that continues unknown streams failed before (its part was opened without an error) and passes (-race, 3 times). TestServeFuzz checks that the entry resumes with the incarnation of the first part; it fails if the entry does not keep it.

--- a/internal/coordination/engine/engine.go
+++ b/internal/coordination/engine/engine.go
@@ -46,6 +46,9 @@
 	// ResumeFrom is the number of events that were already received; the engine
 	// continues with the next one. It is zero for a new request.
 	ResumeFrom int
+	// Incarnation is the Stream.Incarnation of the first part if ResumeFrom is not zero.
+	// Another one must not continue the stream.
+	Incarnation string
 }
 
 // Event is one event of a streamed response.
@@ -65,6 +68,9 @@
 type Stream interface {
 	// Next returns the next event. After the final event it returns io.EOF.
 	Next(ctx context.Context) (Event, error)
+	// Incarnation names the process of the engine that sends the stream, or is empty if
+	// the engine states none.
+	Incarnation() string
 	// Close releases the stream. If the final event was not received, Close
 	// cancels the request at the engine and discards the connection.
 	Close() error
--- a/internal/coordination/entry/bench_test.go
+++ b/internal/coordination/entry/bench_test.go
@@ -67,7 +67,8 @@
 	}
 	return engine.Event{Seq: s.next - 1, Data: []byte("token"), Tokens: 1}, nil
 }
-func (s *instantStream) Close() error { return nil }
+func (s *instantStream) Close() error        { return nil }
+func (s *instantStream) Incarnation() string { return "" }
 
 // discardWriter is a ResponseWriter that discards the response.
 type discardWriter struct{ recorder }
--- a/internal/coordination/entry/fake_ports_test.go
+++ b/internal/coordination/entry/fake_ports_test.go
@@ -150,6 +150,9 @@
 func (f *fakePorts) Open(ctx context.Context, to engine.Target, r engine.Request) (engine.Stream, error) {
 	s := &fakeStream{f: f, to: to, body: string(r.Body), next: r.ResumeFrom}
 	if r.ResumeFrom > 0 {
+		if r.Incarnation != s.Incarnation() {
+			f.violation("%s is resumed without the incarnation of its first part", r.Body)
+		}
 		if !f.alive(to.Name) || f.attemptFault() == "refuse" {
 			return nil, resultcode.New(resultcode.EndpointRefused, "not known")
 		}
@@ -202,6 +205,8 @@
 }
 func (s *fakeStream) Close() error { return nil }
 
+func (s *fakeStream) Incarnation() string { return "of " + s.to.Name }
+
 func (f *fakePorts) Load(_ context.Context, to engine.Target) (*engine.Load, error) {
 	if !f.alive(to.Name) {
 		return nil, errors.New("connection refused")
--- a/internal/coordination/entry/stream.go
+++ b/internal/coordination/entry/stream.go
@@ -90,6 +90,7 @@
 	if err != nil {
 		return cancellationError(ctx, err)
 	}
+	r.request.Incarnation = r.stream.Incarnation()
 	defer func() { _ = r.stream.Close() }()
 	err = r.copy(ctx, w)
 	if err != nil && !c.started {
@@ -179,8 +180,8 @@
 }
 
 // resume continues the stream at the next event, on a new connection to the same
-// endpoint. If no event was received yet, it returns cause, and the retry rules
-// apply. If the stream cannot be resumed, it returns an error with the code
+// incarnation of the same endpoint. If no event was received yet, it returns cause, and
+// the retry rules apply. If the stream cannot be resumed, it returns an error with the code
 // StreamBroken, unless the key was withdrawn or the context ended.
 func (r *streamReader) resume(ctx context.Context, cause error) error {
 	if !resumable(cause) || r.next == 0 || ctx.Err() != nil {
--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -18,6 +18,8 @@
 	HeaderRequestID = "X-Request-Id"
 	// HeaderRunState states whether the endpoint ran the request.
 	HeaderRunState = "X-Run-State"
+	// HeaderIncarnation names the process of an engine that responds.
+	HeaderIncarnation = "X-Engine-Incarnation"
 	// HeaderPriority carries the priority of a request sent to an engine.
 	HeaderPriority = "X-Priority"
 	// HeaderIdempotencyKey carries a caller's idempotency key.
--- a/internal/protocol/enginehttp/control_test.go
+++ b/internal/protocol/enginehttp/control_test.go
@@ -42,7 +42,7 @@
 		if err == nil || events != 3 {
 			t.Fatalf("%d events, %v", events, err)
 		}
-		req.ResumeFrom, req.FreshConnection = events, true
+		req.ResumeFrom, req.FreshConnection, req.Incarnation = events, true, s.Incarnation()
 		if s, err = f.engine.Open(context.Background(), f.to, req); err != nil {
 			t.Fatal(err)
 		}
@@ -64,6 +64,36 @@
 	wantCode(t, err, resultcode.StreamBroken)
 }
 
+// Guards against a stream that is continued by another incarnation of the engine at the
+// same address: what two versions generate does not fit into one stream. The second case
+// is an engine that continues what it did not begin, against the protocol.
+func TestRestartedEngineDoesNotContinueAStream(t *testing.T) {
+	for name, faults := range map[string]standin.Faults{"as in the protocol": {}, "continues unknown streams": {ResumeUnknown: true}} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, standin.Config{TokenTime: time.Millisecond})
+			req := request("r1", 1<<20, true)
+			s, err := f.engine.Open(t.Context(), f.to, req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := s.Next(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			f.standin.Crash()
+			_, more, err := drain(s)
+			if err == nil {
+				t.Fatal("the stream outlived its engine")
+			}
+			_ = s.Close()
+			eventually(t, "a restart", func() bool { return f.standin.Restart() == nil })
+			f.standin.SetFaults(faults)
+			req.ResumeFrom, req.FreshConnection, req.Incarnation = 1+more, true, s.Incarnation()
+			_, err = f.engine.Open(t.Context(), f.to, req)
+			wantCode(t, err, resultcode.StreamBroken)
+		})
+	}
+}
+
 // Guards against requests that keep running in an engine after their caller has
 // closed the stream or cancelled its context.
 func TestCancel(t *testing.T) {
--- a/internal/protocol/enginehttp/engine.go
+++ b/internal/protocol/enginehttp/engine.go
@@ -128,6 +128,11 @@
 		resp.Body.Discard()
 		return nil, resultcode.New(resultcode.AnswerMismatch, "%s responded to a stream request without an event stream", to.Name)
 	}
+	if req.ResumeFrom > 0 && req.Incarnation != "" && resp.Header.Get(exchange.HeaderIncarnation) != req.Incarnation {
+		resp.Body.Discard()
+		e.cancelAsync(to, req.ID)
+		return nil, resultcode.New(resultcode.StreamBroken, "%s has restarted since the stream began", to.Name)
+	}
 	return newStream(ctx, e, to, req, resp), nil
 }
 
--- a/internal/protocol/enginehttp/stream.go
+++ b/internal/protocol/enginehttp/stream.go
@@ -64,6 +64,9 @@
 	}
 }
 
+// Incarnation implements engine.Stream.
+func (s *stream) Incarnation() string { return s.resp.Header.Get(exchange.HeaderIncarnation) }
+
 // Next implements engine.Stream.
 func (s *stream) Next(ctx context.Context) (engine.Event, error) {
 	if s.final {
--- a/internal/protocol/inference/responder.go
+++ b/internal/protocol/inference/responder.go
@@ -74,7 +74,7 @@
 		dst[name] = append([]string(nil), values...)
 	}
 	exchange.RemoveHopByHop(dst)
-	for _, name := range []string{exchange.HeaderRequestID, exchange.HeaderRunState, resultcode.Header} {
+	for _, name := range []string{exchange.HeaderRequestID, exchange.HeaderRunState, exchange.HeaderIncarnation, resultcode.Header} {
 		dst.Del(name)
 	}
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -4,6 +4,7 @@
 package engine
 
 import (
+	"crypto/rand"
 	"net/http"
 	"slices"
 	"sync"
@@ -96,19 +97,21 @@
 	server *listen.Server
 	mux    *http.ServeMux
 
-	mu        sync.Mutex
-	wake      *sync.Cond
-	closed    bool
-	leaving   bool
-	role      string
-	faults    Faults
-	counters  counters
-	runs      map[string]*run
-	lastSweep time.Time // last time expired runs were dropped
-	running   []*run
-	waiting   []*run
-	kv        map[string][]byte
-	recorded  []string
+	mu sync.Mutex
+	// incarnation names the process; it differs after each restart.
+	incarnation string
+	wake        *sync.Cond
+	closed      bool
+	leaving     bool
+	role        string
+	faults      Faults
+	counters    counters
+	runs        map[string]*run
+	lastSweep   time.Time // last time expired runs were dropped
+	running     []*run
+	waiting     []*run
+	kv          map[string][]byte
+	recorded    []string
 
 	models       map[string]Model
 	resident     map[string]*resident
@@ -141,6 +144,7 @@
 // reset clears the state that a process loses in a restart. Callers hold mu or
 // have the only reference to the engine.
 func (e *Engine) reset() {
+	e.incarnation = rand.Text()
 	e.runs = make(map[string]*run)
 	e.running, e.waiting = nil, nil
 	e.kv = make(map[string][]byte)
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -53,6 +53,9 @@
 	Extra bool `json:"extra,omitempty"`
 	// NoResume refuses to resume streams.
 	NoResume bool `json:"no_resume,omitempty"`
+	// ResumeUnknown continues a stream that this incarnation did not begin with a text
+	// of its own, against the protocol.
+	ResumeUnknown bool `json:"resume_unknown,omitempty"`
 
 	// OrderDelay delays the execution of orders. LoseOrderAnswer executes an order
 	// and closes the connection without a response. IgnoreLifetime executes
--- a/internal/standin/engine/infer.go
+++ b/internal/standin/engine/infer.go
@@ -196,6 +196,13 @@
 	}
 }
 
+// setIncarnation sets the header that names this incarnation of the engine.
+func (e *Engine) setIncarnation(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.Header().Set(exchange.HeaderIncarnation, e.incarnation)
+}
+
 // respondWhole waits for the run and sends the complete response. While it
 // waits, it sends informational responses as heartbeats.
 func (req *inferenceRequest) respondWhole() {
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -14,6 +14,7 @@
 		time.Sleep(f.Late)
 	}
 	setRequestIDHeader(w, run.id, f)
+	e.setIncarnation(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	out := &eventWriter{w: w, control: http.NewResponseController(w), chat: run.chat, model: run.model, id: run.id}
@@ -116,6 +117,11 @@
 	e.mu.Lock()
 	run := e.runs[id]
 	e.mu.Unlock()
+	if run == nil && f.ResumeUnknown {
+		run = newRun(id)
+		run.stream, run.finished, run.generated = true, true, from+defaultTokens
+		run.text = TextOf([]byte("another incarnation"))
+	}
 	if run == nil || !run.stream || f.NoResume || run.wasCancelled() {
 		w.Header().Set(exchange.HeaderRequestID, id)
 		writeError(w, http.StatusNotFound, "request_unknown", false)
