control: a full disk no longer blocks the event loop

Cause: handleAllReady handled work of the core until none was left.

Meanwhile it handled no call, message, tick or end of the process.

Change: the loop returns to its events after the log was reopened.

--- a/internal/coordination/control/loop.go
+++ b/internal/coordination/control/loop.go
@@ -213,16 +213,21 @@
 	l.reportQuorum()
 }
 
-// handleAllReady handles the pending work of the Raft core until none is left, and
-// proposes the batches of syncs that are due. After an error, the daemon must exit.
+// handleAllReady handles the pending work of the Raft core until none is left or the
+// log was reopened, and proposes the batches of syncs that are due. After an error,
+// the daemon must exit.
 func (l *loop) handleAllReady() error {
 	l.flushSyncs()
 	for l.core.HasReady() {
-		if err := l.handleReady(l.core.Ready()); err != nil {
+		core := l.core
+		if err := l.handleReady(core.Ready()); err != nil {
 			return err
 		}
 		l.refreshStatus()
 		l.flushSyncs()
+		if l.core != core {
+			break // the disk is full, and the restarted core may have something to save
+		}
 	}
 	l.refreshStatus()
 	return l.fatal
--- a/internal/coordination/control/loop_test.go
+++ b/internal/coordination/control/loop_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,6 +39,32 @@
 	loop        *loop
 	partitioned bool // cannot reach the other VMs
 	suspended   bool // resumes with its old state; packets to it are kept
+	gone        bool // is not started again
+	// opens is the number of times that the log was opened at openedAt.
+	opens    int
+	openedAt time.Duration
+}
+
+// maxOpens is the number of times that a VM may open its log within one step of the
+// simulation. More mean that its event loop is busy with a full disk only.
+const maxOpens = 40
+
+// countingFS counts the locks of the data folder, and so the times that it was opened.
+type countingFS struct {
+	*faultfs.FS
+	vm *vm
+}
+
+// Lock implements wal.FS.
+func (f countingFS) Lock(name string) (io.Closer, error) {
+	v := f.vm
+	if v.openedAt != v.sim.now {
+		v.opens, v.openedAt = 0, v.sim.now
+	}
+	if v.opens++; v.opens > maxOpens {
+		v.sim.t.Fatalf("%s opened its log %d times within one step", v.member.GetVm(), v.opens)
+	}
+	return f.FS.Lock(name)
 }
 
 type packet struct {
@@ -85,6 +113,14 @@
 	newest   uint64            // newest accepted version
 	// minVoters is Config.MinVoters of every VM.
 	minVoters int
+	// restarts says that processes which stop on a full disk are started again.
+	restarts bool
+	// working is the background work that is not finished.
+	working []backgroundWork
+	// largeDocuments says that some of the catalogs that callers send are large.
+	largeDocuments bool
+	// refused has the request identifiers of changes that must not be applied.
+	refused map[string]bool
 }
 
 const simulatedVMs = 3
@@ -132,19 +168,26 @@
 
 func (s *simulation) start(v *vm) {
 	l, err := newLoop(Config{
-		Dir: "data", FS: v.disk, Member: v.member, Transport: v, Clock: v.clock, Rand: s.rand.IntN, IDSource: s, Metrics: noMetrics{},
+		Dir: "data", FS: countingFS{v.disk, v}, Member: v.member, Transport: v, Clock: v.clock, Rand: s.rand.IntN, IDSource: s, Metrics: noMetrics{},
 		MinVoters: s.minVoters,
 	})
-	if errors.Is(err, wal.ErrSync) {
+	if s.stops(err) {
 		s.kill(v)
 		return
 	}
 	s.must(err)
 	l.faults = s.faults
 	l.snapshotEntries = 20
+	l.background = func(work, done func()) { s.background(l, work, done) }
 	v.loop = l
 }
 
+// stops reports whether an error stops the process of a VM as intended: after a
+// failed sync, and on a full disk if the log can't be opened or is unusable.
+func (s *simulation) stops(err error) bool {
+	return errors.Is(err, wal.ErrSync) || s.restarts && errors.Is(err, syscall.ENOSPC)
+}
+
 func (s *simulation) kill(v *vm) {
 	v.loop = nil
 	v.disk.Crash()
@@ -163,7 +206,8 @@
 			if tick {
 				v.loop.tick()
 			}
-			if err := v.loop.handleAllReady(); errors.Is(err, wal.ErrSync) {
+			s.finishBackground(v.loop)
+			if err := v.loop.handleAllReady(); s.stops(err) {
 				s.kill(v)
 				continue
 			} else if err != nil {
@@ -174,6 +218,7 @@
 			}
 		}
 		if s.now%joinInterval == 0 {
+			s.restartAll()
 			s.joinAll()
 		}
 	}
--- a/internal/state/wal/faultfs/faultfs.go
+++ b/internal/state/wal/faultfs/faultfs.go
@@ -20,6 +20,19 @@
 // ErrInjected is the error of a sync that a test made fail.
 var ErrInjected = errors.New("faultfs: injected failure")
 
+// Op is an operation that can fail for lack of space.
+type Op int
+
+// The operations that FillAt can choose.
+const (
+	OpCreate Op = iota
+	OpWrite
+	OpSync
+	OpRename
+	OpSyncDir
+	opNone
+)
+
 type inode struct {
 	data    []byte
 	durable []byte
@@ -39,6 +52,10 @@
 	failingSync   int // number of the sync that fails, counted from 1
 	capacityBytes int
 	syncs         int
+	// filling is the operation that fills the disk once opsLeft more of its kind
+	// have succeeded.
+	filling Op
+	opsLeft int
 }
 
 // New returns an empty file system. rand returns a number in [0, n) and decides
@@ -50,6 +67,7 @@
 		durable:       map[string]*inode{},
 		locked:        map[string]bool{},
 		capacityBytes: 1 << 40,
+		filling:       opNone,
 	}
 }
 
@@ -126,12 +144,35 @@
 }
 
 // SetFreeBytes sets the free space to n bytes. Writes beyond it fail with ENOSPC.
+// It ends the effect of FillAt.
 func (f *FS) SetFreeBytes(n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.filling = opNone
 	f.capacityBytes = f.usedBytes() + n
 }
 
+// FillAt makes the disk full at the operation after the next n of a kind. This
+// operation, later ones of the kind, and all writes then fail with ENOSPC until
+// SetFreeBytes is called. A write that fills the disk is torn.
+func (f *FS) FillAt(op Op, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.filling, f.opsLeft = op, n
+}
+
+// fills reports whether the disk is full for this operation.
+func (f *FS) fills(op Op) bool {
+	if op != f.filling {
+		return false
+	}
+	f.opsLeft--
+	if f.opsLeft == -1 {
+		f.capacityBytes = f.usedBytes()
+	}
+	return f.opsLeft < 0
+}
+
 // FlipBit inverts one bit of a file, both of the current and the synced content.
 func (f *FS) FlipBit(name string, offset int) {
 	f.mu.Lock()
@@ -172,6 +213,9 @@
 func (f *FS) Create(name string) (wal.File, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.fills(OpCreate) {
+		return nil, fmt.Errorf("create %s: %w", name, syscall.ENOSPC)
+	}
 	n := &inode{}
 	f.names[name] = n
 	return &file{fs: f, inode: n, epoch: f.epoch}, nil
@@ -221,6 +265,9 @@
 	if n == nil {
 		return fmt.Errorf("rename %s: %w", from, fs.ErrNotExist)
 	}
+	if f.fills(OpRename) {
+		return fmt.Errorf("rename %s: %w", from, syscall.ENOSPC)
+	}
 	f.names[to] = n
 	delete(f.names, from)
 	return nil
@@ -244,6 +291,9 @@
 	if f.nextSyncFails() {
 		return ErrInjected
 	}
+	if f.fills(OpSyncDir) {
+		return fmt.Errorf("sync %s: %w", dir, syscall.ENOSPC)
+	}
 	for _, name := range f.allNames() {
 		if filepath.Dir(name) != filepath.Clean(dir) {
 			continue
@@ -300,6 +350,9 @@
 	if h.epoch != h.fs.epoch {
 		return 0, fs.ErrClosed
 	}
+	if h.fs.fills(OpWrite) && h.fs.opsLeft == -1 {
+		h.fs.capacityBytes += h.fs.rand(len(p))
+	}
 	n := max(0, min(len(p), h.fs.capacityBytes-h.fs.usedBytes()))
 	h.inode.data = append(h.inode.data, p[:n]...)
 	if n < len(p) {
@@ -318,6 +371,10 @@
 		h.inode.syncFailed = true
 		return ErrInjected
 	}
+	if h.fs.fills(OpSync) {
+		h.inode.syncFailed = true
+		return syscall.ENOSPC
+	}
 	if !h.inode.syncFailed {
 		h.inode.durable = bytes.Clone(h.inode.data)
 	}
