control: a follower with a full disk forwards changes

Cause: a member restarts its core at each write that fails for lack of space and then knows no leader until the next heartbeat. While it knew none, it refused each change with disk_full, although the leader and a majority could commit it. With other changes under way that was nearly always.

A forwarded call is refused at once, as before.

--- a/internal/coordination/control/loop.go
+++ b/internal/coordination/control/loop.go
@@ -9,7 +9,6 @@
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
-	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/fleet"
 	"github.com/radishloom/radishloom/internal/state/raft"
 	"github.com/radishloom/radishloom/internal/state/wal"
@@ -292,7 +291,7 @@
 		return err
 	}
 	last := recovered.Snapshot.GetIndex() + uint64(len(recovered.Entries))
-	l.failPending(func(index uint64) bool { return index > last }, resultcode.New(resultcode.DiskFull, "the data disk of control VM %s is full", l.member.GetVm()))
+	l.failPending(func(index uint64) bool { return index > last }, l.diskFullError())
 	l.failReads()
 	return nil
 }
--- a/internal/coordination/control/propose.go
+++ b/internal/coordination/control/propose.go
@@ -14,14 +14,21 @@
 )
 
 // notLeaderError reports that nothing was proposed because this member does not
-// lead. leader is zero if the leader is not known.
-type notLeaderError struct{ leader uint64 }
+// lead. leader is zero if the leader is not known; diskFull then holds the refusal if
+// the reason may be the full disk of this member.
+type notLeaderError struct {
+	leader   uint64
+	diskFull error
+}
 
 // Error implements error.
 func (e *notLeaderError) Error() string {
 	return fmt.Sprintf("not the leader; the leader is %016x", e.leader)
 }
 
+// Unwrap gives an error of a full disk its result code.
+func (e *notLeaderError) Unwrap() error { return e.diskFull }
+
 func unconfirmed(format string, args ...any) error {
 	return resultcode.New(resultcode.ChangeUnconfirmed, format, args...)
 }
@@ -100,12 +107,16 @@
 
 func (l *loop) refuseNotLeading(leader uint64, done func(*statev1.Result, error)) {
 	if l.diskFull && leader == 0 {
-		done(nil, resultcode.New(resultcode.DiskFull, "the data disk of control VM %s is full", l.member.GetVm()))
+		done(nil, &notLeaderError{diskFull: l.diskFullError()})
 		return
 	}
 	done(nil, &notLeaderError{leader: leader})
 }
 
+func (l *loop) diskFullError() error {
+	return resultcode.New(resultcode.DiskFull, "the data disk of control VM %s is full", l.member.GetVm())
+}
+
 func (l *loop) refuseProposal(err error, done func(*statev1.Result, error)) {
 	var other *raft.NotLeaderError
 	if errors.As(err, &other) {
--- a/internal/coordination/control/server.go
+++ b/internal/coordination/control/server.go
@@ -34,6 +34,9 @@
 	// shutdownTicks is the number of ticks for which a leader that shuts down waits
 	// for another member to lead.
 	shutdownTicks = 2 * electionTicks
+	// diskFullWait is how long a call waits for a leader while this member's disk is
+	// full: the longest time in which the other members notice that they have none.
+	diskFullWait = 2 * electionTicks * tickInterval
 )
 
 // Server is the control role of one daemon. Its methods are safe for concurrent
@@ -261,12 +264,16 @@
 // redirect decides how to continue after an error of the loop. It returns the
 // leader to which the call must be forwarded, or true if the call must be retried
 // here because a leader has become known, or the error for the caller. A
-// forwarded call is not forwarded again.
+// forwarded call is not forwarded again. A member whose disk is full forgets its
+// leader with each entry that it can't write, so the call waits for the leader.
 func (s *Server) redirect(ctx context.Context, err error, forwarded bool) (to *statev1.Member, retry bool, _ error) {
 	var other *notLeaderError
 	if !errors.As(err, &other) {
 		return nil, false, err
 	}
+	if forwarded && other.diskFull != nil {
+		return nil, false, other.diskFull
+	}
 	if forwarded {
 		return nil, false, noLeader("the call was forwarded to a control VM that is not the leader")
 	}
@@ -274,10 +281,17 @@
 		to, err := s.lookup(ctx, other.leader)
 		return to, false, err
 	}
-	if s.changes.wait(ctx, s.stopped, func(v watchedState) bool { return v.leader != 0 }) {
-		return nil, true, nil
+	if other.diskFull == nil {
+		return nil, s.waitForLeader(ctx), noLeader("no leader is known")
 	}
-	return nil, false, noLeader("no leader is known")
+	ctx, cancel := context.WithTimeout(ctx, diskFullWait)
+	defer cancel()
+	return nil, s.waitForLeader(ctx), other.diskFull
+}
+
+// waitForLeader reports whether a leader is known before ctx ends.
+func (s *Server) waitForLeader(ctx context.Context) bool {
+	return s.changes.wait(ctx, s.stopped, func(v watchedState) bool { return v.leader != 0 })
 }
 
 func (s *Server) lookup(ctx context.Context, id uint64) (*statev1.Member, error) {
