raft: the driver contract says what the driver does on a full disk

The page said that the driver keeps the Ready and saves it again later. The only driver, coordination/control, restarts the core from the saved state. Comment only.

--- a/internal/state/raft/doc.go
+++ b/internal/state/raft/doc.go
@@ -11,10 +11,10 @@
 // are allowed between Ready and Advance; a second Ready is not. Messages may be
 // lost, duplicated and reordered.
 //
-// If saving fails for lack of space, the driver keeps the Ready, stops calling
-// the core as if the member were frozen, and saves the same Ready again later;
-// the other members elect a new leader meanwhile. After any other failure to
-// save, the process must stop.
+// If saving fails for lack of space, the driver drops the Ready without sending
+// its messages and replaces the core by a new one from the saved state; the other
+// members elect a new leader meanwhile. After any other failure to save, the
+// process must stop.
 //
 // HardState is returned when term or vote changed, and also with new entries.
 // A change of the commit index alone does not require a sync: a restarted
