--- a/internal/coordination/control/loop.go
+++ b/internal/coordination/control/loop.go
@@ -9,7 +9,6 @@
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
-	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/fleet"
 	"github.com/radishloom/radishloom/internal/state/raft"
 	"github.com/radishloom/radishloom/internal/state/wal"
@@ -213,16 +212,21 @@
 	l.reportQuorum()
 }
 
-// handleAllReady handles the pending work of the Raft core until none is left, and
-// proposes the batches of syncs that are due. After an error, the daemon must exit.
+// handleAllReady handles the pending work of the Raft core until none is left or the
+// log was reopened, and proposes the batches of syncs that are due. After an error,
+// the daemon must exit.
 func (l *loop) handleAllReady() error {
 	l.flushSyncs()
 	for l.core.HasReady() {
-		if err := l.handleReady(l.core.Ready()); err != nil {
+		core := l.core
+		if err := l.handleReady(core.Ready()); err != nil {
 			return err
 		}
 		l.refreshStatus()
 		l.flushSyncs()
+		if l.core != core {
+			break // the disk is full, and the restarted core may have something to save
+		}
 	}
 	l.refreshStatus()
 	return l.fatal
@@ -287,7 +291,7 @@
 		return err
 	}
 	last := recovered.Snapshot.GetIndex() + uint64(len(recovered.Entries))
-	l.failPending(func(index uint64) bool { return index > last }, resultcode.New(resultcode.DiskFull, "the data disk of control VM %s is full", l.member.GetVm()))
+	l.failPending(func(index uint64) bool { return index > last }, l.diskFullError())
 	l.failReads()
 	return nil
 }
