forward: an unconfirmed 408, 429 or 503 after a possible run is not passed on

Cause: on idempotent and resumable routes, the status of the last endpoint was passed on as it was, also after an earlier attempt that may have run. Callers take 408, 429 and 503 for "not run".

Change: such an answer after a possible run counts as a failed attempt, which is retried or ends as "may have run". It does not count against its endpoint, nor for the quarantine of the request, since a 503 without confirmation is common on such routes.

--- a/internal/coordination/forward/mayhaverun_test.go
+++ b/internal/coordination/forward/mayhaverun_test.go
@@ -114,6 +114,9 @@
 		"server error, then refused":          {none, none, []reply{{status: 500, header: sealed()}, refused}},
 		"truncated answer, then refused":      {none, none, []reply{{status: 200, header: sealed(), body: "x", length: 5, truncated: true}, refused}},
 		"503 that confirms nothing, at first": {none, none, []reply{{status: 503, header: sealed()}, refused}},
+		"503 that confirms nothing, after it": {none, none, []reply{lost, {status: 503, header: http.Header{"Id": {"id-1"}}}}},
+		"429 that confirms nothing, after it": {none, none, []reply{lost, {status: 429, header: http.Header{"Id": {"id-1"}}}}},
+		"408 that confirms nothing, after it": {none, none, []reply{lost, {status: 408, header: http.Header{"Id": {"id-1"}}}}},
 	} {
 		for _, path := range []string{"/often/x", "/resumed/x"} {
 			t.Run(name+" "+path, func(t *testing.T) {
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -113,7 +113,9 @@
 	case c.relay != nil && !c.relay.continues(resp):
 		c.drain(resp)
 		return pool.Succeeded, resultcode.New(resultcode.StreamBroken, "endpoint %s resumed a stream of events with other content", from.EndpointID)
-	case resp.Status >= http.StatusInternalServerError && c.idempotent() && c.possibleRuns+1 < c.route.MaxAttempts && c.relay == nil && c.timeForRetry():
+	case resp.Status >= http.StatusInternalServerError && c.idempotent() && c.possibleRuns+1 < c.route.MaxAttempts && c.relay == nil && c.timeForRetry(),
+		// The caller would take the status for "not run", though an earlier endpoint may have run the request.
+		c.possibleRuns > 0 && claimsNotRun(resp.Status):
 		c.drain(resp)
 		return pool.Succeeded, resultcode.New(resultcode.EndpointLost, "endpoint %s failed with status %d", from.EndpointID, resp.Status)
 	}
