enginehttp, servicehttp: a refused identifier is not sent again over its connection

Cause: the client skips connections over which a request with the same Request.ID was refused, but these two packages left it empty. Attempts have identifiers of their own, so nothing is known to repeat one; transfers of KV state do bear those of others.

Change: requests, streams and transfers of KV state set it. Orders always take new connections, reports and cancellations never repeat an identifier.

Result: TestLateCopyOfRefusalIsNotBelievedForSameRequest, one in each package, failed before (a request that ran ended as refused), and both packages pass (-race).

--- a/internal/protocol/enginehttp/control.go
+++ b/internal/protocol/enginehttp/control.go
@@ -109,7 +109,7 @@
 // ExportKV implements engine.Engine.
 func (e *Engine) ExportKV(ctx context.Context, to engine.Target, id string) (io.ReadCloser, error) {
 	resp, err := e.client.Do(ctx, &exchange.Request{
-		Address: to.Address, Method: http.MethodGet, Target: kvTarget(id),
+		Address: to.Address, ID: id, Method: http.MethodGet, Target: kvTarget(id),
 		Header: http.Header{"Accept": {"application/octet-stream"}, exchange.HeaderRequestID: {id}},
 	})
 	if err != nil {
@@ -128,7 +128,7 @@
 // ImportKV implements engine.Engine.
 func (e *Engine) ImportKV(ctx context.Context, to engine.Target, id string, kv io.Reader) error {
 	resp, err := e.client.Do(ctx, &exchange.Request{
-		Address: to.Address, Method: http.MethodPut, Target: kvTarget(id), BodyReader: kv,
+		Address: to.Address, ID: id, Method: http.MethodPut, Target: kvTarget(id), BodyReader: kv,
 		Header: http.Header{"Content-Type": {"application/octet-stream"}, exchange.HeaderRequestID: {id}},
 	})
 	if err != nil {
--- a/internal/protocol/enginehttp/engine.go
+++ b/internal/protocol/enginehttp/engine.go
@@ -187,6 +187,7 @@
 	h.Set(exchange.HeaderPriority, strconv.FormatInt(int64(req.Priority), 10))
 	return &exchange.Request{
 		Address:         to.Address,
+		ID:              req.ID,
 		Method:          http.MethodPost,
 		Target:          req.Path,
 		Header:          h,
--- a/internal/protocol/enginehttp/latecopy_test.go
+++ b/internal/protocol/enginehttp/latecopy_test.go
@@ -74,3 +74,16 @@
 		}
 	}
 }
+
+// Guards against a late copy of a refusal that is believed when the refused request is sent
+// again: it would be reported as not run although it ran.
+func TestLateCopyOfRefusalIsNotBelievedForSameRequest(t *testing.T) {
+	client := httpclient.New(httpclient.Options{})
+	t.Cleanup(client.Close)
+	e, to := New(client), engine.Target{Name: "e1", Address: rawserver.Repeating(t, rawserver.RefuseFirst())}
+	_, err := e.Do(t.Context(), to, request("r1", 1, false))
+	wantCode(t, err, resultcode.EndpointRefused)
+	if _, err := e.Do(t.Context(), to, request("r1", 1, false)); err != nil {
+		t.Fatalf("a request that ran ended with %v", err)
+	}
+}
--- a/internal/protocol/servicehttp/latecopy_test.go
+++ b/internal/protocol/servicehttp/latecopy_test.go
@@ -53,3 +53,17 @@
 		}
 	}
 }
+
+// Guards against a late copy of a refusal that is believed when the refused request is sent
+// again: it would be reported as not run although it ran.
+func TestLateCopyOfRefusalIsNotBelievedForSameRequest(t *testing.T) {
+	client := httpclient.New(httpclient.Options{})
+	t.Cleanup(client.Close)
+	s, to := New(client), engine.Target{Name: "s1", Address: rawserver.Repeating(t, rawserver.RefuseFirst())}
+	if _, _, err := call(s, to, request("r1")); resultcode.Of(err) != resultcode.EndpointRefused {
+		t.Fatalf("error %v, want %s", err, resultcode.EndpointRefused)
+	}
+	if _, _, err := call(s, to, request("r1")); err != nil {
+		t.Fatalf("a request that ran ended with %v", err)
+	}
+}
--- a/internal/protocol/servicehttp/service.go
+++ b/internal/protocol/servicehttp/service.go
@@ -76,6 +76,7 @@
 	}
 	return &exchange.Request{
 		Address:         to.Address,
+		ID:              req.ID,
 		Method:          req.Method,
 		Target:          target,
 		Header:          h,
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/radishloom/radishloom/internal/coordination/exchange"
@@ -102,3 +103,16 @@
 	}
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
+
+// RefuseFirst returns a function for Repeating that answers the first request with "not run"
+// and the others with EchoPath.
+func RefuseFirst() func(*http.Request) string {
+	var seen atomic.Bool
+	return func(r *http.Request) string {
+		if seen.Swap(true) {
+			return EchoPath(r, true)
+		}
+		return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+			exchange.HeaderRequestID, r.Header.Get(exchange.HeaderRequestID), exchange.HeaderRunState, exchange.RunStateNotRun)
+	}
+}
