forward: refusals with other status codes are not believed from copies either

Cause: the client remembers refusals by status (400 and above), while a refusal is what has the field "not run", with any status. A late copy of one with 200 or 302 was believed when the request was under way again on its connection.

Change: the connection of a refusal with a status below 400 is closed.

What remains: if that refusal has no body, its connection is idle until it is closed, and a second request with the identifier can take it meanwhile.

--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -102,7 +102,7 @@
 		c.drain(resp)
 		return pool.Absent, resultcode.New(resultcode.EndpointRefused, "endpoint %s has restarted or does not have the model", from.EndpointID)
 	case head.NotRun:
-		c.drain(resp)
+		c.drainRefusal(resp)
 		return pool.Refused, resultcode.New(resultcode.EndpointRefused, "endpoint %s refused the request without running it", from.EndpointID)
 	case resp.Status < 300 && !head.Sealed, !c.idempotent() && claimsNotRun(resp.Status):
 		resp.Body.Discard()
@@ -165,6 +165,17 @@
 	_ = resp.Body.Close() // the body was read to its end
 }
 
+// drainRefusal ends a response that says "not run". The client tells refusals from other
+// responses by their status, so the connection of one with another status is closed: a
+// late copy could come there when the request is under way again.
+func (c *call) drainRefusal(resp *exchange.Response) {
+	if resp.Status < http.StatusBadRequest {
+		resp.Body.Discard()
+		return
+	}
+	c.drain(resp)
+}
+
 // forwardResponse passes a response on to the caller.
 func (c *call) forwardResponse(from *slot, resp *exchange.Response) (pool.Result, *resultcode.Error) {
 	if c.relay == nil {
