forward: a request without an identifier gets a new connection

Change: a request without an identifier is sent over a new connection, where the first response is believed.

Result: TestRequestsWithoutIdentifierAreAnswered failed before ("request 1: status 502 4006 answer_mismatch") and passes (-race).

--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -36,6 +36,8 @@
 		Address: to.Address, Host: c.req.Host, Method: c.req.Method, Target: c.req.Target,
 		Header: s.cfg.Codec.AttemptHeader(c.req, a), Body: c.req.Body, IdleTimeout: c.idleTimeout(left),
 		AllowCloseDelimited: true, ID: c.req.ID,
+		// On a kept connection, a response that names no request is not believed.
+		FreshConnection: c.req.ID == "",
 		MatchResponse: func(h http.Header) bool { return s.cfg.Codec.MatchesRequest(h, c.req.ID) },
 	})
 	if err != nil {
