httpclient: a connection on which a refusal was skipped is not used again

Cause: a refusal that is read as the response to its request is remembered on its connection, one that is skipped is not. It can be the only one read there: if a caller repeats the identifier of an answered request, a copy of that answer is taken for the new one, and the true refusal is skipped later. A copy of it would be believed when the request comes once more.

Change: after a response with a status of 400 or more was skipped, the connection is closed at the end of the exchange.

Result: TestSkippedRefusalEndsItsConnection failed before (1 connection instead of 2) and passes (-race); skipped successes keep their connection.

--- a/internal/transport/httpclient/body.go
+++ b/internal/transport/httpclient/body.go
@@ -28,7 +28,7 @@
 var _ exchange.Body = (*body)(nil)
 
 func newResponse(ctx context.Context, cn *conn, resp *http.Response, allowCloseDelimited bool) *exchange.Response {
-	b := &body{ctx: ctx, conn: cn, r: resp.Body, noReuse: resp.Close || cn.requestCut || cn.refused.full()}
+	b := &body{ctx: ctx, conn: cn, r: resp.Body, noReuse: resp.Close || cn.requestCut || cn.skippedRefusal || cn.refused.full()}
 	b.closeDelimited = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	b.allowCloseDelimited = allowCloseDelimited
 	b.noReuse = b.noReuse || b.closeDelimited
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -51,6 +51,9 @@
 	reused bool
 	// refused has the requests that were refused on this connection.
 	refused refusedRequests
+	// skippedRefusal is set if a refusal of another request was skipped, which refused
+	// may lack.
+	skippedRefusal bool
 	// requestCut is set if the endpoint responded before it read the whole request.
 	requestCut bool
 	// headLeft is the number of bytes that the response head may still take, or -1
@@ -251,6 +254,7 @@
 				return nil, skips, err
 			}
 			skipLeft -= skipped
+			cn.skippedRefusal = cn.skippedRefusal || resp.StatusCode >= http.StatusBadRequest
 			continue
 		}
 		cn.idleLimit = keepAliveLimit(resp.Header)
--- a/internal/transport/httpclient/refused_test.go
+++ b/internal/transport/httpclient/refused_test.go
@@ -50,3 +50,29 @@
 		})
 	}
 }
+
+// Guards against a refusal that was skipped and then is not remembered: its request may come
+// to the connection again, since only an earlier copy of its answer was read there.
+func TestSkippedRefusalEndsItsConnection(t *testing.T) {
+	for status, want := range map[int]int64{http.StatusOK: 1, http.StatusServiceUnavailable: 2} {
+		s := startRaw(t, func(c net.Conn, _ int, r *http.Request, nth int) bool {
+			if nth == 2 {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 %d x\r\nId: a\r\nContent-Length: 0\r\n\r\n", status)
+			}
+			_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+			return err == nil
+		})
+		c := newClient(t, Options{IdleConnTimeout: time.Minute})
+		for _, id := range []string{"a", "b", "a"} {
+			req := s.request(http.MethodPost)
+			req.ID, req.Header = id, http.Header{"Id": {id}}
+			req.MatchResponse = func(h http.Header) bool { return h.Get("Id") == id }
+			if _, err := fetch(c, req); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := s.accepted.Load(); got != want {
+			t.Errorf("status %d: %d connections, want %d", status, got, want)
+		}
+	}
+}
