httpclient: hash an identifier once for each request, not for each idle connection

Cause: while the pool is locked, the identifier was hashed again for each idle connection that has refused anything. Callers choose the identifier, and heads may be long.

Change: it is hashed once, before the lock is taken.

Package tests pass (-race).

--- a/internal/transport/httpclient/pool.go
+++ b/internal/transport/httpclient/pool.go
@@ -30,8 +30,9 @@
 
 // get returns the most recently used connection that may be reused for a request, or nil.
 func (p *pool) get(id string) *conn {
+	key := refusedKey(id)
 	for {
-		cn := p.pop(id)
+		cn := p.pop(key)
 		if cn == nil {
 			return nil
 		}
@@ -42,12 +43,13 @@
 	}
 }
 
-// pop removes the most recently used connection over which the request was not refused.
-func (p *pool) pop(id string) *conn {
+// pop removes the most recently used connection over which the request with the key was not
+// refused.
+func (p *pool) pop(key uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i, cn := range slices.Backward(p.idle) {
-		if p.reuseAny || !cn.refused.has(id) {
+		if p.reuseAny || !cn.refused.has(key) {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return cn
 		}
