platformhttp: a late copy of a VM list is not taken for the next one

Cause: lists name no request, and each was read on the connection of the one before. A copy of a list that arrived late was taken for the next one, and each later list on that connection was one reading old: VMs that had come since were missing, VMs that were gone or leaving were listed.

Change: each list is read on a new connection.

Result: TestLateCopyIsNotTakenForTheList failed before (list 1 in place of list 2) and passes (-race, 3 times).

--- a/internal/protocol/platformhttp/platform.go
+++ b/internal/protocol/platformhttp/platform.go
@@ -61,6 +61,8 @@
 	resp, err := p.client.Do(ctx, &exchange.Request{
 		Address: p.address, Method: http.MethodGet, Target: p.target, IdleTimeout: listIdleTimeout,
 		Header: http.Header{"Accept": {"application/json"}},
+		// Lists name no request, so a late copy of one would pass for the next.
+		FreshConnection: true,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/protocol/platformhttp/platform_test.go
+++ b/internal/protocol/platformhttp/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,7 @@
 
 	"github.com/radishloom/radishloom/internal/coordination/engine"
 	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/internal/standin/rawserver"
 	"github.com/radishloom/radishloom/internal/transport/httpclient"
 )
 
@@ -65,3 +67,26 @@
 		}
 	}
 }
+
+// Guards against a late copy of an earlier list that is taken for the present one: VMs that
+// have come since then would be missing.
+func TestLateCopyIsNotTakenForTheList(t *testing.T) {
+	n := 0
+	address := rawserver.Repeating(t, func(*http.Request) string {
+		n++
+		body := fmt.Sprintf(`[{"address":"127.0.0.1:%d"}]`, n)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	})
+	client := httpclient.New(httpclient.Options{})
+	t.Cleanup(client.Close)
+	p, err := New(client, "http://"+address+"/vms")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
+		list, err := p.List(t.Context())
+		if err != nil || len(list) != 1 || list[0].Address != want {
+			t.Fatalf("list %v, error %v, want %s", list, err, want)
+		}
+	}
+}
