enginehttp, servicehttp: the connection of an unnamed answer is never idle

Cause: the connection of an answer that names no request became idle when the body had been read, or at once if there is none, and was closed only with the body. A request in between got the connection, and a late copy as its answer. Closing also ended all idle connections to the address.

--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -54,6 +54,9 @@
 	// to this request. A response to an earlier request is read to its end and
 	// skipped.
 	MatchResponse func(http.Header) bool
+	// MayReuse, if set, reports whether the connection may be used again after a response
+	// with this status and header.
+	MayReuse func(status int, h http.Header) bool
 	// AllowCloseDelimited accepts a response body that ends with the orderly close
 	// of the connection. Otherwise such a body counts as incomplete.
 	AllowCloseDelimited bool
@@ -61,6 +64,10 @@
 	FreshConnection bool
 }
 
+// NamesRequest is a Request.MayReuse that allows reuse after responses that name their
+// request. A late copy of another one would pass for the response to the next request.
+func NamesRequest(_ int, h http.Header) bool { return h.Get(HeaderRequestID) != "" }
+
 // Response is the head of a response and its body.
 type Response struct {
 	Status int
--- a/internal/protocol/enginehttp/control.go
+++ b/internal/protocol/enginehttp/control.go
@@ -70,7 +70,7 @@
 		IdleTimeout: o.Lifetime + reportTimeout,
 		// Sending an order again is safe because it has the same ID, but on a stale
 		// connection it takes long to find out whether the first one arrived.
-		FreshConnection: true,
+		FreshConnection: true, MayReuse: exchange.NamesRequest,
 	})
 	if err != nil {
 		return err
@@ -110,7 +110,8 @@
 func (e *Engine) ExportKV(ctx context.Context, to engine.Target, id string) (io.ReadCloser, error) {
 	resp, err := e.client.Do(ctx, &exchange.Request{
 		Address: to.Address, ID: id, Method: http.MethodGet, Target: kvTarget(id),
-		Header: http.Header{"Accept": {"application/octet-stream"}, exchange.HeaderRequestID: {id}},
+		Header:   http.Header{"Accept": {"application/octet-stream"}, exchange.HeaderRequestID: {id}},
+		MayReuse: exchange.NamesRequest,
 	})
 	if err != nil {
 		return nil, err
@@ -129,7 +130,8 @@
 func (e *Engine) ImportKV(ctx context.Context, to engine.Target, id string, kv io.Reader) error {
 	resp, err := e.client.Do(ctx, &exchange.Request{
 		Address: to.Address, ID: id, Method: http.MethodPut, Target: kvTarget(id), BodyReader: kv,
-		Header: http.Header{"Content-Type": {"application/octet-stream"}, exchange.HeaderRequestID: {id}},
+		Header:   http.Header{"Content-Type": {"application/octet-stream"}, exchange.HeaderRequestID: {id}},
+		MayReuse: exchange.NamesRequest,
 	})
 	if err != nil {
 		return err
--- a/internal/protocol/enginehttp/engine.go
+++ b/internal/protocol/enginehttp/engine.go
@@ -163,7 +163,7 @@
 // doSmall performs an exchange with a small response and reads its body. Its identifier
 // differs from those of requests and orders, which share the connections.
 func (e *Engine) doSmall(ctx context.Context, to engine.Target, method, target string, body []byte) (*exchange.Response, []byte, error) {
-	req := &exchange.Request{Address: to.Address, Method: method, Target: target, Body: body, IdleTimeout: reportTimeout}
+	req := &exchange.Request{Address: to.Address, Method: method, Target: target, Body: body, IdleTimeout: reportTimeout, MayReuse: exchange.NamesRequest}
 	id := "control-" + strconv.FormatUint(e.controlCalls.Add(1), 10)
 	req.Header = http.Header{"Accept": {"application/json"}, exchange.HeaderRequestID: {id}}
 	if body != nil {
@@ -187,6 +187,7 @@
 	h.Set(exchange.HeaderPriority, strconv.FormatInt(int64(req.Priority), 10))
 	return &exchange.Request{
 		Address:         to.Address,
+		MayReuse:        exchange.NamesRequest,
 		ID:              req.ID,
 		Method:          http.MethodPost,
 		Target:          req.Path,
@@ -230,13 +231,9 @@
 	return e.refusedError(resp, to)
 }
 
-// checkIdentity returns an error if the response names another request. The connection of
-// one that names none is not used again.
+// checkIdentity returns an error if the response names another request.
 func (e *Engine) checkIdentity(resp *exchange.Response, id string, to engine.Target) error {
 	echoed := resp.Header.Get(exchange.HeaderRequestID)
-	if echoed == "" {
-		resp.Body = exchange.SingleUse(resp.Body)
-	}
 	if echoed == "" || echoed == id || e.faults.skipIdentity {
 		return nil
 	}
--- a/internal/protocol/servicehttp/latecopy_test.go
+++ b/internal/protocol/servicehttp/latecopy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -67,3 +68,20 @@
 		t.Fatalf("a request that ran ended with %v", err)
 	}
 }
+
+// Guards against the reuse of such a connection before the body of the answer is closed.
+func TestConnectionOfAnUnnamedAnswerIsNeverIdle(t *testing.T) {
+	s, to := repeatingService(t, false)
+	for _, path := range []string{"/a", "/b"} {
+		req := request(path)
+		req.Path = path
+		a, err := s.Do(t.Context(), to, req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer a.Body.Close() // never fails
+		if body, err := io.ReadAll(a.Body); err != nil || !strings.Contains(string(body), `"`+path+`"`) {
+			t.Fatalf("%s: body %q, error %v", path, body, err)
+		}
+	}
+}
--- a/internal/protocol/servicehttp/service.go
+++ b/internal/protocol/servicehttp/service.go
@@ -76,6 +76,7 @@
 	}
 	return &exchange.Request{
 		Address:         to.Address,
+		MayReuse:        exchange.NamesRequest,
 		ID:              req.ID,
 		Method:          req.Method,
 		Target:          target,
@@ -109,13 +110,9 @@
 	return out
 }
 
-// checkIdentity returns an error if the response names another request. The connection of
-// one that names none is not used again.
+// checkIdentity returns an error if the response names another request.
 func (s *Service) checkIdentity(resp *exchange.Response, id string, to engine.Target) error {
 	echoed := resp.Header.Get(exchange.HeaderRequestID)
-	if echoed == "" {
-		resp.Body = exchange.SingleUse(resp.Body)
-	}
 	if echoed == "" || echoed == id || s.faults.skipIdentity {
 		return nil
 	}
@@ -150,6 +147,7 @@
 	resp, err := s.client.Do(ctx, &exchange.Request{
 		Address: to.Address, Method: http.MethodGet, Target: loadPath,
 		Header: http.Header{"Accept": {"application/json"}, exchange.HeaderRequestID: {id}}, IdleTimeout: loadReportIdleTimeout,
+		MayReuse: exchange.NamesRequest,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/transport/httpclient/body.go
+++ b/internal/transport/httpclient/body.go
@@ -27,11 +27,11 @@
 
 var _ exchange.Body = (*body)(nil)
 
-func newResponse(ctx context.Context, cn *conn, resp *http.Response, allowCloseDelimited bool) *exchange.Response {
+func newResponse(ctx context.Context, cn *conn, resp *http.Response, req *exchange.Request) *exchange.Response {
 	b := &body{ctx: ctx, conn: cn, r: resp.Body, noReuse: resp.Close || cn.requestCut || cn.skippedRefusal || cn.refused.full()}
 	b.closeDelimited = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	b.allowCloseDelimited = allowCloseDelimited
-	b.noReuse = b.noReuse || b.closeDelimited
+	b.allowCloseDelimited = req.AllowCloseDelimited
+	b.noReuse = b.noReuse || b.closeDelimited || (req.MayReuse != nil && !req.MayReuse(resp.StatusCode, resp.Header))
 	out := &exchange.Response{Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, CloseDelimited: b.closeDelimited, Body: b}
 	if resp.ContentLength == 0 || resp.Body == http.NoBody {
 		b.release()
--- a/internal/transport/httpclient/client.go
+++ b/internal/transport/httpclient/client.go
@@ -223,7 +223,7 @@
 	reused := cn.reused
 	cn.reused = true
 	cn.refused.add(req.ID, resp.StatusCode)
-	out := newResponse(ctx, cn, resp, req.AllowCloseDelimited)
+	out := newResponse(ctx, cn, resp, req)
 	out.Reused, out.Skipped = reused, skipped
 	return out, nil
 }
