forward: the connection of a refusal with an odd status is never idle

Cause: closes it when the body is discarded. A refusal without a body releases its connection before that, so a second request with the identifier could take it meanwhile, and a late copy as its answer.

Change: Request.MayReuse keeps it from becoming idle, in place of drainRefusal.

Result: no test shows the race; TestCopyOfRefusalIsNotBelievedForSameRequest still passes (-race, 3 times), as do forward, platform and entry.

--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -38,6 +38,11 @@
 		AllowCloseDelimited: true, ID: c.req.ID,
 		// On a kept connection, a response that names no request is not believed.
 		FreshConnection: c.req.ID == "",
+		// The client tells refusals from other responses by their status. A late copy of one
+		// with another status could come when the request is under way again.
+		MayReuse: func(status int, h http.Header) bool {
+			return status >= http.StatusBadRequest || !s.cfg.Codec.DecodeResponse(status, h).NotRun
+		},
 		MatchResponse: func(h http.Header) bool { return s.cfg.Codec.MatchesRequest(h, c.req.ID) },
 	})
 	if err != nil {
@@ -104,7 +109,7 @@
 		c.drain(resp)
 		return pool.Absent, resultcode.New(resultcode.EndpointRefused, "endpoint %s has restarted or does not have the model", from.EndpointID)
 	case head.NotRun:
-		c.drainRefusal(resp)
+		c.drain(resp)
 		return pool.Refused, resultcode.New(resultcode.EndpointRefused, "endpoint %s refused the request without running it", from.EndpointID)
 	case resp.Status < 300 && !head.Sealed, !c.idempotent() && claimsNotRun(resp.Status):
 		resp.Body.Discard()
@@ -167,17 +172,6 @@
 	_ = resp.Body.Close() // the body was read to its end
 }
 
-// drainRefusal ends a response that says "not run". The client tells refusals from other
-// responses by their status, so the connection of one with another status is closed: a
-// late copy could come there when the request is under way again.
-func (c *call) drainRefusal(resp *exchange.Response) {
-	if resp.Status < http.StatusBadRequest {
-		resp.Body.Discard()
-		return
-	}
-	c.drain(resp)
-}
-
 // forwardResponse passes a response on to the caller.
 func (c *call) forwardResponse(from *slot, resp *exchange.Response) (pool.Result, *resultcode.Error) {
 	if c.relay == nil {
