--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -36,6 +36,13 @@
 		Address: to.Address, Host: c.req.Host, Method: c.req.Method, Target: c.req.Target,
 		Header: s.cfg.Codec.AttemptHeader(c.req, a), Body: c.req.Body, IdleTimeout: c.idleTimeout(left),
 		AllowCloseDelimited: true, ID: c.req.ID,
+		// On a kept connection, a response that names no request is not believed.
+		FreshConnection: c.req.ID == "",
+		// The client tells refusals from other responses by their status. A late copy of one
+		// with another status could come when the request is under way again.
+		MayReuse: func(status int, h http.Header) bool {
+			return status >= http.StatusBadRequest || !s.cfg.Codec.DecodeResponse(status, h).NotRun
+		},
 		MatchResponse: func(h http.Header) bool { return s.cfg.Codec.MatchesRequest(h, c.req.ID) },
 	})
 	if err != nil {
@@ -113,7 +120,9 @@
 	case c.relay != nil && !c.relay.continues(resp):
 		c.drain(resp)
 		return pool.Succeeded, resultcode.New(resultcode.StreamBroken, "endpoint %s resumed a stream of events with other content", from.EndpointID)
-	case resp.Status >= http.StatusInternalServerError && c.idempotent() && c.possibleRuns+1 < c.route.MaxAttempts && c.relay == nil && c.timeForRetry():
+	case resp.Status >= http.StatusInternalServerError && c.idempotent() && c.possibleRuns+1 < c.route.MaxAttempts && c.relay == nil && c.timeForRetry(),
+		// The caller would take the status for "not run", though an earlier endpoint may have run the request.
+		c.possibleRuns > 0 && claimsNotRun(resp.Status):
 		c.drain(resp)
 		return pool.Succeeded, resultcode.New(resultcode.EndpointLost, "endpoint %s failed with status %d", from.EndpointID, resp.Status)
 	}
--- a/internal/protocol/servicehttp/latecopy_test.go
+++ b/internal/protocol/servicehttp/latecopy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -53,3 +54,34 @@
 		}
 	}
 }
+
+// Guards against a late copy of a refusal that is believed when the refused request is sent
+// again: it would be reported as not run although it ran.
+func TestLateCopyOfRefusalIsNotBelievedForSameRequest(t *testing.T) {
+	client := httpclient.New(httpclient.Options{})
+	t.Cleanup(client.Close)
+	s, to := New(client), engine.Target{Name: "s1", Address: rawserver.Repeating(t, rawserver.RefuseFirst())}
+	if _, _, err := call(s, to, request("r1")); resultcode.Of(err) != resultcode.EndpointRefused {
+		t.Fatalf("error %v, want %s", err, resultcode.EndpointRefused)
+	}
+	if _, _, err := call(s, to, request("r1")); err != nil {
+		t.Fatalf("a request that ran ended with %v", err)
+	}
+}
+
+// Guards against the reuse of such a connection before the body of the answer is closed.
+func TestConnectionOfAnUnnamedAnswerIsNeverIdle(t *testing.T) {
+	s, to := repeatingService(t, false)
+	for _, path := range []string{"/a", "/b"} {
+		req := request(path)
+		req.Path = path
+		a, err := s.Do(t.Context(), to, req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer a.Body.Close() // never fails
+		if body, err := io.ReadAll(a.Body); err != nil || !strings.Contains(string(body), `"`+path+`"`) {
+			t.Fatalf("%s: body %q, error %v", path, body, err)
+		}
+	}
+}
