pool: a stream awaits an ejected endpoint of its software version

Cause: a request that is restricted to a software version was refused at once when every endpoint of the version was ejected or avoided by its entry. Both last 0.5 to 4 s after failures; a new request waits in the same situation.

Change: the request is refused only if no endpoint of the version gets requests again before its wait ends. Endpoints that leave, are evacuated, were tried, or are ejected for longer do not count. At the end of the wait it is refused as a stream that cannot be continued.

--- a/internal/coordination/forward/slot.go
+++ b/internal/coordination/forward/slot.go
@@ -141,7 +141,9 @@
 	s.step(func(now time.Duration, e *pool.Entry) {
 		s.mu.queue.Add(w)
 		s.dispatchLocked(now, e.Table)
-		if allTried = w.UnavailableReason() == pool.NoEndpoints && len(c.query.Exclude) > 0; allTried {
+		allTried = w.UnavailableReason() == pool.NoEndpoints && len(c.query.Exclude) > 0 &&
+			(c.query.SoftwareVersion == "" || w.UnservedVersion(now, e.Table))
+		if allTried {
 			s.mu.queue.Remove(w)
 		}
 	})
--- a/internal/coordination/pool/choose.go
+++ b/internal/coordination/pool/choose.go
@@ -81,6 +81,15 @@
 	return slices.ContainsFunc(list, func(e *endpoint) bool { return !t.excluded(now, e, q) })
 }
 
+// servesVersion reports whether an endpoint with the software version of a request gets
+// requests now or by a time. One that the request was sent to does not count, one that is
+// ejected, or avoided by the entry of the request, does.
+func (t *Table) servesVersion(now time.Duration, q *Query, by time.Duration) bool {
+	return slices.ContainsFunc(t.services[q.Service], func(e *endpoint) bool {
+		return e.hasVersion(q.SoftwareVersion) && !e.outOfUse(now) && max(now, e.ejectedUntil) < by && !slices.Contains(q.Exclude, e.ID)
+	})
+}
+
 func (t *Table) unavailableReason(now time.Duration, e *endpoint, q *Query) UnavailableReason {
 	if q.Model != "" && !e.has(now, q.Model, "") {
 		return NoModel
--- a/internal/coordination/pool/futility.go
+++ b/internal/coordination/pool/futility.go
@@ -21,13 +21,13 @@
 	switch {
 	case w.reason <= NoModel && b.table.ServiceEvacuated(b.now, w.Query.Service):
 		return futility{code: resultcode.NoEndpoint, after: b.overloadRetryAfter()}, true
-	case w.unservedVersion():
+	case w.UnservedVersion(b.now, b.table):
 		return futility{code: resultcode.NoEndpoint}, true
 	case w.reason == NoModel && readyAt == never:
 		return futility{code: resultcode.NoEndpoint}, true
 	case w.reason == NoModel && readyAt > w.Deadline:
 		return futility{code: resultcode.ModelLoading, after: readyAt - b.now}, true
-	case w.reason == NoEndpoints && len(w.Query.Exclude) > 0:
+	case w.reason == NoEndpoints && len(w.Query.Exclude) > 0 && w.Query.SoftwareVersion == "":
 		return futility{code: resultcode.NoEndpoint}, true
 	case b.now >= w.Deadline:
 		return futility{code: resultcode.DeadlineTooClose, after: b.deadlineRetryAfter(key, w)}, true
--- a/internal/coordination/pool/queue.go
+++ b/internal/coordination/pool/queue.go
@@ -148,13 +148,13 @@
 // version.
 func (w *Waiter) futile(now time.Duration, t *Table) bool {
 	return w.reason == Limited && t.AvailableAt(now, w.Query) > w.Deadline ||
-		w.reason == NoEndpoints && t.ServiceEvacuated(now, w.Query.Service) || w.unservedVersion()
+		w.reason == NoEndpoints && t.ServiceEvacuated(now, w.Query.Service) || w.UnservedVersion(now, t)
 }
 
-// unservedVersion reports whether a request is restricted to a software version of which
-// no endpoint may be used.
-func (w *Waiter) unservedVersion() bool {
-	return w.Query.SoftwareVersion != "" && w.reason == NoEndpoints
+// UnservedVersion reports whether a request is restricted to a software version of which
+// no endpoint can be used before the wait of the request ends.
+func (w *Waiter) UnservedVersion(now time.Duration, t *Table) bool {
+	return w.Query.SoftwareVersion != "" && w.reason == NoEndpoints && !t.servesVersion(now, w.Query, w.Deadline)
 }
 
 func (q *Queue) refuse(w *Waiter) {
--- a/internal/coordination/pool/version_test.go
+++ b/internal/coordination/pool/version_test.go
@@ -214,3 +214,71 @@
 		}
 	}
 }
+
+// Guards against a stream that is refused while the only endpoint of its version is ejected
+// for a moment, although a new one waits in the same situation.
+func TestEjectedEndpointOfTheSoftwareVersionIsAwaited(t *testing.T) {
+	tried := versionQuery("v1")
+	tried.Exclude = []string{"e3"}
+	for name, q := range map[string]*Query{"first attempt": versionQuery("v1"), "another one failed": tried} {
+		f := newFleet(3, []Endpoint{versioned("e1", "v1", 4, "m"), versioned("e2", "v2", 4, "m"), versioned("e3", "v1", 4, "m")})
+		for _, e := range f.entries {
+			e.Table.endpoints["e1"].ejectedUntil = f.now + ejectTime
+			e.Table.endpoints["e3"].ejectedUntil = f.now + maxEjectTime
+		}
+		var got Outcome
+		f.request(f.names[0], q, time.Second, 2*time.Second, func(o Outcome) { got = o })
+		f.run(ejectTime / 2)
+		if got != (Outcome{}) {
+			t.Errorf("%s: outcome %+v, want the request to wait", name, got)
+		}
+		f.run(ejectTime)
+		if got.Grant == nil || got.Grant.EndpointID != "e1" {
+			t.Errorf("%s: outcome %+v, want a slot at e1", name, got)
+		}
+	}
+}
+
+// Guards against a stream that waits although all endpoints of its version are ejected for
+// longer than it can wait.
+func TestSoftwareVersionThatIsEjectedForLongIsRefusedAtOnce(t *testing.T) {
+	f := newFleet(3, []Endpoint{versioned("e1", "v1", 4, "m"), versioned("e2", "v2", 4, "m")})
+	for _, e := range f.entries {
+		e.Table.endpoints["e1"].ejectedUntil = f.now + maxEjectTime
+	}
+	var got Outcome
+	f.request(f.names[0], versionQuery("v1"), time.Second, 2*time.Second, func(o Outcome) { got = o })
+	f.run(10 * time.Millisecond)
+	if got.Refusal != resultcode.NoEndpoint || got.RetryAfter != 0 {
+		t.Errorf("outcome %+v, want an immediate refusal", got)
+	}
+}
+
+// Guards against a stream of a plain service that is refused while the only endpoint of its
+// version is ejected for a moment, or that waits for one that is ejected for longer.
+func TestEjectedPlainEndpointOfTheSoftwareVersionIsAwaited(t *testing.T) {
+	table, queue := NewTable(), &Queue{}
+	table.Update([]Endpoint{
+		{Endpoint: directory.Endpoint{ID: "p1", Service: "plain", Address: "p1:1", Slots: 1, SoftwareVersion: "v1"}},
+		{Endpoint: directory.Endpoint{ID: "p2", Service: "plain", Address: "p2:1", Slots: 1, SoftwareVersion: "v2"}},
+	})
+	table.endpoints["p1"].ejectedUntil = ejectTime
+	granted, refused := "", 0
+	request := func(deadline time.Duration) {
+		queue.Add(&Waiter{
+			Query: &Query{Service: "plain", SoftwareVersion: "v1"}, Target: time.Second, Deadline: deadline,
+			Granted: func(r *Reservation) { granted = r.EndpointID }, Refused: func() { refused++ },
+		})
+		queue.Dispatch(0, table)
+		queue.RefuseFutile(0, table)
+	}
+	request(ejectTime / 2)
+	if refused != 1 {
+		t.Errorf("%d refused, want the request that cannot wait long enough", refused)
+	}
+	request(2 * ejectTime)
+	queue.Dispatch(ejectTime, table)
+	if granted != "p1" || refused != 1 {
+		t.Errorf("granted %q, %d refused, want p1 after the ejection and no further refusal", granted, refused)
+	}
+}
