pool: a waiting request may use an endpoint that is no longer avoided

Cause: a broker kept the list of avoided endpoints that came with the first copy of a slot request. An entry avoids an endpoint for 1 s; the request was kept from it until its deadline, also with no other endpoint.

Change: the list of each repeated copy, every 250 ms, replaces it, as that of the pauses does.

Result: TestWaitingRequestIsToldOnceAnEndpointIsNoLongerAvoided failed before and passes; go test -race of pool passes.

--- a/internal/coordination/pool/broker.go
+++ b/internal/coordination/pool/broker.go
@@ -197,7 +197,7 @@
 		b.dispatch(req.key)
 		b.refuseHopeless(req.key, req.waiter)
 	} else {
-		req.waiter.Query.Paused = b.decodePauses(r)
+		req.waiter.Query.Paused, req.waiter.Query.Avoid = b.decodePauses(r), r.GetAvoid()
 	}
 	req.lastSeen = b.now
 	if b.pending[key] == req && !b.refuseIfFutile(key, req) {
--- a/internal/coordination/pool/version_test.go
+++ b/internal/coordination/pool/version_test.go
@@ -282,3 +282,20 @@
 		t.Errorf("granted %q, %d refused, want p1 after the ejection and no further refusal", granted, refused)
 	}
 }
+
+// Guards against a request that waits until its deadline since its broker still keeps it
+// from an endpoint that its entry avoided for a moment when the request arrived.
+func TestWaitingRequestIsToldOnceAnEndpointIsNoLongerAvoided(t *testing.T) {
+	for _, version := range []string{"", "v1"} {
+		f := newFleet(3, []Endpoint{versioned("e1", "v1", 4, "m")})
+		for _, e := range f.entries {
+			e.client.avoidUntil["e1"] = f.now + avoidTime/2
+		}
+		var got Outcome
+		f.request(f.names[0], versionQuery(version), time.Second, 2*time.Second, func(o Outcome) { got = o })
+		f.run(avoidTime/2 + resendInterval + 50*time.Millisecond)
+		if got.Grant == nil || got.Grant.EndpointID != "e1" {
+			t.Errorf("version %q: outcome %+v, want a slot at e1", version, got)
+		}
+	}
+}
