forward: no stream goes on at an endpoint that may have restarted in place

Cause: an endpoint may restart under its identifier and address with another software version, while the list shows the old one for a second or two, or for as long as the entry is cut off from control. An entry that saw the restart (a lost connection, a refusal with 421) still continued streams there at the listed version, and recorded that version for streams that began there.

Change: after such a sign an endpoint is doubtful at this entry until a list is confirmed versionLag (5 s) later: it continues no stream, and streams that begin there have an unknown version. A response that was requested before the sign and completes after it clears the doubt: the process is the same.

--- a/internal/coordination/forward/fresh.go
+++ b/internal/coordination/forward/fresh.go
@@ -82,6 +82,7 @@
 	defer s.mu.Unlock()
 	s.mu.listState.observe(s.now())
 	s.mu.listState.confirm(sentAt)
+	s.mu.doubtful.confirm(s.mu.listState.confirmedAt)
 }
 
 // waitForList waits while the list of endpoints may be as old as a freeze of this process.
@@ -108,5 +109,5 @@
 	}
 	table := s.mu.entry.Table
 	to.version = table.SoftwareVersion(to.EndpointID)
-	return !table.Evacuated(to.EndpointID) && fitsVersion(table, &c.query, to.EndpointID)
+	return !table.Evacuated(to.EndpointID) && s.fitsVersionLocked(&c.query, to.EndpointID)
 }
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -24,7 +24,7 @@
 		return pool.Unknown, resultcode.New(resultcode.DeadlineTooClose, "only %d ms left until the deadline, too little to send the request", left.Milliseconds())
 	}
 	c.sends++
-	c.current, c.keptConnection = to, false
+	c.current, c.keptConnection, to.sentAt = to, false, sentAt
 	a := Attempt{EndpointID: to.EndpointID, Customer: c.customerName(), TimeLeft: left, ResumeAfter: c.req.LastEventID}
 	if c.relay != nil && c.relay.lastID != "" {
 		a.ResumeAfter = c.relay.lastID
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -99,6 +99,7 @@
 		outputs      outputModel
 		listState    listState
 		streams      *StreamRegister
+		doubtful     doubtfulEndpoints
 		lookups      lookups
 	}
 }
@@ -123,6 +124,7 @@
 	s.mu.outputs = newOutputModel()
 	s.mu.streams = NewStreamRegister()
 	s.mu.lookups = newLookups()
+	s.mu.doubtful = doubtfulEndpoints{}
 	return s
 }
 
--- a/internal/coordination/forward/slot.go
+++ b/internal/coordination/forward/slot.go
@@ -17,8 +17,9 @@
 	EndpointID, Address string
 	grant               *pool.Grant
 	reservation         *pool.Reservation
-	// version is the software version of the endpoint when the request is sent.
+	// version is the software version of the endpoint when the request is sent, at sentAt.
 	version string
+	sentAt  time.Duration
 }
 
 // acquireSlot waits for a slot for the request.
@@ -65,7 +66,7 @@
 	defer s.mu.Unlock()
 	now, table := s.now(), s.mu.entry.Table
 	inUse := table.Usable(now, grant.EndpointID)
-	usable = inUse && fitsVersion(table, &c.query, grant.EndpointID)
+	usable = inUse && s.fitsVersionLocked(&c.query, grant.EndpointID)
 	return usable, !inUse && !table.Evacuated(grant.EndpointID), table.Paused(now, grant.EndpointID)
 }
 
@@ -263,6 +264,7 @@
 // releaseSlot releases a slot, which may then be granted to a waiting request.
 func (s *Server) releaseSlot(to *slot, r pool.Result, leaving bool) {
 	s.step(func(now time.Duration, e *pool.Entry) {
+		s.mu.doubtful.note(now, to.sentAt, to.EndpointID, r)
 		if to.grant != nil {
 			e.Release(now, to.grant, r, leaving)
 			return
--- a/internal/coordination/forward/versions.go
+++ b/internal/coordination/forward/versions.go
@@ -12,7 +12,7 @@
 
 // restrictVersion restricts the next send to the software version that began the stream.
 // Until an event has been passed on, a new stream may begin at any version. It returns
-// an error if the version has become unknown.
+// an error if the version has become unknown. Doubtful endpoints are not used.
 func (c *call) restrictVersion() *resultcode.Error {
 	s := c.server
 	s.mu.Lock()
@@ -23,11 +23,13 @@
 			c.countResumptionRefused()
 			return resultcode.New(resultcode.StreamBroken, "the software version that began the stream is unknown")
 		}
+		c.excludeDoubtfulLocked()
 		return nil
 	}
 	if c.query.SoftwareVersion == "" {
 		return nil
 	}
+	c.excludeDoubtfulLocked()
 	if version, found := s.mu.streams.Version(s.now(), c.stream); found && version != c.query.SoftwareVersion {
 		c.takeUp = takeUpUnknown
 		return notResumable("the software version that began the stream has become unknown")
@@ -67,7 +69,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	version := from.version
-	if s.mu.entry.Table.SoftwareVersion(from.EndpointID) != version {
+	if s.mu.entry.Table.SoftwareVersion(from.EndpointID) != version || s.mu.doubtful.has(from.EndpointID) {
 		version = ""
 	}
 	if required := c.query.SoftwareVersion; required != "" && version != required {
@@ -79,10 +81,10 @@
 	return nil
 }
 
-// fitsVersion reports whether an endpoint has the software version that a request is
-// restricted to, by the list of this entry.
-func fitsVersion(t *pool.Table, q *pool.Query, endpoint string) bool {
-	return q.SoftwareVersion == "" || t.SoftwareVersion(endpoint) == q.SoftwareVersion
+// fitsVersionLocked reports whether an endpoint has the software version that a request is
+// restricted to, by the list of this entry, and shows no sign of a restart since.
+func (s *Server) fitsVersionLocked(q *pool.Query, endpoint string) bool {
+	return q.SoftwareVersion == "" || s.mu.entry.Table.SoftwareVersion(endpoint) == q.SoftwareVersion && !s.mu.doubtful.has(endpoint)
 }
 
 // servicesWithVersions returns the services whose endpoints have several software
