forward: without control, only an old connection tells a version

Cause: an entry that is cut off from control continued streams, and recorded new ones, by a list of any age. An endpoint that restarted in place since then, unseen by this entry, joined events of two versions.

Change: once no control VM has answered for versionLag (5 s), a version counts only for an endpoint whose connection was open versionLag before the last confirmed list, so that the list describes the same process. Otherwise a continuation ends as a broken stream, or tries another endpoint, and a new stream has an unknown version. A plain limit on the list's age would end every continuation while all control VMs are down.

--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -70,6 +70,8 @@
 	// Reused is set if the connection carried an earlier request. A response on it
 	// that does not name its request may be the answer to an earlier one.
 	Reused bool
+	// ConnectedAt is when the connection was open; zero if unknown.
+	ConnectedAt time.Time
 	// Skipped is the number of responses to other requests that came before this one.
 	Skipped int
 	// CloseDelimited is set if only the close of the connection ends the body.
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -108,7 +108,10 @@
 	// an event has been passed on of a stream that another endpoint may resume.
 	stream  uint64
 	current *slot
-	begun   *begunStream
+	// described is set if the list of endpoints describes the process that sent the
+	// current response.
+	described bool
+	begun     *begunStream
 	// takeUp is the outcome of a request that takes up a stream; empty for others.
 	takeUp            string
 	resumptionRefused bool
--- a/internal/coordination/forward/doubtful_test.go
+++ b/internal/coordination/forward/doubtful_test.go
@@ -57,3 +57,32 @@
 		}
 	}
 }
+
+// Guards against a stream that an entry without control continues, or records, at the
+// version that an endpoint had before it restarted, and against an end of all
+// continuations while there is no control.
+func TestVersionWithoutControlIsThatOfAnOldConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		connected time.Duration // after the list was confirmed
+		served    bool
+	}{"before the list": {-versionLag, true}, "since": {time.Second, false}} {
+		withLeader(t, &streamLeader{}, versionedEndpoints("v1"), func(t *testing.T, e *ledEntry) {
+			time.Sleep(2 * versionLag)
+			e.server.confirmList(e.server.now())
+			connectedAt := time.Now().Add(test.connected)
+			e.server.mu.streams.Began(e.server.now(), streamOf("id-0"), "models", "e0", "v1")
+			time.Sleep(versionLag + time.Second)
+			rest := restOfStream()
+			rest.connectedAt = connectedAt
+			status, code, _ := e.do("/resumed/x", takeUp(), rest)
+			if (status == 200) != test.served {
+				t.Errorf("%s: status %d, result %s, served wanted: %v", name, status, code, test.served)
+			}
+			e.endpoints.replies = nil
+			e.do("/resumed/x", map[string]string{"Id": "id-2"}, reply{status: 200, header: sealed(), body: firstEvent, length: -1, connectedAt: connectedAt})
+			if v, found := e.server.mu.streams.Version(e.server.now(), streamOf("id-2")); !found || (v != "") != test.served {
+				t.Errorf("%s: a new stream has the version %q", name, v)
+			}
+		})
+	}
+}
--- a/internal/coordination/forward/fixture_test.go
+++ b/internal/coordination/forward/fixture_test.go
@@ -81,6 +81,8 @@
 	stalls, endless bool
 	// length is the announced length; -1 for a chunked body.
 	length int64
+	// connectedAt is when the connection was open; long ago if it is zero.
+	connectedAt time.Time
 	// reused is set for a response on a connection that carried an earlier request.
 	reused bool
 }
@@ -137,7 +139,11 @@
 	if next.endless {
 		body.Reader = &repeatingReader{text: next.body}
 	}
-	return &exchange.Response{Status: next.status, Header: h, ContentLength: next.length, Body: body, Reused: next.reused}, nil
+	connectedAt := next.connectedAt
+	if connectedAt.IsZero() {
+		connectedAt = time.Unix(1, 0)
+	}
+	return &exchange.Response{Status: next.status, Header: h, ContentLength: next.length, Body: body, Reused: next.reused, ConnectedAt: connectedAt}, nil
 }
 
 // repeatingReader repeats a text without end.
--- a/internal/coordination/forward/fresh.go
+++ b/internal/coordination/forward/fresh.go
@@ -67,6 +67,12 @@
 	close(l.confirmed)
 }
 
+// describes reports whether the list describes the process at the other end of a
+// connection: it is current, or the connection is older than the list.
+func (l *listState) describes(now, connectedAt time.Duration) bool {
+	return now-l.confirmedAt <= versionLag || connectedAt <= l.confirmedAt-versionLag
+}
+
 // listUnconfirmed reports whether this process was frozen and has not heard from a
 // control VM since. The channel is closed once it has, or once it waited long enough.
 func (s *Server) listUnconfirmed() (unconfirmed bool, confirmed <-chan struct{}) {
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -72,6 +72,7 @@
 func (c *call) handleResponse(from *slot, sentAt time.Duration, resp *exchange.Response) (pool.Result, *resultcode.Error) {
 	s := c.server
 	c.keptConnection = resp.Reused
+	c.noteConnection(resp)
 	if resp.Skipped > 0 {
 		s.cfg.Metrics.SkippedResponses(resp.Skipped)
 		s.log.Info("responses to other requests skipped", "request", c.req.ID, "endpoint", from.EndpointID, "address", from.Address, "skipped", resp.Skipped)
@@ -116,6 +117,9 @@
 	case resp.Status >= http.StatusInternalServerError && c.idempotent() && c.possibleRuns+1 < c.route.MaxAttempts && c.relay == nil && c.timeForRetry():
 		c.drain(resp)
 		return pool.Succeeded, resultcode.New(resultcode.EndpointLost, "endpoint %s failed with status %d", from.EndpointID, resp.Status)
+	case c.query.SoftwareVersion != "" && !c.described && c.isStream(resp):
+		resp.Body.Discard()
+		return pool.Unknown, resultcode.New(resultcode.StreamBroken, "the software version of endpoint %s cannot be told without a control VM", from.EndpointID)
 	}
 	return c.forwardResponse(from, resp)
 }
--- a/internal/coordination/forward/versions.go
+++ b/internal/coordination/forward/versions.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/coordination/pool"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/catalog"
@@ -69,7 +70,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	version := from.version
-	if s.mu.entry.Table.SoftwareVersion(from.EndpointID) != version || s.mu.doubtful.has(from.EndpointID) {
+	if s.mu.entry.Table.SoftwareVersion(from.EndpointID) != version || s.mu.doubtful.has(from.EndpointID) || !c.described {
 		version = ""
 	}
 	if required := c.query.SoftwareVersion; required != "" && version != required {
@@ -81,6 +82,20 @@
 	return nil
 }
 
+// noteConnection records whether the list of endpoints describes the process that sent a
+// response. An endpoint may restart with another version while this entry is cut off from
+// control, and only a connection that outlasts the list shows that it has not.
+func (c *call) noteConnection(resp *exchange.Response) {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	connectedAt := s.now() // if unknown
+	if !resp.ConnectedAt.IsZero() {
+		connectedAt = resp.ConnectedAt.Sub(s.start)
+	}
+	c.described = s.mu.listState.describes(s.now(), connectedAt)
+}
+
 // fitsVersionLocked reports whether an endpoint has the software version that a request is
 // restricted to, by the list of this entry, and shows no sign of a restart since.
 func (s *Server) fitsVersionLocked(q *pool.Query, endpoint string) bool {
--- a/internal/transport/httpclient/client.go
+++ b/internal/transport/httpclient/client.go
@@ -220,11 +220,11 @@
 	}
 	// The body may release the connection to another exchange, so its fields are not
 	// used after newResponse.
-	reused := cn.reused
+	reused, openedAt := cn.reused, cn.openedAt
 	cn.reused = true
 	cn.refused.add(req.ID, resp.StatusCode)
 	out := newResponse(ctx, cn, resp, req.AllowCloseDelimited)
-	out.Reused, out.Skipped = reused, skipped
+	out.Reused, out.Skipped, out.ConnectedAt = reused, skipped, openedAt
 	return out, nil
 }
 
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -38,6 +38,7 @@
 	pool       *pool
 	generation uint64
 	maxHead    int
+	openedAt   time.Time
 
 	idleTimeout time.Duration
 	// stop stops watching the context of the current exchange.
@@ -67,7 +68,7 @@
 }
 
 func newConn(raw net.Conn, p *pool, generation uint64, maxHead int) *conn {
-	cn := &conn{raw: raw, pool: p, generation: generation, maxHead: maxHead, headLeft: -1}
+	cn := &conn{raw: raw, pool: p, generation: generation, maxHead: maxHead, headLeft: -1, openedAt: time.Now()}
 	cn.br = bufio.NewReaderSize(cn, 4<<10)
 	return cn
 }
