forward: no stream goes on at a service that its route was moved to

Cause: a key of a stream is a hash of its service and attempt, so a leader that is asked for the service of the route now has no record of a stream that another service began, and named the only version of the new one.

Change: for streamMemory (60 s) after the services of a host's routes with resumable streams changed, an entry refuses to continue a stream that it does not know itself. An entry that started after the change does not notice it.

Result: TestStreamOfARouteThatMovedIsUnknown fails without the check (status 200 after the route came back) and passes; go test -race of forward passes.

--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -100,6 +100,7 @@
 		listState    listState
 		streams      *StreamRegister
 		doubtful     doubtfulEndpoints
+		routeChanges routeChanges
 		lookups      lookups
 	}
 }
@@ -125,6 +126,7 @@
 	s.mu.streams = NewStreamRegister()
 	s.mu.lookups = newLookups()
 	s.mu.doubtful = doubtfulEndpoints{}
+	s.mu.routeChanges = routeChanges{}
 	return s
 }
 
@@ -167,6 +169,7 @@
 	if old := s.index.Load(); old != nil && old.Version() >= x.Version() {
 		return
 	}
+	s.mu.routeChanges.note(s.now(), s.index.Load(), x)
 	s.index.Store(x)
 	s.mu.entry.SetWarmUps(s.warmUpOf)
 	s.cfg.Log.Info("catalog applied", "version", x.Version(), "routes", len(x.Catalog().Routes), "since_start_ms", s.now().Milliseconds())
--- a/internal/coordination/forward/takeup.go
+++ b/internal/coordination/forward/takeup.go
@@ -68,11 +68,12 @@
 	s := c.server
 	s.mu.Lock()
 	version, found := s.mu.streams.Version(s.now(), c.stream)
+	moved := s.mu.routeChanges.recent(s.now(), c.route.Host)
 	s.mu.Unlock()
 	if found {
 		return version, takeUpOwnMemory
 	}
-	if c.severalServices() {
+	if moved || c.severalServices() {
 		return "", takeUpUnknown // the leader cannot tell which of them began the stream
 	}
 	return s.lookUpStream(c.ctx, lookupKey{c.stream, c.service.Name}), takeUpLeader
--- a/internal/coordination/forward/takeup_test.go
+++ b/internal/coordination/forward/takeup_test.go
@@ -378,6 +378,39 @@
 	})
 }
 
+// Guards against a stream that goes on at the service to which its route was moved since,
+// at the only version of that service.
+func TestStreamOfARouteThatMovedIsUnknown(t *testing.T) {
+	move := func(version uint64, service string) *catalog.Index {
+		c := testCatalog()
+		c.Version = version
+		other := c.Services[1]
+		other.Name = "other"
+		c.Services = append(c.Services, other)
+		for i := range c.Routes {
+			if c.Routes[i].Name == "resumed" {
+				c.Routes[i].Splits = []catalog.Split{{Service: service, Weight: 1}}
+			}
+		}
+		return catalog.NewIndex(c)
+	}
+	leader := &streamLeader{versions: map[uint64]string{streamOf("id-0"): "v1", streamKey("other", "id-0"): "v1"}}
+	withLeader(t, leader, versionedEndpoints("v1"), func(t *testing.T, e *ledEntry) {
+		for i, moved := range []bool{false, true, true} {
+			e.server.SetCatalog(move(uint64(2+i), []string{"models", "other", "models"}[i]))
+			if status, code, _ := e.do("/resumed/x", takeUp(), restOfStream()); (code == "4013") != moved || (status == 200) == moved {
+				t.Errorf("catalog %d: status %d, result %s", 2+i, status, code)
+			}
+			e.endpoints.replies = nil
+			e.server.mu.streams = NewStreamRegister() // the entry does not know the stream
+		}
+		time.Sleep(streamMemory + time.Second)
+		if status, code, _ := e.do("/resumed/x", takeUp(), restOfStream()); status != 200 {
+			t.Errorf("long after the change: status %d, result %s", status, code)
+		}
+	})
+}
+
 // Guards against requests of other routes that are refused because of a field which has
 // no meaning there.
 func TestOtherRoutesIgnoreTheVersion(t *testing.T) {
