--- a/internal/coordination/forward/doc.go
+++ b/internal/coordination/forward/doc.go
@@ -9,9 +9,9 @@
 // fetches endpoints, models and shares of the customers' rates from the leading
 // control VM; while that is unreachable, the entry uses the last known state.
 //
-// The decisions are made by pool.Entry (slots of endpoints), Buckets (rate
-// limits), RetryBudget and StreamRegister (software versions of streams). They do no I/O and read no clock. Server drives them
-// and does the I/O.
+// The decisions are made by pool.Entry (slots of endpoints), Buckets (rate limits),
+// RetryBudget and StreamRegister (software versions of streams). They do no I/O and read
+// no clock. Server drives them and does the I/O.
 //
 // Locks: Server.mu guards pool.Entry, Buckets, RetryBudget and StreamRegister, which have
 // no lock of their own. No other lock of this package is taken while Server.mu is held.
--- a/internal/coordination/forward/slot.go
+++ b/internal/coordination/forward/slot.go
@@ -56,10 +56,11 @@
 }
 
 // grantState reports what this entry knows about the endpoint of a grant, since the
-// broker may know an older state: whether it may be used and has the software version
-// of the stream, whether it is leaving, which the broker is told, and whether it wants no requests from this entry. An evacuated
-// endpoint is not reported as leaving, since it gets requests again once the evacuation
-// ends. The broker learns of the evacuation from its own list.
+// broker may know an older state: whether it may be used and has the software version of
+// the stream, whether it is leaving, which the broker is told, and whether it wants no
+// requests from this entry. An evacuated endpoint is not reported as leaving, since it
+// gets requests again once the evacuation ends. The broker learns of the evacuation from
+// its own list.
 func (c *call) grantState(grant *pool.Grant) (usable, leaving, paused bool) {
 	s := c.server
 	s.mu.Lock()
