forward: checks of a response in a function of their own

Change: the responses that must not be passed on are told apart in rejectResponse, unchanged. Result: go test -race of forward passes.

--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -98,6 +98,15 @@
 			e.MarkPrefilled(now, from.grant)
 		}
 	})
+	if result, err := c.rejectResponse(from, resp, &head); err != nil {
+		return result, err
+	}
+	return c.forwardResponse(from, resp)
+}
+
+// rejectResponse returns an error, and the result for the endpoint's health, if a response
+// must not be passed on. It then discards the response.
+func (c *call) rejectResponse(from *slot, resp *exchange.Response, head *ResponseHead) (pool.Result, *resultcode.Error) {
 	switch {
 	case head.Misdirected:
 		c.drain(resp)
@@ -121,7 +130,7 @@
 		resp.Body.Discard()
 		return pool.Unknown, resultcode.New(resultcode.StreamBroken, "the software version of endpoint %s cannot be told without a control VM", from.EndpointID)
 	}
-	return c.forwardResponse(from, resp)
+	return pool.Succeeded, nil
 }
 
 // recordSpeed records what the head of a response to a request that was sent at sentAt
