forward: a lookup that a new leader refuses is repeated

Cause: a leader without a list of endpoints, or without the recent versions of its term, refuses a lookup within milliseconds. The entry repeated it only if another VM had become the leader, and refused the stream although its wait of 600 ms had just begun.

Change: a failed lookup is repeated every 100 ms as long as a further call can end within the wait, and at once if the leader changed.

Result: TestLeaderThatRefusesAtFirstIsAskedAgain failed before (4013 after 0 s) and passes; go test -race of forward passes.

--- a/internal/coordination/forward/lookup.go
+++ b/internal/coordination/forward/lookup.go
@@ -13,6 +13,8 @@
 	// its own. streamsCallTimeout bounds a call to the leader.
 	lookupTimeout      = 600 * time.Millisecond
 	streamsCallTimeout = 280 * time.Millisecond
+	// lookupRetryDelay is the pause before a leader that refused a call is called again.
+	lookupRetryDelay = 100 * time.Millisecond
 	// maxQueriesPerCall bounds the queries of one call.
 	maxQueriesPerCall = 1024
 	// The streams that began are reported at most once in reportInterval plus
@@ -162,16 +164,28 @@
 }
 
 // askLeader returns the software versions that lookups ask for, or nil if no leader
-// answers. If another VM has become the leader meanwhile, it is asked as well.
+// answers. A call that failed is repeated if another VM has become the leader meanwhile, or
+// if it failed early: a new leader has no list of endpoints at first.
 func (w *Watcher) askLeader(ctx context.Context, s *Server, batch []*lookup) []string {
 	r := &peerv1.StreamsRequest{}
 	for _, l := range batch {
 		r.Queries = append(r.Queries, &peerv1.StreamQuery{Stream: l.query.stream, Service: l.query.service})
 	}
+	// A call that begins later could not end while the requests wait.
+	lastCall := s.now() + lookupTimeout - streamsCallTimeout
 	address := w.controls.loadAddress()
 	resp, err := w.callStreams(ctx, address, r)
-	if leader := w.controls.loadAddress(); err != nil && leader != address {
-		resp, err = w.callStreams(ctx, leader, r)
+	for err != nil && ctx.Err() == nil {
+		pause := lookupRetryDelay
+		if w.controls.loadAddress() != address {
+			pause = 0
+		}
+		if s.now()+pause > lastCall {
+			break
+		}
+		sleep(ctx, pause)
+		address = w.controls.loadAddress()
+		resp, err = w.callStreams(ctx, address, r)
 	}
 	if err != nil {
 		s.log.Info("software versions of streams not learned", "streams", len(batch), "error", err.Error())
--- a/internal/coordination/forward/takeup_test.go
+++ b/internal/coordination/forward/takeup_test.go
@@ -473,3 +473,14 @@
 		t.Errorf("decoded as %+v", got)
 	}
 }
+
+// Guards against streams that are refused because a new leader has no list of endpoints in
+// its first moments.
+func TestLeaderThatRefusesAtFirstIsAskedAgain(t *testing.T) {
+	leader := &streamLeader{fails: 2, versions: map[uint64]string{streamOf("id-0"): "v1"}}
+	withLeader(t, leader, versionedEndpoints("v1", "v2"), func(t *testing.T, e *ledEntry) {
+		if status, code, took := e.do("/resumed/x", takeUp(), restOfStream()); status != 200 || took > lookupTimeout {
+			t.Errorf("status %d, result %s after %v", status, code, took)
+		}
+	})
+}
