--- a/internal/coordination/forward/fresh.go
+++ b/internal/coordination/forward/fresh.go
@@ -67,6 +67,12 @@
 	close(l.confirmed)
 }
 
+// describes reports whether the list describes the process at the other end of a
+// connection: it is current, or the connection is older than the list.
+func (l *listState) describes(now, connectedAt time.Duration) bool {
+	return now-l.confirmedAt <= versionLag || connectedAt <= l.confirmedAt-versionLag
+}
+
 // listUnconfirmed reports whether this process was frozen and has not heard from a
 // control VM since. The channel is closed once it has, or once it waited long enough.
 func (s *Server) listUnconfirmed() (unconfirmed bool, confirmed <-chan struct{}) {
@@ -82,6 +88,7 @@
 	defer s.mu.Unlock()
 	s.mu.listState.observe(s.now())
 	s.mu.listState.confirm(sentAt)
+	s.mu.doubtful.confirm(s.mu.listState.confirmedAt)
 }
 
 // waitForList waits while the list of endpoints may be as old as a freeze of this process.
@@ -108,5 +115,5 @@
 	}
 	table := s.mu.entry.Table
 	to.version = table.SoftwareVersion(to.EndpointID)
-	return !table.Evacuated(to.EndpointID) && fitsVersion(table, &c.query, to.EndpointID)
+	return !table.Evacuated(to.EndpointID) && s.fitsVersionLocked(&c.query, to.EndpointID)
 }
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -24,7 +24,7 @@
 		return pool.Unknown, resultcode.New(resultcode.DeadlineTooClose, "only %d ms left until the deadline, too little to send the request", left.Milliseconds())
 	}
 	c.sends++
-	c.current, c.keptConnection = to, false
+	c.current, c.keptConnection, to.sentAt = to, false, sentAt
 	a := Attempt{EndpointID: to.EndpointID, Customer: c.customerName(), TimeLeft: left, ResumeAfter: c.req.LastEventID}
 	if c.relay != nil && c.relay.lastID != "" {
 		a.ResumeAfter = c.relay.lastID
@@ -79,6 +79,7 @@
 func (c *call) handleResponse(from *slot, sentAt time.Duration, resp *exchange.Response) (pool.Result, *resultcode.Error) {
 	s := c.server
 	c.keptConnection = resp.Reused
+	c.noteConnection(resp)
 	if resp.Skipped > 0 {
 		s.cfg.Metrics.SkippedResponses(resp.Skipped)
 		s.log.Info("responses to other requests skipped", "request", c.req.ID, "endpoint", from.EndpointID, "address", from.Address, "skipped", resp.Skipped)
@@ -104,6 +105,15 @@
 			e.MarkPrefilled(now, from.grant)
 		}
 	})
+	if result, err := c.rejectResponse(from, resp, &head); err != nil {
+		return result, err
+	}
+	return c.forwardResponse(from, resp)
+}
+
+// rejectResponse returns an error, and the result for the endpoint's health, if a response
+// must not be passed on. It then discards the response.
+func (c *call) rejectResponse(from *slot, resp *exchange.Response, head *ResponseHead) (pool.Result, *resultcode.Error) {
 	switch {
 	case head.Misdirected:
 		c.drain(resp)
@@ -125,8 +135,11 @@
 		c.possibleRuns > 0 && claimsNotRun(resp.Status):
 		c.drain(resp)
 		return pool.Succeeded, resultcode.New(resultcode.EndpointLost, "endpoint %s failed with status %d", from.EndpointID, resp.Status)
+	case c.query.SoftwareVersion != "" && !c.described && c.isStream(resp):
+		resp.Body.Discard()
+		return pool.Unknown, resultcode.New(resultcode.StreamBroken, "the software version of endpoint %s cannot be told without a control VM", from.EndpointID)
 	}
-	return c.forwardResponse(from, resp)
+	return pool.Succeeded, nil
 }
 
 // recordSpeed records what the head of a response to a request that was sent at sentAt
--- a/internal/coordination/forward/slot.go
+++ b/internal/coordination/forward/slot.go
@@ -17,8 +17,9 @@
 	EndpointID, Address string
 	grant               *pool.Grant
 	reservation         *pool.Reservation
-	// version is the software version of the endpoint when the request is sent.
+	// version is the software version of the endpoint when the request is sent, at sentAt.
 	version string
+	sentAt  time.Duration
 }
 
 // acquireSlot waits for a slot for the request.
@@ -55,17 +56,18 @@
 }
 
 // grantState reports what this entry knows about the endpoint of a grant, since the
-// broker may know an older state: whether it may be used and has the software version
-// of the stream, whether it is leaving, which the broker is told, and whether it wants no requests from this entry. An evacuated
-// endpoint is not reported as leaving, since it gets requests again once the evacuation
-// ends. The broker learns of the evacuation from its own list.
+// broker may know an older state: whether it may be used and has the software version of
+// the stream, whether it is leaving, which the broker is told, and whether it wants no
+// requests from this entry. An evacuated endpoint is not reported as leaving, since it
+// gets requests again once the evacuation ends. The broker learns of the evacuation from
+// its own list.
 func (c *call) grantState(grant *pool.Grant) (usable, leaving, paused bool) {
 	s := c.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, table := s.now(), s.mu.entry.Table
 	inUse := table.Usable(now, grant.EndpointID)
-	usable = inUse && fitsVersion(table, &c.query, grant.EndpointID)
+	usable = inUse && s.fitsVersionLocked(&c.query, grant.EndpointID)
 	return usable, !inUse && !table.Evacuated(grant.EndpointID), table.Paused(now, grant.EndpointID)
 }
 
@@ -141,7 +143,9 @@
 	s.step(func(now time.Duration, e *pool.Entry) {
 		s.mu.queue.Add(w)
 		s.dispatchLocked(now, e.Table)
-		if allTried = w.UnavailableReason() == pool.NoEndpoints && len(c.query.Exclude) > 0; allTried {
+		allTried = w.UnavailableReason() == pool.NoEndpoints && len(c.query.Exclude) > 0 &&
+			(c.query.SoftwareVersion == "" || w.UnservedVersion(now, e.Table))
+		if allTried {
 			s.mu.queue.Remove(w)
 		}
 	})
@@ -261,6 +265,7 @@
 // releaseSlot releases a slot, which may then be granted to a waiting request.
 func (s *Server) releaseSlot(to *slot, r pool.Result, leaving bool) {
 	s.step(func(now time.Duration, e *pool.Entry) {
+		s.mu.doubtful.note(now, to.sentAt, to.EndpointID, r)
 		if to.grant != nil {
 			e.Release(now, to.grant, r, leaving)
 			return
--- a/internal/coordination/forward/versions.go
+++ b/internal/coordination/forward/versions.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"github.com/radishloom/radishloom/internal/coordination/exchange"
 	"github.com/radishloom/radishloom/internal/coordination/pool"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/state/catalog"
@@ -12,7 +13,7 @@
 
 // restrictVersion restricts the next send to the software version that began the stream.
 // Until an event has been passed on, a new stream may begin at any version. It returns
-// an error if the version has become unknown.
+// an error if the version has become unknown. Doubtful endpoints are not used.
 func (c *call) restrictVersion() *resultcode.Error {
 	s := c.server
 	s.mu.Lock()
@@ -23,11 +24,13 @@
 			c.countResumptionRefused()
 			return resultcode.New(resultcode.StreamBroken, "the software version that began the stream is unknown")
 		}
+		c.excludeDoubtfulLocked()
 		return nil
 	}
 	if c.query.SoftwareVersion == "" {
 		return nil
 	}
+	c.excludeDoubtfulLocked()
 	if version, found := s.mu.streams.Version(s.now(), c.stream); found && version != c.query.SoftwareVersion {
 		c.takeUp = takeUpUnknown
 		return notResumable("the software version that began the stream has become unknown")
@@ -67,7 +70,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	version := from.version
-	if s.mu.entry.Table.SoftwareVersion(from.EndpointID) != version {
+	if s.mu.entry.Table.SoftwareVersion(from.EndpointID) != version || s.mu.doubtful.has(from.EndpointID) || !c.described {
 		version = ""
 	}
 	if required := c.query.SoftwareVersion; required != "" && version != required {
@@ -79,10 +82,24 @@
 	return nil
 }
 
-// fitsVersion reports whether an endpoint has the software version that a request is
-// restricted to, by the list of this entry.
-func fitsVersion(t *pool.Table, q *pool.Query, endpoint string) bool {
-	return q.SoftwareVersion == "" || t.SoftwareVersion(endpoint) == q.SoftwareVersion
+// noteConnection records whether the list of endpoints describes the process that sent a
+// response. An endpoint may restart with another version while this entry is cut off from
+// control, and only a connection that outlasts the list shows that it has not.
+func (c *call) noteConnection(resp *exchange.Response) {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	connectedAt := s.now() // if unknown
+	if !resp.ConnectedAt.IsZero() {
+		connectedAt = resp.ConnectedAt.Sub(s.start)
+	}
+	c.described = s.mu.listState.describes(s.now(), connectedAt)
+}
+
+// fitsVersionLocked reports whether an endpoint has the software version that a request is
+// restricted to, by the list of this entry, and shows no sign of a restart since.
+func (s *Server) fitsVersionLocked(q *pool.Query, endpoint string) bool {
+	return q.SoftwareVersion == "" || s.mu.entry.Table.SoftwareVersion(endpoint) == q.SoftwareVersion && !s.mu.doubtful.has(endpoint)
 }
 
 // servicesWithVersions returns the services whose endpoints have several software
