--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -1,18 +1,12 @@
 package soak
 
 import (
-	"bufio"
-	"errors"
-	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
-	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/platform/standin"
 )
 
@@ -24,6 +18,8 @@
 	number int
 	sent   time.Time
 	status int
+	// code is the result code in the response, 0 without one.
+	code resultcode.Code
 	// answerID is the identifier in the response, which may be missing.
 	answerID string
 	// complete reports that the response ended normally; body is what was received.
@@ -52,12 +48,8 @@
 	// callerTimeout is the time after which a caller abandons a request.
 	callerTimeout = 6 * time.Second
 	soakKey       = "key-1"
-	// maxBody is larger than any body of an endpoint that is sound.
-	maxBody = 1 << 20
 )
 
-var errBodyTooLarge = errors.New("the body of the response has no end")
-
 func startCallers(f *fleet, seed int) *callers {
 	c := &callers{fleet: f, stop: make(chan struct{})}
 	for i := range callerCount {
@@ -160,106 +152,3 @@
 	c.wg.Wait()
 	return c.outcomes
 }
-
-// session is a caller's connection. It reads whatever arrives as the response to what it
-// has just sent: unlike net/http it knows of no unasked response.
-type session struct {
-	address string
-	conn    net.Conn
-	reader  *bufio.Reader
-}
-
-func (s *session) open() bool { return s.conn != nil }
-
-func (s *session) close() {
-	if s.conn != nil {
-		_ = s.conn.Close() // the connection is not used again
-	}
-	s.conn = nil
-}
-
-// exchange sends a request and records its response. The connection is kept after a
-// complete response that does not end it.
-func (s *session) exchange(r *http.Request, o *outcome) {
-	if s.conn == nil {
-		conn, err := net.DialTimeout("tcp", s.address, callerTimeout)
-		if err != nil {
-			return
-		}
-		s.conn, s.reader = conn, bufio.NewReader(conn)
-	}
-	if s.conn.SetDeadline(time.Now().Add(callerTimeout)) != nil {
-		s.close()
-		return
-	}
-	// A response may have arrived although the request could not be sent whole.
-	sendErr := r.Write(s.conn)
-	resp, err := http.ReadResponse(s.reader, r)
-	if err != nil {
-		s.close()
-		return
-	}
-	o.status, o.answerID = resp.StatusCode, standin.ResponseID(resp.Header)
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
-	if err == nil && len(data) == maxBody {
-		err = errBodyTooLarge // the rest of the body is not read
-	}
-	o.body, o.complete = string(data), err == nil
-	if err = errors.Join(err, sendErr); err != nil || resp.Close {
-		s.close()
-	}
-}
-
-// promisesNotRun reports whether a status means that a request has not run and never
-// will.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-// findViolation compares an outcome with the runs that endpoints recorded. It
-// returns a description of the violated guarantee, or "" if there is none.
-func findViolation(f *standin.Fleet, o outcome) string {
-	runs := f.Runs(o.key())
-	for _, r := range runs {
-		if r.Customer != "customer" {
-			return fmt.Sprintf("ran for customer %q", r.Customer)
-		}
-		if r.KeyForwarded {
-			return "an endpoint received the caller's key"
-		}
-	}
-	repeatable := o.prefix == standin.PrefixIdempotent || o.prefix == standin.PrefixResumable
-	if !repeatable && len(runs) > 1 {
-		return fmt.Sprintf("ran %d times: %+v", len(runs), runs)
-	}
-	if !repeatable && len(runs) > 0 && promisesNotRun(o.status) {
-		return fmt.Sprintf("status %d means that the request has not run, but it has: %+v", o.status, runs)
-	}
-	if o.answerID != "" && o.answerID != o.id {
-		return fmt.Sprintf("the response is that to request %s", o.answerID)
-	}
-	if o.status != http.StatusOK {
-		return ""
-	}
-	want := standin.Body(o.id)
-	if o.prefix == standin.PrefixStream || o.prefix == standin.PrefixResumable {
-		want = standin.Stream(o.id)
-	}
-	if o.complete && o.body != want {
-		return fmt.Sprintf("complete response of %d bytes differs from that of its endpoint, of %d bytes: %q", len(o.body), len(want), excerpt(o.body))
-	}
-	if !o.complete && !f.Endless(o.key()) && !strings.HasPrefix(want, o.body) {
-		return fmt.Sprintf("partial response is not a prefix of that of its endpoint: %q", excerpt(o.body))
-	}
-	return ""
-}
-
-// excerpt returns the beginning of a body for a message.
-func excerpt(body string) string {
-	const length = 400
-	return body[:min(len(body), length)]
-}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -17,8 +18,8 @@
 	"github.com/radishloom/radishloom/soak/proxy"
 )
 
-// size is the number of processes of a run.
-type size struct{ control, entries int }
+// size is the number of processes of a run, and of further engines.
+type size struct{ control, entries, engines int }
 
 const (
 	// stopTimeout is longer than the grace period of the settings.
@@ -84,7 +85,7 @@
 
 func newFleet(t *testing.T, run int, binary string, n size) *fleet {
 	f := &fleet{t: t, run: run, dir: t.TempDir(), endpoints: standin.NewFleet(), binary: binary}
-	f.startEndpoints(run)
+	f.startEndpoints(run, n.engines)
 	f.platformList = httptest.NewServer(f.endpoints)
 	t.Cleanup(f.platformList.Close)
 	var seeds []string
@@ -119,11 +120,12 @@
 	return p
 }
 
-func (f *fleet) startEndpoints(run int) {
-	for i, service := range []string{"plain", "plain", "plain", "models", "models", "models", "models"} {
+func (f *fleet) startEndpoints(run, furtherEngines int) {
+	services := []string{"plain", "plain", "plain", engineService, engineService, engineService, engineService}
+	for i, service := range append(services, slices.Repeat([]string{engineService}, furtherEngines)...) {
 		var models []string
-		if service == "models" {
-			models = []string{standin.Model, standin.Models()[1+i%2]}
+		if service == engineService {
+			models = engineModels(i)
 		}
 		e, err := f.endpoints.Add(fmt.Sprint("e-", i), service, address(run, firstEndpoint+i)+":0", models...)
 		if err != nil {
@@ -138,6 +140,14 @@
 	}
 }
 
+// engineService is the service of the engines.
+const engineService = "models"
+
+// engineModels returns the models that an engine has at its start.
+func engineModels(server int) []string {
+	return []string{standin.Model, standin.Models()[1+server%2]}
+}
+
 func (f *fleet) processes() []*process {
 	return append(append([]*process(nil), f.control...), f.entries...)
 }
--- /dev/null
+++ b/soak/session_test.go
@@ -0,0 +1,77 @@
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/radishloom/radishloom/internal/resultcode"
+	"github.com/radishloom/radishloom/platform/standin"
+)
+
+// maxBody is larger than any body of an endpoint that is sound.
+const maxBody = 1 << 20
+
+var errBodyTooLarge = errors.New("the body of the response has no end")
+
+// session is a caller's connection. It reads whatever arrives as the response to what it
+// has just sent: unlike net/http it knows of no unasked response.
+type session struct {
+	address string
+	conn    net.Conn
+	reader  *bufio.Reader
+}
+
+func (s *session) open() bool { return s.conn != nil }
+
+func (s *session) close() {
+	if s.conn != nil {
+		_ = s.conn.Close() // the connection is not used again
+	}
+	s.conn = nil
+}
+
+// exchange sends a request and records its response. The connection is kept after a
+// complete response that does not end it.
+func (s *session) exchange(r *http.Request, o *outcome) {
+	if s.conn == nil {
+		conn, err := net.DialTimeout("tcp", s.address, callerTimeout)
+		if err != nil {
+			return
+		}
+		s.conn, s.reader = conn, bufio.NewReader(conn)
+	}
+	if s.conn.SetDeadline(time.Now().Add(callerTimeout)) != nil {
+		s.close()
+		return
+	}
+	// A response may have arrived although the request could not be sent whole.
+	sendErr := r.Write(s.conn)
+	resp, err := http.ReadResponse(s.reader, r)
+	if err != nil {
+		s.close()
+		return
+	}
+	o.status, o.code, o.answerID = resp.StatusCode, resultCode(resp.Header), standin.ResponseID(resp.Header)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err == nil && len(data) == maxBody {
+		err = errBodyTooLarge // the rest of the body is not read
+	}
+	o.body, o.complete = string(data), err == nil
+	if err = errors.Join(err, sendErr); err != nil || resp.Close {
+		s.close()
+	}
+}
+
+// resultCode returns the result code of a response, or 0.
+func resultCode(h http.Header) resultcode.Code {
+	code, err := strconv.ParseUint(h.Get(resultcode.Header), 10, 16)
+	if err != nil {
+		return 0 // the response has none
+	}
+	return resultcode.Code(code)
+}
