--- a/soak/doc.go
+++ b/soak/doc.go
@@ -17,6 +17,11 @@
 // a seed, but timing is that of the machine: a seed repeats the sequence of faults, not
 // each interleaving.
 //
+// Streams have a play of their own, TestStreamsAreNotJoinedAcrossVersions: callers take
+// them up at any entry while engines are replaced by those of other software versions,
+// entries and control VMs are lost, and streams are cut off.
+//
 // go test ./soak runs one short fixed seed and the regression seeds. make soak runs many
-// (SOAK_SEEDS, SOAK_FIRST, SOAK_SECONDS); each tenth seed has a large fleet.
+// (SOAK_SEEDS, SOAK_FIRST, SOAK_SECONDS) of both plays; each tenth seed of TestSoak has a
+// large fleet.
 package soak
