--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -38,6 +38,9 @@
 // tally counts what became of streams and of the tries that took them up.
 type tally struct {
 	streams, complete int
+	// resumed is how many answers with events have more than one run: an entry asked
+	// another endpoint for the rest, or repeated the request before the first event.
+	resumed int
 	// continued is how many streams were taken up and went on.
 	continued int
 	// takeUps is how many tries took a stream up and got a response, wentOn how many of
@@ -150,6 +153,9 @@
 	if whole {
 		n.complete++
 	}
+	if s.last > had && len(c.callers.fleet.endpoints.Runs(o.id)) > 1 {
+		n.resumed++
+	}
 	if !taken {
 		if o.status != 0 && o.status != http.StatusOK {
 			n.newRefused[o.code]++
