forward: only a failed connection puts the version of an endpoint in doubt

What callers saw: after a reset of connections, streams that began within the next 5 s could not be taken up (4013, unknown).

Cause: took each lost connection and each 421 for a sign that the endpoint may have restarted in place. Links and other processes end connections, too, and 421 also tells of a model that is missing.

Change: an endpoint is in doubt only after no connection to it could be opened. TestStreamStaysAwayFromAnEndpointThatMayHaveRestarted asserted the old signs; it now has this one, and TestLostConnectionLeavesTheVersionKnown asserts the other side for the two signs that no longer count.

--- a/internal/coordination/forward/doubtful.go
+++ b/internal/coordination/forward/doubtful.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/radishloom/radishloom/internal/coordination/pool"
 )
 
 // doubtfulEndpoints has the endpoints that may have restarted with another software
@@ -13,17 +11,16 @@
 // keep their identifier and address, and the list lags.
 type doubtfulEndpoints map[string]time.Duration
 
-// note records the result of a send that began at sentAt. One that succeeds although it
-// began before a sign of a restart shows that there was none.
-func (d doubtfulEndpoints) note(now, sentAt time.Duration, endpoint string, r pool.Result) {
-	switch r {
-	case pool.Failed, pool.Absent:
-		d[endpoint] = now
-	case pool.Succeeded:
-		if at, found := d[endpoint]; found && sentAt < at {
-			delete(d, endpoint)
-		}
-	case pool.Unknown, pool.Refused:
+// noteUnreachable records that no connection to an endpoint could be opened: its process may
+// be between two lives. A connection that is lost is no such sign, since links and other
+// processes end connections, too.
+func (d doubtfulEndpoints) noteUnreachable(now time.Duration, endpoint string) { d[endpoint] = now }
+
+// noteSucceeded records that a send which began at sentAt has succeeded. If it began before
+// a sign of a restart, there was none.
+func (d doubtfulEndpoints) noteSucceeded(sentAt time.Duration, endpoint string) {
+	if at, found := d[endpoint]; found && sentAt < at {
+		delete(d, endpoint)
 	}
 }
 
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -46,7 +46,9 @@
 		MatchResponse: func(h http.Header) bool { return s.cfg.Codec.MatchesRequest(h, c.req.ID) },
 	})
 	if err != nil {
-		return c.failed(err)
+		result, coded := c.failed(err)
+		to.unreachable = result == pool.Failed && coded.Code == resultcode.EndpointUnreachable
+		return result, coded
 	}
 	return c.handleResponse(to, sentAt, resp)
 }
--- a/internal/coordination/forward/slot.go
+++ b/internal/coordination/forward/slot.go
@@ -20,6 +20,8 @@
 	// version is the software version of the endpoint when the request is sent, at sentAt.
 	version string
 	sentAt  time.Duration
+	// unreachable is set if no connection to the endpoint could be opened.
+	unreachable bool
 }
 
 // acquireSlot waits for a slot for the request.
@@ -265,7 +267,11 @@
 // releaseSlot releases a slot, which may then be granted to a waiting request.
 func (s *Server) releaseSlot(to *slot, r pool.Result, leaving bool) {
 	s.step(func(now time.Duration, e *pool.Entry) {
-		s.mu.doubtful.note(now, to.sentAt, to.EndpointID, r)
+		if to.unreachable {
+			s.mu.doubtful.noteUnreachable(now, to.EndpointID)
+		} else if r == pool.Succeeded {
+			s.mu.doubtful.noteSucceeded(to.sentAt, to.EndpointID)
+		}
 		if to.grant != nil {
 			e.Release(now, to.grant, r, leaving)
 			return
