--- a/internal/coordination/forward/leader_test.go
+++ b/internal/coordination/forward/leader_test.go
@@ -131,7 +131,7 @@
 	started := time.Now()
 	func() {
 		defer func() {
-			if p := recover(); p != nil && p != http.ErrAbortHandler { //nolint:errorlint // a panic value
+			if p := recover(); p != nil && p != http.ErrAbortHandler {
 				panic(p)
 			}
 		}()
