review: case 7 is an entry of the list without slots

An entry that lacks nothing but its slots names a server of one service under another one; it is used, and that server runs orders of the other service.

--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -28,11 +28,11 @@
 
 func cases() map[string]playFunc {
 	return map[string]playFunc{
-		"first-ack":   playFirstAck,
-		"first-start": playFirstStart,
-		"take-up":     playTakeUp,
-		"in-place":    playInPlace,
-		"roll":        playRoll,
+		"first-ack":     playFirstAck,
+		"take-up":       playTakeUp,
+		"foreign-entry": playForeignEntry,
+		"in-place":      playInPlace,
+		"roll":          playRoll,
 	}
 }
 
--- a/review/harness2/platform.go
+++ b/review/harness2/platform.go
@@ -13,6 +13,7 @@
 	server   *http.Server
 	mu       sync.Mutex
 	servers  []*server
+	foreign  []map[string]any // entries of another writer
 }
 
 func newPlatformList(address string) (*platformList, error) {
@@ -47,6 +48,7 @@
 	for _, s := range p.servers {
 		list = append(list, s.entry())
 	}
+	list = append(list, p.foreign...)
 	p.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"instances": list, "nextToken": nil}) // the caller asks again
--- a/review/harness2/requester.go
+++ b/review/harness2/requester.go
@@ -43,20 +43,20 @@
 // served reports whether the attempt was answered with success.
 func (a answer) served() bool { return a.complete && a.sealed && a.status/100 == 2 }
 
-// get sends a lookup on the channel and reads the answer.
-func (c *channel) get(path, key string, deadline time.Duration) answer {
+// send sends a request without a body and reads the answer.
+func (c *channel) send(method, path, key string, deadline time.Duration) answer {
 	a := answer{id: c.world.attemptID(), sentAt: time.Now()}
 	defer func() {
-		c.world.rec.addf("attempt %s GET %s sent at %.3f: status %d, sealed %t, complete %t, %d bytes after %d ms, result %s, error %v", a.id, path,
+		c.world.rec.addf("attempt %s %s %s sent at %.3f: status %d, sealed %t, complete %t, %d bytes after %d ms, result %s, error %v", a.id, method, path,
 			a.sentAt.Sub(c.world.rec.start).Seconds(), a.status, a.sealed, a.complete, a.bytes, a.endedAt.Sub(a.sentAt).Milliseconds(), a.result, a.err)
 	}()
 	_ = c.conn.SetDeadline(a.sentAt.Add(deadline + 500*time.Millisecond)) // an error shows in the write
-	_, a.err = fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nApi-Key: %s\r\n\r\n", path, lookupHost, a.id, deadline.Milliseconds(), key)
+	_, a.err = fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nApi-Key: %s\r\nContent-Length: 0\r\n\r\n", method, path, lookupHost, a.id, deadline.Milliseconds(), key)
 	if a.err != nil {
 		a.endedAt = time.Now()
 		return a
 	}
-	resp, err := http.ReadResponse(c.br, &http.Request{Method: http.MethodGet})
+	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 	if err != nil {
 		a.err, a.endedAt = err, time.Now()
 		return a
@@ -68,24 +68,3 @@
 	a.complete = err == nil
 	return a
 }
-
-// lookUp makes a request with one retry, on a new channel at another entry.
-func (w *world) lookUp(path, key string, n int) (a answer) {
-	end := time.Now().Add(lookupTimeout)
-	for try := range 2 {
-		c, err := w.dial(w.entries[(n+try)%len(w.entries)])
-		if err != nil {
-			a.err = err
-			continue
-		}
-		a = c.get(path, key, time.Until(end))
-		c.close()
-		if a.served() || time.Until(end) < minTimeLeft {
-			return a
-		}
-	}
-	return a
-}
-
-// minTimeLeft is the least time in which a requester tries again.
-const minTimeLeft = 100 * time.Millisecond
--- a/review/harness2/server.go
+++ b/review/harness2/server.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -116,9 +115,3 @@
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", len(s.slots), serverSlots))
 	s.run(s, w, r)
 }
-
-// answerAtOnce answers a lookup.
-func answerAtOnce(_ *server, w http.ResponseWriter, _ *http.Request) {
-	time.Sleep(15 * time.Millisecond)
-	_, _ = io.WriteString(w, "ok\n") // the caller may have left
-}
