--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # under test comes from the build line of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review2 ./review/harness2
+go build -o target/review2 ./review/harness2/platform
