--- a/review/harness2/platform/main.go
+++ b/review/harness2/platform/main.go
@@ -32,6 +32,7 @@
 		"take-up":       playTakeUp,
 		"foreign-entry": playForeignEntry,
 		"in-place":      playInPlace,
+		"leaving":       playLeaving,
 		"roll":          playRoll,
 	}
 }
--- a/review/harness2/platform/server.go
+++ b/review/harness2/platform/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,6 +29,7 @@
 	http    *http.Server
 	run     runFunc
 	slots   chan struct{}
+	leaving atomic.Bool // says that it leaves
 
 	mu     sync.Mutex
 	listed string // the version that the infrastructure's list shows; empty for the present one
