--- a/review/harness2/platform/case_in_place.go
+++ b/review/harness2/platform/case_in_place.go
@@ -8,10 +8,10 @@
 
 const (
 	// releaseServers is the number of servers, releasedServers that of those that restart:
-	// a share of 0.29.
-	releaseServers, releasedServers = 7, 2
+	// a share of 0.25.
+	releaseServers, releasedServers = 8, 2
 	// releaseStreams is the number of streams that run meanwhile.
-	releaseStreams = 84
+	releaseStreams = 96
 	// releaseGap is the time between the restarts of two servers.
 	releaseGap = 800 * time.Millisecond
 	// maxJoined is the number of streams that may hold events of two versions.
