httpclient: a response whose status is not from 100 to 599 is none

Here a 000 was taken for an informational response: with a body the exchange failed by chance, since the body was read as the next head; without one the caller waited until its deadline (504); and if a sound response followed, that one was believed.

Cause: http.ReadResponse takes any three characters that strconv.Atoi accepts for a status ("000", "+20", "-00", "600") and any protocol version, and the client took each status below 200 for an informational one.

Change: headChecker checks the status line while its bytes arrive: version 1.x, one blank, a status from 100 to 599. Anything else ends the exchange at once with code 4003, status 502, "may have run", and the connection is closed. This covers every head that is read: the final one, informational ones, those of responses that are skipped. The text of code 4003 names the case.

TestUnusualResponsesAreAccepted passed before and passes now.

--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -211,7 +211,7 @@
 
 		{NoEndpoint, "no_endpoint", http.StatusServiceUnavailable, NotRun, RetryLater, "No endpoint can take the request."},
 		{EndpointRefused, "endpoint_refused", http.StatusServiceUnavailable, NotRun, RetryLater, "The endpoint refused the request and said that it did not run it."},
-		{EndpointLost, "endpoint_lost", http.StatusBadGateway, MayHaveRun, RetrySameKey, "The connection to the endpoint broke before the answer began."},
+		{EndpointLost, "endpoint_lost", http.StatusBadGateway, MayHaveRun, RetrySameKey, "The connection to the endpoint broke, or bytes arrived that are no HTTP response, before the answer began."},
 		{EndpointSilent, "endpoint_silent", http.StatusGatewayTimeout, MayHaveRun, RetrySameKey, "The endpoint did not answer within the idle time-out or before the deadline."},
 		{AnswerIncomplete, "answer_incomplete", http.StatusBadGateway, Ran, RetrySameKey, "The endpoint's answer ended before its length or end marker."},
 		{AnswerMismatch, "answer_mismatch", http.StatusBadGateway, MayHaveRun, RetrySameKey, "The endpoint sent the answer to another request."},
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -60,6 +60,8 @@
 	// headLeft is the number of bytes that the response head may still take, or -1
 	// outside a head.
 	headLeft int
+	// head checks the response head that is being read.
+	head headChecker
 
 	idleSince time.Time
 	// idleLimit is the endpoint's own time-out for idle connections, or zero if
@@ -116,6 +118,9 @@
 	n, err := cn.raw.Read(p)
 	if cn.headLeft > 0 {
 		cn.headLeft -= n
+		if malformed := cn.head.check(p[:n]); malformed != nil {
+			return n, malformed
+		}
 	}
 	return n, err
 }
@@ -241,7 +246,7 @@
 	headLeft, skipLeft := cn.maxHead, int64(maxSkippedBody)
 	for {
 		cn.headLeft = headLeft
-		resp, err := http.ReadResponse(cn.br, &http.Request{Method: method})
+		resp, err := cn.readOneHead(method)
 		headLeft, cn.headLeft = cn.headLeft, -1
 		if err != nil {
 			return nil, skips, err
@@ -268,6 +273,24 @@
 	}
 }
 
+// readOneHead reads the next head. The buffered reader may hold its beginning, behind an
+// informational response or one that was skipped.
+func (cn *conn) readOneHead(method string) (*http.Response, error) {
+	cn.head = headChecker{}
+	buffered, err := cn.br.Peek(cn.br.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := cn.head.check(buffered); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(cn.br, &http.Request{Method: method})
+	if cn.head.err != nil {
+		return nil, cn.head.err
+	}
+	return resp, err
+}
+
 // skipResponse reads a response to an earlier request to its end, and returns the
 // size of its body.
 func skipResponse(resp *http.Response, limit int64) (skipped int64, err error) {
--- a/internal/transport/httpclient/errors.go
+++ b/internal/transport/httpclient/errors.go
@@ -65,6 +65,8 @@
 		return resultcode.Wrap(resultcode.EndpointSilent, cause, "the deadline expired before %s completed the response", address)
 	case timeout:
 		return resultcode.Wrap(resultcode.EndpointSilent, cause, "no data to or from %s within the time limit", address)
+	case isMalformed(cause):
+		return resultcode.Wrap(resultcode.EndpointLost, cause, "%s sent no valid HTTP response", address)
 	case at == stageBody:
 		return resultcode.Wrap(resultcode.AnswerIncomplete, cause, "the response of %s was truncated", address)
 	default:
@@ -74,6 +76,11 @@
 
 func (cn *conn) address() string { return cn.raw.RemoteAddr().String() }
 
+func isMalformed(err error) bool {
+	var malformed *malformedError
+	return errors.As(err, &malformed)
+}
+
 // isTimeout reports whether err is a time-out: a deadline of this package, or
 // ETIMEDOUT, which the kernel returns after failed keep-alive probes and after
 // TCP_USER_TIMEOUT.
--- /dev/null
+++ b/internal/transport/httpclient/head.go
@@ -0,0 +1,95 @@
+package httpclient
+
+import (
+	"bytes"
+	"fmt"
+)
+
+// malformedError states why bytes that an endpoint sent are no HTTP response. Nothing in
+// them is believed, and the request may have run.
+type malformedError struct{ reason string }
+
+func malformedf(format string, args ...any) error {
+	return &malformedError{reason: fmt.Sprintf(format, args...)}
+}
+
+// Error implements error.
+func (e *malformedError) Error() string { return "malformed response: " + e.reason }
+
+// headChecker checks the head of one response against the grammar of RFC 9112 while its
+// bytes arrive, without copying them. net/http, which parses the same bytes, accepts more:
+// a status is any three characters that can be read as a number.
+//
+// As in net/http, lines may end with a single line feed. The text of reason phrases and of
+// field values is left to net/http.
+type headChecker struct {
+	part headPart
+	// statusLine holds the beginning of the status line, of which length bytes have arrived.
+	statusLine [len("HTTP/1.1 200")]byte
+	length     int
+	err        error
+}
+
+// headPart is the part of a head to which the next byte belongs.
+type headPart int
+
+const (
+	inStatusLine headPart = iota
+	// inRest is the rest of a line, which is not checked.
+	inRest
+	headEnd
+)
+
+// check checks the next bytes of the connection and returns the first error in the head.
+// Bytes behind the head are ignored.
+func (h *headChecker) check(p []byte) error {
+	for len(p) > 0 && h.part != headEnd && h.err == nil {
+		p = h.checkPart(p)
+	}
+	return h.err
+}
+
+// checkPart checks the part with which p begins and returns what is left of p.
+func (h *headChecker) checkPart(p []byte) []byte {
+	switch h.part {
+	case inStatusLine:
+		return h.checkStatusLine(p)
+	default:
+		return h.skipLine(p)
+	}
+}
+
+func (h *headChecker) checkStatusLine(p []byte) []byte {
+	n := copy(h.statusLine[h.length:], p)
+	h.length += n
+	if h.length < len(h.statusLine) {
+		return nil
+	}
+	if !validStatusLine(h.statusLine[:]) {
+		h.err = malformedf("the status line begins with %q", h.statusLine)
+	}
+	h.part = inRest
+	return p[n:]
+}
+
+// validStatusLine reports whether the beginning of a status line has a version 1.x and a
+// status from 100 to 599.
+func validStatusLine(line []byte) bool {
+	version, status := line[:len("HTTP/1.1 ")], line[len("HTTP/1.1 "):]
+	if !bytes.HasPrefix(version, []byte("HTTP/1.")) || !isDigit(version[7]) || version[8] != ' ' {
+		return false
+	}
+	return '1' <= status[0] && status[0] <= '5' && isDigit(status[1]) && isDigit(status[2])
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// skipLine returns what follows the line.
+func (h *headChecker) skipLine(p []byte) []byte {
+	end := bytes.IndexByte(p, '\n')
+	if end < 0 {
+		return nil
+	}
+	h.part = headEnd
+	return p[end+1:]
+}
