httpclient: a malformed trailer ends no response in order

A chunked answer whose trailer has a field name with a blank counted as complete, and its connection was used again.

Cause: as in heads, textproto accepts blanks in names; it refuses control bytes there.

Change: the body of such a response ends as a truncated one (4005), as it did for control bytes, so that one rule holds for all that an endpoint sends as field names. A trailer field that begins with a blank still continues the one before: trailers are not passed on, and the framing does not depend on them.

--- a/internal/transport/httpclient/body.go
+++ b/internal/transport/httpclient/body.go
@@ -28,7 +28,7 @@
 var _ exchange.Body = (*body)(nil)
 
 func newResponse(ctx context.Context, cn *conn, resp *http.Response, req *exchange.Request) *exchange.Response {
-	b := &body{ctx: ctx, conn: cn, r: resp.Body, noReuse: resp.Close || cn.requestCut || cn.skippedRefusal || cn.refused.full()}
+	b := &body{ctx: ctx, conn: cn, r: checkedBody{resp}, noReuse: resp.Close || cn.requestCut || cn.skippedRefusal || cn.refused.full()}
 	b.closeDelimited = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	b.allowCloseDelimited = req.AllowCloseDelimited
 	b.noReuse = b.noReuse || b.closeDelimited || (req.MayReuse != nil && !req.MayReuse(resp.StatusCode, resp.Header))
@@ -39,6 +39,25 @@
 	return out
 }
 
+// checkedBody is the body of a response. It does not end in order if a field behind its last
+// chunk has a malformed name: net/http accepts blanks there, as it does in heads.
+type checkedBody struct{ *http.Response }
+
+// Read implements io.Reader.
+func (b checkedBody) Read(p []byte) (int, error) {
+	n, err := b.Body.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	for name, values := range b.Trailer {
+		// A name without a value was only announced, in the head.
+		if len(values) > 0 && !isToken(name) {
+			return n, malformedf("field name %q behind the last chunk", name)
+		}
+	}
+	return n, err
+}
+
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	if b.err != nil {
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -297,7 +297,7 @@
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return 0, errCloseDelimited
 	}
-	skipped, err = io.CopyN(io.Discard, resp.Body, limit)
+	skipped, err = io.CopyN(io.Discard, checkedBody{resp}, limit)
 	if errors.Is(err, io.EOF) {
 		return skipped, nil
 	}
--- a/internal/transport/httpclient/errors.go
+++ b/internal/transport/httpclient/errors.go
@@ -65,10 +65,10 @@
 		return resultcode.Wrap(resultcode.EndpointSilent, cause, "the deadline expired before %s completed the response", address)
 	case timeout:
 		return resultcode.Wrap(resultcode.EndpointSilent, cause, "no data to or from %s within the time limit", address)
-	case isMalformed(cause):
-		return resultcode.Wrap(resultcode.EndpointLost, cause, "%s sent no valid HTTP response", address)
 	case at == stageBody:
 		return resultcode.Wrap(resultcode.AnswerIncomplete, cause, "the response of %s was truncated", address)
+	case isMalformed(cause):
+		return resultcode.Wrap(resultcode.EndpointLost, cause, "%s sent no valid HTTP response", address)
 	default:
 		return resultcode.Wrap(resultcode.EndpointLost, cause, "the connection to %s failed", address)
 	}
--- a/internal/transport/httpclient/malformed_test.go
+++ b/internal/transport/httpclient/malformed_test.go
@@ -90,6 +90,42 @@
 	}
 }
 
+// Guards against a body that counts as complete although what follows its last chunk is
+// malformed.
+func TestMalformedTrailersEndNoResponse(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n"
+	for _, m := range []malformed{
+		{"blank in a name", chunked + "X Other: 1\r\n\r\n"},
+		{"blank before the colon", chunked + "X-Before: 1\r\nX-Other : 1\r\n\r\n"},
+		{"control byte in a name", chunked + "X-\x01Other: 1\r\n\r\n"},
+		{"separator in a name", chunked + "X(Other): 1\r\n\r\n"},
+	} {
+		t.Run(m.name, m.run)
+	}
+}
+
+// Guards against the reuse of a connection whose last body was released at its end-of-stream
+// marker, and ended with a malformed trailer.
+func TestConnectionIsNotReusedAfterAMalformedTrailer(t *testing.T) {
+	s := startRaw(t, func(c net.Conn, _ int, _ *http.Request, _ int) bool {
+		return malformed{raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nX Other: 1\r\n\r\n"}.write(c, false)
+	})
+	client := newClient(t, Options{})
+	for range 2 {
+		resp, err := client.Do(t.Context(), s.request(http.MethodPost))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(resp.Body, make([]byte, len("fine"))); err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Finish()
+	}
+	if n := s.accepted.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
+
 // Guards against a malformed head that is believed because it names another request.
 func TestMalformedResponsesAreNotSkipped(t *testing.T) {
 	for _, head := range []string{
@@ -164,6 +200,7 @@
 		"HTTP/1.1 599 \xe4\r\nX-Empty:\r\nx!#$%&'*+-.^_`|~9:\tv \r\nContent-Length: 4\r\n\r\nfine",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + soundHead + "fine",
 		"HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("y", 20<<10) + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nX-After: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTrailer: X After, X-More\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
 	} {
 		for _, dribbled := range []bool{false, true} {
 			s := startRaw(t, func(c net.Conn, _ int, _ *http.Request, _ int) bool { return malformed{raw: raw}.write(c, dribbled) })
