httpclient: chunks in a response of version 1.0 are no body

What callers saw: nothing in the issue; found while looking for other bodies that are not the endpoint's. A response of version HTTP/1.0 with Transfer-Encoding was accepted with its chunk sizes as part of the body, cut at a Content-Length if there was one.

Cause: net/http removes Transfer-Encoding from messages of version 1.0 and ignores it. RFC 9112, section 6.1, calls the framing of such a message faulty.

Change: headChecker refuses such a head.

--- a/internal/transport/httpclient/head.go
+++ b/internal/transport/httpclient/head.go
@@ -30,11 +30,15 @@
 	// statusLine holds the beginning of the status line, of which length bytes have arrived.
 	statusLine [len("HTTP/1.1 200")]byte
 	length     int
-	// nameLength is the length of the field name that is being read.
+	// name holds the beginning of the field name that is being read, of which nameLength
+	// bytes have arrived.
+	name       [len(transferEncoding)]byte
 	nameLength int
 	err        error
 }
 
+const transferEncoding = "Transfer-Encoding"
+
 // headPart is the part of a head to which the next byte belongs.
 type headPart int
 
@@ -88,7 +92,7 @@
 // status from 100 to 599.
 func validStatusLine(line []byte) bool {
 	version, status := line[:len("HTTP/1.1 ")], line[len("HTTP/1.1 "):]
-	if !bytes.HasPrefix(version, []byte("HTTP/1.")) || !isDigit(version[7]) || version[8] != ' ' {
+	if !bytes.HasPrefix(version, []byte("HTTP/1.")) || !isDigit(version[len("HTTP/1.")]) || version[len("HTTP/1.1")] != ' ' {
 		return false
 	}
 	return '1' <= status[0] && status[0] <= '5' && isDigit(status[1]) && isDigit(status[2])
@@ -111,10 +115,10 @@
 	for i, b := range p {
 		switch {
 		case isTokenByte(b):
-			h.nameLength++
+			h.addToName(b)
 			continue
 		case h.nameLength > 0 && b == ':':
-			h.part = inText
+			h.endName()
 		case h.nameLength == 0 && b == '\r':
 			h.part = inEmptyLine
 		case h.nameLength == 0 && b == '\n':
@@ -127,6 +131,23 @@
 	return nil
 }
 
+func (h *headChecker) addToName(b byte) {
+	if h.nameLength < len(h.name) {
+		h.name[h.nameLength] = b
+	}
+	h.nameLength++
+}
+
+// endName checks a complete name. RFC 9112 calls the framing of a response faulty if it has
+// a Transfer-Encoding in version 1.0; net/http would take the chunks for the body.
+func (h *headChecker) endName() {
+	h.part = inText
+	version10 := h.statusLine[len("HTTP/1.")] == '0'
+	if version10 && h.nameLength == len(h.name) && strings.EqualFold(string(h.name[:]), transferEncoding) {
+		h.err = malformedf("%s in a response of version 1.0", transferEncoding)
+	}
+}
+
 func (h *headChecker) checkEmptyLine(p []byte) []byte {
 	if p[0] != '\n' {
 		h.err = malformedf("byte %q behind the carriage return of an empty line", p[0])
--- a/internal/transport/httpclient/malformed_test.go
+++ b/internal/transport/httpclient/malformed_test.go
@@ -77,6 +77,8 @@
 	{"separator in a name", withField("X(Other): 1", false)},
 	{"chunked with a blank before the colon", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"},
 	{"length with a blank before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nfine"},
+	{"chunked in version 1.0", "HTTP/1.0 200 OK\r\ntransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"},
+	{"chunked and a length in version 1.0", "HTTP/1.0 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"},
 	{"informational response", "HTTP/1.1 103 Early Hints\r\nX Other: 1\r\n\r\n" + soundHead + "fine"},
 	{"refusal", "HTTP/1.1 503 Busy\r\nX-Run-State: not_run\r\nX Other: 1\r\nContent-Length: 0\r\n\r\n"},
 }
