httpresponse: the rule for responses in a package of its own

Change: HeadChecker and the rule for names move out of httpclient, since the calls between VMs and the operator's tool read responses as well and may not import the transport layer. httpclient.Options.Transport, which nothing used, is removed.

--- a/internal/transport/httpclient/head.go
+++ b/internal/httpresponse/head.go
@@ -1,31 +1,16 @@
-package httpclient
+package httpresponse
 
 import (
 	"bytes"
-	"fmt"
 	"strings"
 )
 
-// malformedError states why bytes that an endpoint sent are no HTTP response. Nothing in
-// them is believed, and the request may have run.
-type malformedError struct{ reason string }
-
-func malformedf(format string, args ...any) error {
-	return &malformedError{reason: fmt.Sprintf(format, args...)}
-}
-
-// Error implements error.
-func (e *malformedError) Error() string { return "malformed response: " + e.reason }
-
-// headChecker checks the head of one response against the grammar of RFC 9112 while its
-// bytes arrive, without copying them. net/http, which parses the same bytes, accepts more:
-// a status is any three characters that can be read as a number, a field is dropped if a
-// blank stands in its name or before its colon, and it is added to the value of the field
-// before if its name begins with a blank.
+// HeadChecker checks the head of one response against the grammar of RFC 9112 while its
+// bytes arrive, without copying them. The zero value is ready to use.
 //
 // As in net/http, lines may end with a single line feed. The text of reason phrases and of
 // field values is left to net/http.
-type headChecker struct {
+type HeadChecker struct {
 	part headPart
 	// statusLine holds the beginning of the status line, of which length bytes have arrived.
 	statusLine [len("HTTP/1.1 200")]byte
@@ -52,17 +37,23 @@
 	headEnd
 )
 
-// check checks the next bytes of the connection and returns the first error in the head.
-// Bytes behind the head are ignored.
-func (h *headChecker) check(p []byte) error {
+// Check checks the next bytes of the connection and returns the first error in the head, a
+// *MalformedError. Bytes behind the head are ignored.
+func (h *HeadChecker) Check(p []byte) error {
 	for len(p) > 0 && h.part != headEnd && h.err == nil {
 		p = h.checkPart(p)
 	}
 	return h.err
 }
 
+// Err returns the error that Check found, or nil.
+func (h *HeadChecker) Err() error { return h.err }
+
+// Done reports whether the head is complete.
+func (h *HeadChecker) Done() bool { return h.part == headEnd }
+
 // checkPart checks the part with which p begins and returns what is left of p.
-func (h *headChecker) checkPart(p []byte) []byte {
+func (h *HeadChecker) checkPart(p []byte) []byte {
 	switch h.part {
 	case inStatusLine:
 		return h.checkStatusLine(p)
@@ -75,14 +66,14 @@
 	}
 }
 
-func (h *headChecker) checkStatusLine(p []byte) []byte {
+func (h *HeadChecker) checkStatusLine(p []byte) []byte {
 	n := copy(h.statusLine[h.length:], p)
 	h.length += n
 	if h.length < len(h.statusLine) {
 		return nil
 	}
 	if !validStatusLine(h.statusLine[:]) {
-		h.err = malformedf("the status line begins with %q", h.statusLine)
+		h.err = malformed("the status line begins with %q", h.statusLine)
 	}
 	h.part = inText
 	return p[n:]
@@ -101,7 +92,7 @@
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
 // skipText returns what follows the line.
-func (h *headChecker) skipText(p []byte) []byte {
+func (h *HeadChecker) skipText(p []byte) []byte {
 	end := bytes.IndexByte(p, '\n')
 	if end < 0 {
 		return nil
@@ -111,7 +102,7 @@
 }
 
 // checkName checks a field name with its colon, or the beginning of the empty line.
-func (h *headChecker) checkName(p []byte) []byte {
+func (h *HeadChecker) checkName(p []byte) []byte {
 	for i, b := range p {
 		switch {
 		case isTokenByte(b):
@@ -124,14 +115,14 @@
 		case h.nameLength == 0 && b == '\n':
 			h.part = headEnd
 		default:
-			h.err = malformedf("byte %q at position %d of a field name", b, h.nameLength)
+			h.err = malformed("byte %q at position %d of a field name", b, h.nameLength)
 		}
 		return p[i+1:]
 	}
 	return nil
 }
 
-func (h *headChecker) addToName(b byte) {
+func (h *HeadChecker) addToName(b byte) {
 	if h.nameLength < len(h.name) {
 		h.name[h.nameLength] = b
 	}
@@ -140,32 +131,18 @@
 
 // endName checks a complete name. RFC 9112 calls the framing of a response faulty if it has
 // a Transfer-Encoding in version 1.0; net/http would take the chunks for the body.
-func (h *headChecker) endName() {
+func (h *HeadChecker) endName() {
 	h.part = inText
 	version10 := h.statusLine[len("HTTP/1.")] == '0'
 	if version10 && h.nameLength == len(h.name) && strings.EqualFold(string(h.name[:]), transferEncoding) {
-		h.err = malformedf("%s in a response of version 1.0", transferEncoding)
+		h.err = malformed("%s in a response of version 1.0", transferEncoding)
 	}
 }
 
-func (h *headChecker) checkEmptyLine(p []byte) []byte {
+func (h *HeadChecker) checkEmptyLine(p []byte) []byte {
 	if p[0] != '\n' {
-		h.err = malformedf("byte %q behind the carriage return of an empty line", p[0])
+		h.err = malformed("byte %q behind the carriage return of an empty line", p[0])
 	}
 	h.part = headEnd
 	return p[1:]
 }
-
-// isToken reports whether s may be a method or a field name by RFC 9110.
-func isToken(s string) bool {
-	for i := range len(s) {
-		if !isTokenByte(s[i]) {
-			return false
-		}
-	}
-	return s != ""
-}
-
-func isTokenByte(b byte) bool {
-	return ' ' < b && b < 0x7f && strings.IndexByte(`()<>@,;:\"/[]?={}`, b) < 0
-}
--- a/internal/transport/httpclient/body.go
+++ b/internal/transport/httpclient/body.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/radishloom/radishloom/internal/coordination/exchange"
+	"github.com/radishloom/radishloom/internal/httpresponse"
 )
 
 var errCloseDelimited = errors.New("the response has neither a Content-Length nor chunked encoding")
@@ -49,11 +50,8 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	for name, values := range b.Trailer {
-		// A name without a value was only announced, in the head.
-		if len(values) > 0 && !isToken(name) {
-			return n, malformedf("field name %q behind the last chunk", name)
-		}
+	if malformed := httpresponse.CheckNames(b.Trailer); malformed != nil {
+		return n, malformed
 	}
 	return n, err
 }
--- a/internal/transport/httpclient/client.go
+++ b/internal/transport/httpclient/client.go
@@ -5,13 +5,12 @@
 // own when a reused connection fails and the method is GET or the request has an
 // Idempotency-Key header. Here a request is sent at most once, and each error
 // states whether a byte of the request was handed to the operating system. Heads
-// and bodies are parsed by net/http.
+// and bodies are parsed by net/http; httpresponse decides which of them are responses.
 package httpclient
 
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -227,30 +226,3 @@
 	out.Reused, out.Skipped, out.ConnectedAt = reused, skipped, openedAt
 	return out, nil
 }
-
-// Transport returns a net/http transport with the same dialer for calls between
-// daemons. Use it only for requests that net/http does not retry on its own: POST
-// without an Idempotency-Key header.
-func (o Options) Transport() *http.Transport {
-	o = o.withDefaults()
-	dialer := newDialer(o)
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, o.ConnectTimeout)
-			defer cancel()
-			return dialer.DialContext(ctx, network, address)
-		},
-		DisableCompression:     true,
-		IdleConnTimeout:        o.IdleConnTimeout,
-		MaxIdleConnsPerHost:    o.MaxIdlePerEndpoint,
-		MaxResponseHeaderBytes: int64(o.MaxHeadBytes),
-		TLSHandshakeTimeout:    o.UserTimeout,
-		Protocols:              http1Only(),
-	}
-}
-
-func http1Only() *http.Protocols {
-	p := new(http.Protocols)
-	p.SetHTTP1(true)
-	return p
-}
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/radishloom/radishloom/internal/coordination/exchange"
+	"github.com/radishloom/radishloom/internal/httpresponse"
 )
 
 // maxJoinedBody is the largest body that is sent in the same write as the head.
@@ -61,7 +62,7 @@
 	// outside a head.
 	headLeft int
 	// head checks the response head that is being read.
-	head headChecker
+	head httpresponse.HeadChecker
 
 	idleSince time.Time
 	// idleLimit is the endpoint's own time-out for idle connections, or zero if
@@ -118,7 +119,7 @@
 	n, err := cn.raw.Read(p)
 	if cn.headLeft > 0 {
 		cn.headLeft -= n
-		if malformed := cn.head.check(p[:n]); malformed != nil {
+		if malformed := cn.head.Check(p[:n]); malformed != nil {
 			return n, malformed
 		}
 	}
@@ -276,17 +277,17 @@
 // readOneHead reads the next head. The buffered reader may hold its beginning, behind an
 // informational response or one that was skipped.
 func (cn *conn) readOneHead(method string) (*http.Response, error) {
-	cn.head = headChecker{}
+	cn.head = httpresponse.HeadChecker{}
 	buffered, err := cn.br.Peek(cn.br.Buffered())
 	if err != nil {
 		return nil, err
 	}
-	if err := cn.head.check(buffered); err != nil {
+	if err := cn.head.Check(buffered); err != nil {
 		return nil, err
 	}
 	resp, err := http.ReadResponse(cn.br, &http.Request{Method: method})
-	if cn.head.err != nil {
-		return nil, cn.head.err
+	if malformed := cn.head.Err(); malformed != nil {
+		return nil, malformed
 	}
 	return resp, err
 }
--- a/internal/transport/httpclient/errors.go
+++ b/internal/transport/httpclient/errors.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/radishloom/radishloom/internal/coordination/exchange"
+	"github.com/radishloom/radishloom/internal/httpresponse"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
@@ -23,7 +24,7 @@
 
 // validate refuses a request that cannot be written as an unambiguous head.
 func validate(req *exchange.Request) error {
-	if !isToken(req.Method) || req.Method == http.MethodConnect {
+	if !httpresponse.IsToken(req.Method) || req.Method == http.MethodConnect {
 		return resultcode.New(resultcode.BadRequest, "method %q is not allowed", req.Method)
 	}
 	bad := func(r rune) bool { return r <= ' ' || r >= 0x7f || r == '#' }
@@ -77,7 +78,7 @@
 func (cn *conn) address() string { return cn.raw.RemoteAddr().String() }
 
 func isMalformed(err error) bool {
-	var malformed *malformedError
+	var malformed *httpresponse.MalformedError
 	return errors.As(err, &malformed)
 }
 
