httpresponse: malformed responses to calls between VMs and to the tool

What callers saw: nothing in the issue. A call between VMs took a response with a blank in a field name for the answer, and radishloom explain printed one.

Cause: as in httpclient: net/http drops such a field, and with it perhaps the framing. Status 000 and control bytes in names were errors already.

Change: httpresponse.Transport returns a MalformedError for responses that net/http has read if the status is not from 100 to 599 or a name is no token, and closes their connection. The calls between VMs and the operator's tool use it. A field that begins with a blank is not seen there, since net/http has joined it to the one before; endpoints are read with HeadChecker.

Evidence: before, TestMalformedResponsesToCallsAreErrors failed in 2 of 5 cases (the answer was believed), and TestExplainRequestRefusesAMalformedResponse in 2 of 4: a blank in a name was printed with exit code 0, and status 000 counted as a refusal by the entry (exit code 1).

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -18,6 +18,7 @@
 	"github.com/twitchtv/twirp"
 
 	adminv1 "github.com/radishloom/radishloom/api/admin/v1"
+	"github.com/radishloom/radishloom/internal/httpresponse"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
@@ -103,7 +104,7 @@
 		if err != nil {
 			return nil, err
 		}
-		httpClient := &http.Client{Transport: tokenTransport{next: transport, token: token}}
+		httpClient := &http.Client{Transport: tokenTransport{next: httpresponse.Transport{Next: transport}, token: token}}
 		c.servers = append(c.servers, server{url: base, admin: adminv1.NewAdminProtobufClient(base, httpClient)})
 	}
 	return c, nil
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -13,6 +13,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/radishloom/radishloom/internal/httpresponse"
 	"github.com/radishloom/radishloom/internal/protocol/explainhttp"
 )
 
@@ -68,7 +69,11 @@
 	if err != nil {
 		return usagef("--entry = %q: %v", o.Entry, err)
 	}
-	response, err := (&http.Client{Transport: a.env.Transport}).Do(request)
+	transport := a.env.Transport
+	if transport == nil {
+		transport = http.DefaultTransport
+	}
+	response, err := (&http.Client{Transport: httpresponse.Transport{Next: transport}}).Do(request)
 	if err != nil {
 		return &refusal{exit: ExitUnavailable, text: fmt.Sprintf("entry %s did not answer: %v", o.Entry, err)}
 	}
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -5,6 +5,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/radishloom/radishloom/internal/standin/rawserver"
 )
 
 // Guards against a printed explanation without the refusal or the obstacle, and against
@@ -32,3 +34,19 @@
 		t.Errorf("bad request: exit %d, %q", exit, stderr)
 	}
 }
+
+// Guards against an explanation that is printed although the bytes that arrived are no
+// response.
+func TestExplainRequestRefusesAMalformedResponse(t *testing.T) {
+	for head, want := range map[string]int{
+		"HTTP/1.1 200 OK":                   ExitOK,
+		"HTTP/1.1 000 ":                     ExitUnavailable,
+		"HTTP/1.1 200 OK\r\nX Other: 1":     ExitUnavailable,
+		"HTTP/1.1 200 OK\r\nX-\x01Other: 1": ExitUnavailable,
+	} {
+		address := rawserver.Always(t, head+"\r\nConnection: close\r\n\r\n{\"entry\":\"a\",\"total\":2}")
+		if exit, stdout, stderr := runTool("explain", "request", "--entry", address, "--service", "s"); exit != want {
+			t.Errorf("%q: exit %d, want %d: %q, %q", head, exit, want, stdout, stderr)
+		}
+	}
+}
--- a/internal/httpresponse/malformed.go
+++ b/internal/httpresponse/malformed.go
@@ -8,7 +8,8 @@
 // and with it the body, may then not be what the sender meant. A sender that writes such
 // heads is in trouble, so that nothing in the response may be believed.
 //
-// HeadChecker applies the grammar of RFC 9112 to the bytes of a connection.
+// HeadChecker applies the grammar of RFC 9112 to the bytes of a connection; Transport applies
+// what can still be seen of it to responses that net/http has read.
 package httpresponse
 
 import (
--- a/internal/protocol/peerrpc/transport.go
+++ b/internal/protocol/peerrpc/transport.go
@@ -9,6 +9,7 @@
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
+	"github.com/radishloom/radishloom/internal/httpresponse"
 	"github.com/radishloom/radishloom/internal/resultcode"
 )
 
@@ -234,7 +235,7 @@
 	if o.Secure != nil {
 		transport.DialTLSContext = o.Secure(o.Dial)
 	}
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: httpresponse.Transport{Next: transport}}
 }
 
 func withDefaultTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -116,3 +116,18 @@
 			exchange.HeaderRequestID, r.Header.Get(exchange.HeaderRequestID), exchange.HeaderRunState, exchange.RunStateNotRun)
 	}
 }
+
+// Always answers each request with the same bytes, whatever they are, and then ends the
+// connection. It returns the address.
+func Always(t testing.TB, answer string) string {
+	t.Helper()
+	return Listen(t, func(c *net.TCPConn) {
+		defer func() { _ = c.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return // the caller has closed the connection
+		}
+		_, _ = io.Copy(io.Discard, r.Body) // the caller may not wait for the answer
+		_, _ = io.WriteString(c, answer)
+	})
+}
