soak: endpoints that send malformed answers, callers that read the bytes

No stand-in sent such heads, and callers parsed answers with the library that accepts them.

Callers look at the bytes that arrive: status line, names, the mark.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -25,6 +25,9 @@
 	// complete reports that the response ended normally; body is what was received.
 	complete bool
 	body     string
+	// malformed describes what in the received bytes is no HTTP response; it is empty for a
+	// response, and if nothing arrived.
+	malformed string
 }
 
 // key returns the key of the request among the runs of the endpoints.
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -8,7 +8,7 @@
 // end and read whatever arrives as the response to what they have just sent. Processes
 // are killed, paused, stopped and restarted by signals, in series that overlap; a control
 // VM may lose its data directory. Endpoints refuse, answer early, cut heads and bodies,
-// repeat answers, restart on their address, and change their identifier on their open
+// repeat answers, send heads that are no HTTP responses, restart on their address, and change their identifier on their open
 // connections (standin.Faults). Callers repeat the identifier of a refused request, at one
 // entry and at others, or send it twice at a time; each request of theirs is judged by its
 // own answer and its own runs, which a number in the query tells apart. The operator evacuates
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"regexp"
 	"strings"
 
 	"github.com/radishloom/radishloom/internal/resultcode"
@@ -47,9 +48,12 @@
 	return standin.Stream(name, version)
 }
 
-// findRunViolation checks where and how often a request ran, and the identifier in its
-// response.
+// findRunViolation checks where and how often a request ran, the form of its response and
+// the identifier in it.
 func findRunViolation(f *standin.Fleet, o outcome) string {
+	if o.malformed != "" {
+		return o.malformed
+	}
 	runs := f.Runs(o.key())
 	for _, r := range runs {
 		if r.Customer != "customer" {
@@ -75,6 +79,33 @@
 	return ""
 }
 
+var (
+	statusLinePattern = regexp.MustCompile(`^HTTP/1\.1 [1-5][0-9][0-9]( [ -~]*)?$`)
+	fieldPattern      = regexp.MustCompile(`^[A-Za-z0-9-]+: ?[\t -~]*$`)
+)
+
+// findMalformed looks at the bytes that a caller received, since the library that parses
+// them accepts more than HTTP allows. A head that has not arrived whole is not judged.
+func findMalformed(received string) string {
+	if strings.Contains(received, standin.MalformedMark) {
+		return fmt.Sprintf("part of a malformed answer was passed on: %q", excerpt(received))
+	}
+	head, _, whole := strings.Cut(received, "\r\n\r\n")
+	if !whole {
+		return ""
+	}
+	lines := strings.Split(head, "\r\n")
+	if !statusLinePattern.MatchString(lines[0]) {
+		return fmt.Sprintf("malformed status line %q", lines[0])
+	}
+	for _, line := range lines[1:] {
+		if !fieldPattern.MatchString(line) {
+			return fmt.Sprintf("malformed line %q in the head", line)
+		}
+	}
+	return ""
+}
+
 // excerpt returns the beginning of a body for a message.
 func excerpt(body string) string {
 	const length = 400
--- a/soak/releases_test.go
+++ b/soak/releases_test.go
@@ -182,7 +182,7 @@
 // cutStreams makes an engine cut off a share of its streams, which entries resume.
 func (s *releases) cutStreams(at time.Duration) {
 	e := s.fleet.servers[s.engines()[0]]
-	faults, seed := standin.Faults{CutHead: 0.05, CutBody: 0.3, Drop: 0.05}, s.rng.Uint64()
+	faults, seed := standin.Faults{CutHead: 0.05, CutBody: 0.3, Drop: 0.05, Malformed: malformedRate}, s.rng.Uint64()
 	s.add(at, func() { e.SetFaults(faults, seed) })
 	s.add(at+time.Second, func() { e.SetFaults(standin.Faults{}, seed) })
 }
--- a/soak/session_test.go
+++ b/soak/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -24,6 +25,20 @@
 	address string
 	conn    net.Conn
 	reader  *bufio.Reader
+	// received holds what has arrived for the present exchange, up to maxReceived bytes.
+	received received
+}
+
+// maxReceived is larger than a head of an entry with a small body.
+const maxReceived = 8 << 10
+
+// received keeps the first bytes that are written to it.
+type received struct{ bytes.Buffer }
+
+// Write implements io.Writer.
+func (r *received) Write(p []byte) (int, error) {
+	r.Buffer.Write(p[:min(len(p), maxReceived-r.Len())]) // never fails
+	return len(p), nil
 }
 
 func (s *session) open() bool { return s.conn != nil }
@@ -43,8 +58,10 @@
 		if err != nil {
 			return
 		}
-		s.conn, s.reader = conn, bufio.NewReader(conn)
+		s.conn, s.reader = conn, bufio.NewReader(io.TeeReader(conn, &s.received))
 	}
+	s.received.Reset()
+	defer func() { o.malformed = findMalformed(s.received.String()) }()
 	if s.conn.SetDeadline(time.Now().Add(callerTimeout)) != nil {
 		s.close()
 		return
