forward: a refusal does not quote what an endpoint sent

An answer with a control byte in a field name was refused with 502 already, but the text of the refusal quoted the line.

Cause: the entry wrote the error with its cause into the body of a refusal; the causes of net/http quote what they could not parse.

Change: callers get the result code and the message; the cause stays in the logs.

--- a/internal/coordination/forward/malformed_test.go
+++ b/internal/coordination/forward/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -41,6 +42,24 @@
 	}
 }
 
+// Guards against a refusal whose text repeats what an endpoint sent.
+func TestRefusalRepeatsNoPartOfAMalformedAnswer(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX-\x01Other: secret",
+		"HTTP/1.1 200 OK\r\nX-Other: \x01secret",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: secret",
+		"HTTP/1.1 secret",
+		"secret",
+	} {
+		w := newFixture(t)
+		w.connectMalformedFirst(head)
+		status, _, body, err := w.do("/once/x", nil)
+		if err != nil || status != http.StatusBadGateway || strings.Contains(body, "secret") {
+			t.Errorf("%q: status %d, body %q, error %v", head, status, body, err)
+		}
+	}
+}
+
 // connectMalformedFirst starts two endpoints that answer their first request together with
 // a head, and a body of 6 bytes, and the others as they should. It returns the number of
 // requests that they get.
--- a/internal/coordination/forward/refuse.go
+++ b/internal/coordination/forward/refuse.go
@@ -100,5 +100,5 @@
 	h.Set(resultcode.Header, strconv.Itoa(int(err.Code)))
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(status)
-	_, _ = io.WriteString(c.w, err.Error()+"\n") // the caller may have disconnected
+	_, _ = io.WriteString(c.w, err.Summary()+"\n") // the caller may have disconnected
 }
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -296,9 +296,15 @@
 // Error implements error.
 func (e *Error) Error() string {
 	if e.Cause == nil {
-		return fmt.Sprintf("%d %s: %s", uint32(e.Code), e.Code, e.Message)
+		return e.Summary()
 	}
-	return fmt.Sprintf("%d %s: %s: %v", uint32(e.Code), e.Code, e.Message, e.Cause)
+	return fmt.Sprintf("%s: %v", e.Summary(), e.Cause)
+}
+
+// Summary returns the error without its cause, for callers: a cause may quote what an
+// endpoint sent.
+func (e *Error) Summary() string {
+	return fmt.Sprintf("%d %s: %s", uint32(e.Code), e.Code, e.Message)
 }
 
 // Unwrap returns the cause.
