--- a/internal/coordination/forward/stale_test.go
+++ b/internal/coordination/forward/stale_test.go
@@ -36,16 +36,21 @@
 // Guards against a stream that goes on at another version since the entry, which was cut off
 // or stood still, uses the list that it had before: an endpoint may have restarted in place.
 func TestStreamIsNotContinuedByAStaleList(t *testing.T) {
-	withStaleList(t, versionedEndpoints("v1"), func(t *testing.T, e *ledEntry) {
-		time.AfterFunc(20*time.Millisecond, func() {
-			e.server.SetEndpoints(versionedEndpoints("v2"))
-			e.server.confirmList(e.server.now(), minHold)
-		})
-		status, code, _ := e.do("/resumed/x", takeUp(), restOverNewConnection())
-		if status != 503 || code != "4013" || len(e.sentTo()) != 0 {
-			t.Errorf("status %d, result %s, sent to %v, want a refusal without a send", status, code, e.sentTo())
-		}
+	withStaleList(t, versionedEndpoints("v1"), expectNoContinuation)
+}
+
+// expectNoContinuation takes the stream up just before the next list, in which the only
+// endpoint has another version.
+func expectNoContinuation(t *testing.T, e *ledEntry) {
+	t.Helper()
+	time.AfterFunc(20*time.Millisecond, func() {
+		e.server.SetEndpoints(versionedEndpoints("v2"))
+		e.server.confirmList(e.server.now(), minHold)
 	})
+	status, code, _ := e.do("/resumed/x", takeUp(), restOverNewConnection())
+	if status != 503 || code != "4013" || len(e.sentTo()) != 0 {
+		t.Errorf("status %d, result %s, sent to %v, want a refusal without a send", status, code, e.sentTo())
+	}
 }
 
 // Guards against a stream that is refused, or waits long, although the list is confirmed a
@@ -65,14 +70,7 @@
 func TestAnswerFromBeforeAFreezeRefreshesNoList(t *testing.T) {
 	withStaleList(t, versionedEndpoints("v1"), func(t *testing.T, e *ledEntry) {
 		e.server.confirmList(e.server.now()-outOfStep+time.Millisecond, minHold)
-		time.AfterFunc(20*time.Millisecond, func() {
-			e.server.SetEndpoints(versionedEndpoints("v2"))
-			e.server.confirmList(e.server.now(), minHold)
-		})
-		status, code, _ := e.do("/resumed/x", takeUp(), restOverNewConnection())
-		if status != 503 || code != "4013" || len(e.sentTo()) != 0 {
-			t.Errorf("status %d, result %s, sent to %v, want a refusal without a send", status, code, e.sentTo())
-		}
+		expectNoContinuation(t, e)
 	})
 }
 
