forward: a stream that cannot be continued does not wait for a current list

Cause: a stream whose version is unknown waited for the list, although the entry knew that it could not go on.

Change: the wait comes only if the version is known. The tests of forward pass with the race detector.

--- a/internal/coordination/forward/fresh.go
+++ b/internal/coordination/forward/fresh.go
@@ -158,12 +158,10 @@
 	}
 }
 
-// continuesStream reports whether the next send continues a stream.
-func (c *call) continuesStream() bool { return c.begun != nil || c.query.SoftwareVersion != "" }
-
-// waitForCurrentList lets a request that continues a stream wait while the list is stale.
+// waitForCurrentList lets a request that continues a stream wait while the list is stale. A
+// stream that cannot be continued in any case does not wait.
 func (c *call) waitForCurrentList() {
-	if !c.continuesStream() {
+	if c.restrictVersion() != nil || c.query.SoftwareVersion == "" {
 		return
 	}
 	refreshed := c.server.listRefreshed()
@@ -183,7 +181,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mu.listState.observe(s.now())
-	waits := s.mu.listState.unconfirmed || c.continuesStream() && s.mu.listState.refreshed != nil
+	waits := s.mu.listState.unconfirmed || c.query.SoftwareVersion != "" && s.mu.listState.refreshed != nil
 	if waits && c.ctx.Err() == nil {
 		return false
 	}
