forward: requests that begin take no lock for the wait for a current list

Cause: waitForCurrentList called restrictVersion first, so every request took the server's lock once more and doubtful endpoints were collected twice; and the wait itself stood twice beside waitForList.

Change: requests that continue no stream return at once, the others determine the version only if the list is stale, and both waits share waitUntilClosed.

--- a/internal/coordination/forward/fresh.go
+++ b/internal/coordination/forward/fresh.go
@@ -152,24 +152,26 @@
 	if !unconfirmed {
 		return
 	}
-	select {
-	case <-confirmed:
-	case <-c.ctx.Done():
-	}
+	c.waitUntilClosed(confirmed)
 }
 
 // waitForCurrentList lets a request that continues a stream wait while the list is stale. A
 // stream that cannot be continued in any case does not wait.
 func (c *call) waitForCurrentList() {
-	if c.restrictVersion() != nil || c.query.SoftwareVersion == "" {
+	if c.begun == nil && c.query.SoftwareVersion == "" {
 		return
 	}
 	refreshed := c.server.listRefreshed()
-	if refreshed == nil {
+	if refreshed == nil || c.restrictVersion() != nil {
 		return
 	}
+	c.waitUntilClosed(refreshed)
+}
+
+// waitUntilClosed waits for the channel to be closed or the request to end.
+func (c *call) waitUntilClosed(done <-chan struct{}) {
 	select {
-	case <-refreshed:
+	case <-done:
 	case <-c.ctx.Done():
 	}
 }
