rawserver: Always is a CutHead whose head is whole

Cause: Always repeated how CutHead reads a request and ends the connection.

Change: it uses CutHead. The tests that use it keep their assertions.

--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -121,13 +121,5 @@
 // connection. It returns the address.
 func Always(t testing.TB, answer string) string {
 	t.Helper()
-	return Listen(t, func(c *net.TCPConn) {
-		defer func() { _ = c.Close() }()
-		r, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return // the caller has closed the connection
-		}
-		_, _ = io.Copy(io.Discard, r.Body) // the caller may not wait for the answer
-		_, _ = io.WriteString(c, answer)
-	})
+	return CutHead{Head: answer, Length: len(answer)}.Start(t)
 }
