--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -41,9 +41,10 @@
 
 func scenarios() map[string]scenario {
 	return map[string]scenario{
-		"leader-stopped": leaderStopped,
-		"route-added":    routeAdded,
-		"route-split":    routeSplit,
+		"leader-stopped":   leaderStopped,
+		"route-added":      routeAdded,
+		"route-split":      routeSplit,
+		"upgrade-in-place": upgradeInPlace,
 	}
 }
 
--- a/review/harness-3/takeup.go
+++ b/review/harness-3/takeup.go
@@ -138,7 +138,7 @@
 	time.Sleep(countTime - time.Since(l.since))
 	close(l.stop)
 	l.short.Wait()
-	return l.tally.verdict()
+	return l.tally.takeUpVerdict()
 }
 
 // routeAdded and routeSplit check that streams go on at other entries after the catalog has
