review: drop three cases that an earlier review shows; route-added is case 12

review/8, 9 and 10 show streams joined by restarts in place, streams of a stopping entry after a change of the leader, and take-ups of split routes; the three cases on them were found without them, and go. review/12 keeps the manifest that adds a route, which review/10 names with one trial only.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins and scripts of the review cases 11 to 15, after the build of the
+# Builds the stand-ins and scripts of the review cases 11 and 12, after the build of the
 # deploy file.
 set -eu
 cd "$(dirname "$0")/.."
--- a/review/harness-3/fleet.go
+++ b/review/harness-3/fleet.go
@@ -195,8 +195,12 @@
 // stop ends all processes.
 func (f *fleet) stop() {
 	f.mu.Lock()
+	done := f.stopped
 	f.stopped = true
 	f.mu.Unlock()
+	if done {
+		return
+	}
 	for _, p := range f.all() {
 		if p.cmd == nil {
 			continue
@@ -227,22 +231,6 @@
 	})
 }
 
-// leader returns the control VM that leads, by what an entry's log or metrics cannot tell
-// but the control VM's own metrics do.
-func (f *fleet) leader() (*vm, error) {
-	var found *vm
-	err := waitFor(startTimeout, func() bool {
-		for _, p := range f.control {
-			if leads(p) {
-				found = p
-				return true
-			}
-		}
-		return false
-	})
-	return found, err
-}
-
 func ready(p *vm) bool {
 	resp, err := shortCall(fmt.Sprintf("http://%s:%d%s", p.settings.IP, standin.ReadyPort, standin.ReadyPath))
 	if err != nil {
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -1,4 +1,4 @@
-// Command harness-3 runs the scripts of the review cases 11 to 15. Each starts the daemons of
+// Command harness-3 runs the scripts of the review cases 11 and 12. Each starts the daemons of
 // a small deployment as separate processes on loopback addresses, with stand-ins for
 // callers, endpoints and the platform, and checks one rule.
 //
@@ -41,10 +41,8 @@
 
 func scenarios() map[string]scenario {
 	return map[string]scenario{
-		"leader-stopped":   leaderStopped,
-		"route-added":      routeAdded,
-		"route-split":      routeSplit,
-		"upgrade-in-place": upgradeInPlace,
+		"first-start": firstStart,
+		"route-added": routeAdded,
 	}
 }
 
@@ -96,33 +94,42 @@
 	}
 }
 
-// running is the fleet of the case, which run stops in any case.
+// running has the fleets of the case, which run stops in any case.
 var running struct {
 	sync.Mutex
-	fleet *fleet
+	fleets []*fleet
 }
 
 func setRunning(f *fleet) {
 	running.Lock()
 	defer running.Unlock()
-	running.fleet = f
+	running.fleets = append(running.fleets, f)
 }
 
 func stopAll() {
 	running.Lock()
 	defer running.Unlock()
-	if running.fleet != nil {
-		running.fleet.stop()
+	for _, f := range running.fleets {
+		f.stop()
 	}
 }
 
 // record writes what happened, with the time since the start of the case, to a file and to
 // standard output. It is safe for concurrent use.
 type record struct {
-	mu    sync.Mutex
+	mu    *sync.Mutex
 	file  *os.File
 	out   io.Writer
 	start time.Time
+	// prefix begins each line.
+	prefix string
+}
+
+// named returns a record that writes to the same file, with a prefix in each line.
+func (r *record) named(prefix string) *record {
+	out := *r
+	out.prefix = prefix
+	return &out
 }
 
 func newRecord(path string) (*record, error) {
@@ -130,13 +137,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: file, out: io.MultiWriter(file, os.Stdout), start: time.Now()}, nil
+	return &record{mu: &sync.Mutex{}, file: file, out: io.MultiWriter(file, os.Stdout), start: time.Now()}, nil
 }
 
 func (r *record) add(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, _ = fmt.Fprintf(r.out, "%8.3f s  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.out, "%8.3f s  %s%s\n", time.Since(r.start).Seconds(), r.prefix, fmt.Sprintf(format, args...))
 }
 
 func (r *record) close() { _ = r.file.Close() }
--- a/review/harness-3/streams.go
+++ b/review/harness-3/streams.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -109,21 +108,6 @@
 	takenUp, wentOn int
 	// asked are new streams while others were taken up; begun those that brought an event.
 	asked, begun int
-	joined       int // streams with events of several software versions, over all tries
-}
-
-// joinAllowed is the number of such streams up to which the rule holds.
-const joinAllowed = 2
-
-// countVersions counts a stream whose events came from the versions.
-func (t *tally) countVersions(versions []string) {
-	slices.Sort(versions)
-	if len(slices.Compact(versions)) < 2 {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.joined++
 }
 
 // takeUpVerdict is the verdict on how many streams go on that are taken up.
@@ -147,13 +131,6 @@
 	return "run by " + cmp.Or(strings.Join(out, ", "), "none")
 }
 
-// joinVerdict is the verdict on streams with events of several software versions.
-func (t *tally) joinVerdict(streams int) outcome {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return outcome{broken: t.joined > joinAllowed, why: fmt.Sprintf("of %d streams %d have events of several software versions", streams, t.joined)}
-}
-
 // longCaller requests a long stream at an entry and takes it up at the others once the
 // connection breaks, as often as retries says. Begun is called with the first event.
 func longCaller(f *fleet, t *tally, at *vm, others []*vm, number int64, retries int, begun func()) {
@@ -162,8 +139,6 @@
 	start := time.Now()
 	a := ask(at, name, "", 0, streamDeadline, begun)
 	rec.add("stream %s at %s: request %s, status %d%s, events %d to %d of %v, complete %v, error %v; %s", name, at.settings.VM, a.id, a.status, codeText(a.code), a.first, a.last, a.versions, a.complete, a.err, runsOf(f, a.id))
-	versions := slices.Clone(a.versions)
-	defer func() { t.countVersions(versions) }()
 	if a.first == 0 || a.complete {
 		return
 	}
@@ -179,7 +154,6 @@
 		p := others[(int(number)+n)%len(others)]
 		b := ask(p, name, began, last, left, func() {})
 		rec.add("stream %s taken up at %s behind event %d of %s: request %s, status %d%s, events %d to %d of %v, complete %v, error %v; %s", name, p.settings.VM, last, began, b.id, b.status, codeText(b.code), b.first, b.last, b.versions, b.complete, b.err, runsOf(f, b.id))
-		versions = append(versions, b.versions...)
 		if b.first > 0 {
 			t.mu.Lock()
 			t.wentOn++
--- a/review/harness-3/takeup.go
+++ b/review/harness-3/takeup.go
@@ -24,10 +24,6 @@
 	// contactTime is contactMs of the deployment: machines are in touch that long after a
 	// disruption.
 	contactTime = 3 * time.Second
-	// rollGap is the time between two machines that are stopped in turn.
-	rollGap = time.Second
-	// restartTime is how long a stopped machine is down.
-	restartTime = 500 * time.Millisecond
 	// countTime is how long new streams are counted at least.
 	countTime = 6 * time.Second
 )
@@ -49,9 +45,6 @@
 		if _, err := f.addEndpoint("plain", "v1"); err != nil {
 			return nil, err
 		}
-		if _, err := f.addEndpoint(secondService, "v1", standin.Model); err != nil {
-			return nil, err
-		}
 	}
 	return f, f.start(standin.CatalogWithTimeout(1, streamDeadline, apiKey))
 }
@@ -80,22 +73,6 @@
 	document["routes"] = append(document["routes"].([]any), further)
 }
 
-// secondService is a service of engines with the models of the first one.
-const secondService = "models-2"
-
-// splitRoute splits the route of the streams between the first service and a second one.
-func splitRoute(document, route map[string]any) {
-	for _, s := range document["services"].([]any) {
-		if service := s.(map[string]any); service["name"] == "models" {
-			second := maps.Clone(service)
-			second["name"] = secondService
-			document["services"] = append(document["services"].([]any), second)
-		}
-	}
-	delete(route, "service")
-	route["split"] = []any{map[string]any{"service": "models", "weight": 90}, map[string]any{"service": secondService, "weight": 10}}
-}
-
 // takeUpLoad begins the long streams at the first entry and keeps requesting new ones at the
 // others.
 type takeUpLoad struct {
@@ -141,28 +118,15 @@
 	return l.tally.takeUpVerdict()
 }
 
-// routeAdded and routeSplit check that streams go on at other entries after the catalog has
-// changed.
+// routeAdded checks that streams go on at other entries after the catalog has got a further
+// route: they begin after that, and their entry is killed later.
 func routeAdded(rec *record, trouble bool) (outcome, error) {
-	return afterChange(rec, trouble, addRoute, contactTime)
-}
-
-func routeSplit(rec *record, trouble bool) (outcome, error) {
-	return afterChange(rec, trouble, splitRoute, longAfterChange)
-}
-
-// longAfterChange is longer than entries remember that a route has changed.
-const longAfterChange = 63 * time.Second
-
-// afterChange begins streams some time after a change of the catalog was acknowledged, and
-// kills their entry later.
-func afterChange(rec *record, trouble bool, edit func(document, route map[string]any), wait time.Duration) (outcome, error) {
 	f, err := takeUpFleet(rec)
 	if err != nil {
 		return outcome{}, err
 	}
 	if trouble {
-		document, err := change(2, edit)
+		document, err := change(2, addRoute)
 		if err != nil {
 			return outcome{}, err
 		}
@@ -170,39 +134,10 @@
 			return outcome{}, err
 		}
 	}
-	time.Sleep(wait)
-	l := startTakeUpLoad(f)
-	time.Sleep(reportTime)
-	l.count()
-	f.signal(f.entries[0], syscall.SIGKILL)
-	return l.finish(), nil
-}
-
-// leaderStopped checks that the streams of an entry that is stopped go on at the others if
-// the next machine to be stopped is the control VM that leads.
-func leaderStopped(rec *record, trouble bool) (outcome, error) {
-	f, err := takeUpFleet(rec)
-	if err != nil {
-		return outcome{}, err
-	}
-	leader, err := f.leader()
-	if err != nil {
-		return outcome{}, err
-	}
 	time.Sleep(contactTime)
 	l := startTakeUpLoad(f)
 	time.Sleep(reportTime)
-	f.signal(f.entries[0], syscall.SIGTERM)
-	if trouble {
-		time.Sleep(rollGap)
-		f.signal(leader, syscall.SIGTERM)
-		<-leader.exited
-		time.Sleep(restartTime)
-		if err := f.startVM(leader); err != nil {
-			return outcome{}, err
-		}
-	}
-	<-f.entries[0].exited
 	l.count()
+	f.signal(f.entries[0], syscall.SIGKILL)
 	return l.finish(), nil
 }
