review/11: two fleets are founded if the seeds stand in another order at each VM

Control VMs that start for the first time get the same three seeds, turned by one place from VM to VM. Two of them found a fleet each, and both acknowledge manifests.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 there is no disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/harness-3 ] && [ -x target/radishloomd ] || exit 2
-exec target/harness-3 upgrade-in-place review/11/record.txt
+exec target/harness-3 first-start review/11/record.txt
