--- a/review/harness-3/main.go
+++ b/review/harness3/platform/main.go
@@ -1,4 +1,4 @@
-// Command harness-3 runs the scripts of the review cases 11 and 12. Each starts the daemons of
+// Command harness-3 runs the scripts of the review cases 11 to 13. Each starts the daemons of
 // a small deployment as separate processes on loopback addresses, with stand-ins for
 // callers, endpoints and the platform, and checks one rule.
 //
@@ -42,6 +42,7 @@
 func scenarios() map[string]scenario {
 	return map[string]scenario{
 		"first-start": firstStart,
+		"lost-seed":   lostSeed,
 		"route-added": routeAdded,
 	}
 }
