httpclient: a body without length is incomplete once sending has failed

Seen: an endpoint answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. Callers, of HTTP/1.0 and of 1.1, got that part as a whole answer.

Cause: the write that meets the reset takes the error of the socket with it. What had arrived is still read, as it has to be for an early refusal, and the next read then reports an orderly end, which completes a body without length.

A length and chunks were never affected.

Change: a response whose body only the close of the connection would end is incomplete if sending its request has failed. Its first read fails, since no more can arrive that would complete it, so that no part is passed on. Its head still counts: a refusal stays one. For the request and the endpoint it is an answer that broke off (may have run, code of a truncated answer).

An endpoint that closes its side and reads the rest is not affected, nor is a framed answer; TestCompleteEarlyResponse has these.

Why tests missed it: TestFuzzCutsAtAnyByte draws framed bodies only, and either cuts the request or answers it.

Not told apart: an endpoint that closes in order after all writes succeeded, and whose kernel resets the connection later.

--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -60,7 +60,8 @@
 	// with this status and header.
 	MayReuse func(status int, h http.Header) bool
 	// AllowCloseDelimited accepts a response body that ends with the orderly close
-	// of the connection. Otherwise such a body counts as incomplete.
+	// of the connection, if the whole request could be sent. Otherwise such a body
+	// counts as incomplete.
 	AllowCloseDelimited bool
 	// FreshConnection forbids the reuse of an open connection.
 	FreshConnection bool
@@ -89,8 +90,8 @@
 }
 
 // Body is the body of a response. Read returns io.EOF only after the announced
-// length or the last chunk, or, if the request has AllowCloseDelimited, after
-// the orderly close of the connection.
+// length or the last chunk, or, if the request has AllowCloseDelimited and was sent
+// whole, after the orderly close of the connection.
 type Body interface {
 	io.Reader
 	// Close releases the exchange. It closes the connection unless the body was
--- a/internal/transport/httpclient/body.go
+++ b/internal/transport/httpclient/body.go
@@ -10,7 +10,10 @@
 	"github.com/radishloom/radishloom/internal/httpresponse"
 )
 
-var errCloseDelimited = errors.New("the response has neither a Content-Length nor chunked encoding")
+var (
+	errCloseDelimited = errors.New("the response has neither a Content-Length nor chunked encoding")
+	errSendFailed     = errors.New("the connection failed while the request was sent, and only its close would end the response")
+)
 
 // body is the body of one response. It is not safe for concurrent use.
 type body struct {
@@ -29,7 +32,7 @@
 var _ exchange.Body = (*body)(nil)
 
 func newResponse(ctx context.Context, cn *conn, resp *http.Response, req *exchange.Request) *exchange.Response {
-	b := &body{ctx: ctx, conn: cn, r: checkedBody{resp}, noReuse: resp.Close || cn.requestCut || cn.skippedRefusal || cn.refused.full()}
+	b := &body{ctx: ctx, conn: cn, r: checkedBody{resp}, noReuse: resp.Close || cn.sendFailed || cn.skippedRefusal || cn.refused.full()}
 	b.closeDelimited = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	b.allowCloseDelimited = req.AllowCloseDelimited
 	b.noReuse = b.noReuse || b.closeDelimited || (req.MayReuse != nil && !req.MayReuse(resp.StatusCode, resp.Header))
@@ -61,6 +64,10 @@
 	if b.err != nil {
 		return 0, b.err
 	}
+	if b.closeDelimited && b.conn.sendFailed {
+		b.err = b.conn.fail(b.ctx, errSendFailed, stageBody)
+		return 0, b.err
+	}
 	n, err := b.r.Read(p)
 	switch {
 	case err == nil:
--- a/internal/transport/httpclient/client.go
+++ b/internal/transport/httpclient/client.go
@@ -211,7 +211,7 @@
 		if cn.written == 0 || !isClosedByPeer(err) || !cn.responseWaiting() {
 			return nil, cn.fail(ctx, err, stageSend)
 		}
-		cn.requestCut = true
+		cn.sendFailed = true
 	}
 	resp, skipped, err := cn.readHead(req.Method, req.MatchResponse)
 	if err != nil {
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -56,8 +56,10 @@
 	// skippedRefusal is set if a refusal of another request was skipped, which refused
 	// may lack.
 	skippedRefusal bool
-	// requestCut is set if the endpoint responded before it read the whole request.
-	requestCut bool
+	// sendFailed is set if the endpoint closed the connection before it read the whole
+	// request, and had responded. The failed write has consumed the error of the socket:
+	// reads then end in order, even if the connection was reset within the response.
+	sendFailed bool
 	// headLeft is the number of bytes that the response head may still take, or -1
 	// outside a head.
 	headLeft int
