httpresponse: calls to own servers refuse responses without framing

Seen: the client of calls between VMs and the operator's tool take the beginning of a response for the whole one if the response has neither a length nor chunks. An empty or cut protobuf message is a message as well, so that the command `evacuate east` printed version 0 and ended with exit code 0, and a call returned a response without its last fields.

Cause: the same as in httpclient. net/http ends a close-delimited body in order although the connection was reset while the request was being sent, and the decoder can't tell that fields are missing.

Change: httpresponse.Transport has RequireFraming, which both clients set. All servers that they call frame their responses (twirp sets the length, net/http chunks the rest), so that no sound response is lost.

Considered: `explain request` reads JSON, which doesn't decode if it is cut, and sends no body; the benches check the content that they read. They are as they were.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -104,7 +104,8 @@
 		if err != nil {
 			return nil, err
 		}
-		httpClient := &http.Client{Transport: tokenTransport{next: httpresponse.Transport{Next: transport}, token: token}}
+		checked := httpresponse.Transport{Next: transport, RequireFraming: true}
+		httpClient := &http.Client{Transport: tokenTransport{next: checked, token: token}}
 		c.servers = append(c.servers, server{url: base, admin: adminv1.NewAdminProtobufClient(base, httpClient)})
 	}
 	return c, nil
--- a/internal/protocol/peerrpc/malformed_test.go
+++ b/internal/protocol/peerrpc/malformed_test.go
@@ -41,3 +41,19 @@
 		})
 	}
 }
+
+// Guards against the beginning of a response that counts as the whole one: a cut message may
+// be a message as well.
+func TestResponsesWithoutFramingAreErrors(t *testing.T) {
+	for name, body := range map[string]string{"empty": "", "first field": "\x0a\x01e"} {
+		t.Run(name, func(t *testing.T) {
+			transport := NewTransport(Options{})
+			defer transport.Close()
+			address := rawserver.Always(t, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\n"+body)
+			resp, err := transport.Load(t.Context(), address, &peerv1.LoadRequest{Model: "m"})
+			if resultcode.Of(err) != resultcode.NoLeader {
+				t.Errorf("%v, %v; want the error of a call that failed", resp, err)
+			}
+		})
+	}
+}
--- a/internal/protocol/peerrpc/transport.go
+++ b/internal/protocol/peerrpc/transport.go
@@ -235,7 +235,7 @@
 	if o.Secure != nil {
 		transport.DialTLSContext = o.Secure(o.Dial)
 	}
-	return &http.Client{Transport: httpresponse.Transport{Next: transport}}
+	return &http.Client{Transport: httpresponse.Transport{Next: transport, RequireFraming: true}}
 }
 
 func withDefaultTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
--- a/internal/transport/httpclient/body.go
+++ b/internal/transport/httpclient/body.go
@@ -10,10 +10,7 @@
 	"github.com/radishloom/radishloom/internal/httpresponse"
 )
 
-var (
-	errCloseDelimited = errors.New("the response has neither a Content-Length nor chunked encoding")
-	errSendFailed     = errors.New("the connection failed while the request was sent, and only its close would end the response")
-)
+var errSendFailed = errors.New("the connection failed while the request was sent, and only its close would end the response")
 
 // body is the body of one response. It is not safe for concurrent use.
 type body struct {
@@ -72,7 +69,7 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF) && b.closeDelimited && !b.allowCloseDelimited:
-		b.err = b.conn.fail(b.ctx, errCloseDelimited, stageBody)
+		b.err = b.conn.fail(b.ctx, httpresponse.ErrCloseDelimited, stageBody)
 	case errors.Is(err, io.EOF):
 		b.release()
 	default:
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -298,7 +298,7 @@
 // size of its body.
 func skipResponse(resp *http.Response, limit int64) (skipped int64, err error) {
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return 0, errCloseDelimited
+		return 0, httpresponse.ErrCloseDelimited
 	}
 	skipped, err = io.CopyN(io.Discard, checkedBody{resp}, limit)
 	if errors.Is(err, io.EOF) {
