forward: an answer that breaks off before its body is not passed on

Cause: the relay wrote the head when it had read the head. Nothing of it had left this process, since the first flush comes with the first byte of the body, but from then on the request counted as answered: it could only be broken off.

Change: the relay keeps the head until the first byte of the body is passed on, or until the body has ended empty. A response that fails before is dropped, as a truncated response that is buffered always was: the request gets 502 with its result code (it may have run), or goes to another endpoint if its route allows that. No byte is sent later than before.

TestVersionThatChangesBeforeTheFirstEventEndsTheStream wanted a broken connection for a take-up that is refused before its first event. It is a refusal now, as it already was if the version was seen to differ a moment earlier; the test asks for its status and code, and still for no event.

--- a/internal/coordination/forward/early_test.go
+++ b/internal/coordination/forward/early_test.go
@@ -11,6 +11,9 @@
 	"testing"
 	"time"
 
+	"github.com/radishloom/radishloom/internal/coordination/directory"
+	"github.com/radishloom/radishloom/internal/coordination/pool"
+	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/standin/rawserver"
 )
 
@@ -47,25 +50,25 @@
 	_ = c.SetLinger(0)
 }
 
-// upload sends a long request in an HTTP version, 1.0 or 1.1, and reads the answer. The
-// error is that of reading it.
-func (w *fixture) upload(version, path string) (status int, body string, err error) {
+// upload sends a request with a body of size bytes in an HTTP version, 1.0 or 1.1, and reads
+// the answer. The error is that of reading it.
+func (w *fixture) upload(version, path string, size int) (resp *http.Response, body string, err error) {
 	w.t.Helper()
 	c, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	defer c.Close() // the exchange is over
-	head := fmt.Sprintf("POST %s HTTP/%s\r\nHost: h\r\nId: id-1\r\nKey: k\r\nModel: %s\r\nContent-Length: %d\r\n\r\n", path, version, modelOf(path), uploadBytes)
-	if _, err := io.WriteString(c, head+strings.Repeat("x", uploadBytes)); err != nil {
+	head := fmt.Sprintf("POST %s HTTP/%s\r\nHost: h\r\nId: id-1\r\nKey: k\r\nModel: %s\r\nContent-Length: %d\r\n\r\n", path, version, modelOf(path), size)
+	if _, err := io.WriteString(c, head+strings.Repeat("x", size)); err != nil {
 		w.t.Fatal(err)
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	resp, err = http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		return 0, "", err
+		return nil, "", err
 	}
 	data, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(data), err
+	return resp, string(data), err
 }
 
 const earlyHead = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: id-1\r\n"
@@ -91,8 +94,8 @@
 					t.Parallel()
 					e := earlyEndpoint{part: e.part, read: e.read, pause: e.pause, whole: "id: 1\ndata: whole\n\n"}
 					w := newConnectedFixture(t, rawserver.Listen(t, e.serve))
-					status, body, err := w.upload(version, path)
-					if status == http.StatusOK && err == nil && body != e.whole {
+					resp, body, err := w.upload(version, path, uploadBytes)
+					if err == nil && resp.StatusCode == http.StatusOK && body != e.whole {
 						t.Errorf("%q arrived as a whole answer", body)
 					}
 				})
@@ -100,3 +103,51 @@
 		}
 	}
 }
+
+// headOnly has the beginnings of answers that break off before the first byte of the body.
+var headOnly = map[string]string{
+	"no length": earlyHead + "\r\n",
+	"length":    earlyHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*maxBufferedBody),
+	"chunks":    earlyHead + "Transfer-Encoding: chunked\r\n\r\n",
+	"events":    earlyHead + "Content-Type: text/event-stream\r\n\r\n",
+}
+
+// Guards against a caller who gets no answer, and against a retry that is left out, since an
+// answer broke off before the first byte of its body.
+func TestAnswerWithoutABodyIsNotPassedOn(t *testing.T) {
+	for name, head := range headOnly {
+		for path, retried := range map[string]bool{"/once/x": false, "/often/x": true, "/stream/x": false, "/resumed/x": true} {
+			for _, version := range []string{"1.0", "1.1"} {
+				t.Run(name+" "+path+" "+version, func(t *testing.T) {
+					e := earlyEndpoint{part: head, read: 1, whole: "id: 1\ndata: whole\n\n"}
+					address := rawserver.Listen(t, e.serve)
+					w := newConnectedFixture(t, address)
+					w.addEndpoints(address)
+					resp, body, err := w.upload(version, path, 1)
+					if err != nil {
+						t.Fatalf("the caller got no answer: %v", err)
+					}
+					if retried && (resp.StatusCode != http.StatusOK || body != e.whole) {
+						t.Errorf("status %d, %q; want the answer of the other endpoint", resp.StatusCode, body)
+					}
+					if !retried && (resp.StatusCode != http.StatusBadGateway || resp.Header.Get(resultcode.Header) == "" || resp.Header.Get("Seal") != "") {
+						t.Errorf("status %d, %v; want a refusal with a result code", resp.StatusCode, resp.Header)
+					}
+					if n := e.requests.Load(); !retried && n > 1 {
+						t.Errorf("sent %d times", n)
+					}
+				})
+			}
+		}
+	}
+}
+
+// addEndpoints adds one endpoint of each service at the address.
+func (w *fixture) addEndpoints(address string) {
+	w.server.SetEndpoints([]pool.Endpoint{
+		{Endpoint: directory.Endpoint{ID: "p1", Service: "plain", Address: address, Slots: 4}},
+		{Endpoint: directory.Endpoint{ID: "p2", Service: "plain", Address: address, Slots: 4}},
+		{Endpoint: directory.Endpoint{ID: "e1", Service: "models", Address: address, Slots: 4, Models: []directory.Resident{{Model: "m"}}}},
+		{Endpoint: directory.Endpoint{ID: "e2", Service: "models", Address: address, Slots: 4, Models: []directory.Resident{{Model: "m"}}}},
+	})
+}
--- a/internal/coordination/forward/relay.go
+++ b/internal/coordination/forward/relay.go
@@ -31,6 +31,9 @@
 type relay struct {
 	call    *call
 	control *http.ResponseController
+	// unsent is the first response until its head is written, together with the first byte
+	// of the body. A response that breaks off before is not passed on.
+	unsent *exchange.Response
 	// wholeEvents is set if only complete events are passed on; pending holds the
 	// beginning of the next one.
 	wholeEvents bool
@@ -55,27 +58,44 @@
 	first, last, pause time.Duration
 }
 
-// newRelay returns a relay and writes the head of the response.
+// newRelay returns a relay for the first response.
 func newRelay(c *call, resp *exchange.Response) *relay {
-	r := &relay{call: c, control: http.NewResponseController(c.w)}
+	r := &relay{call: c, control: http.NewResponseController(c.w), unsent: resp}
 	r.wholeEvents = c.route.Resumable && c.isStream(resp)
-	hasLength := resp.ContentLength >= 0 && !r.wholeEvents
-	r.closeDelimited = !hasLength && !c.takesChunks
+	r.closeDelimited = !r.hasLength(resp) && !c.takesChunks
 	r.events = hasEvents(resp.Header)
 	r.stream = c.isStream(resp)
-	h := c.w.Header()
+	return r
+}
+
+// hasLength reports whether the length of the first response is passed on. A resumed stream
+// may have another one.
+func (r *relay) hasLength(resp *exchange.Response) bool {
+	return resp.ContentLength >= 0 && !r.wholeEvents
+}
+
+// begun reports whether the head has been written.
+func (r *relay) begun() bool { return r.unsent == nil }
+
+// writeHead writes the head of the response, unless that is done.
+func (r *relay) writeHead() {
+	if r.begun() {
+		return
+	}
+	resp := r.unsent
+	r.unsent = nil
+	h := r.call.w.Header()
 	copyHeader(h, resp.Header)
 	h.Del("Content-Length")
 	// Without either, net/http sends chunks: if this process ends within the body, the
 	// kernel closes the connection in order, and only the missing last chunk shows it.
 	switch {
-	case hasLength:
+	case r.hasLength(resp):
 		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	case r.closeDelimited:
 		h.Set("Transfer-Encoding", "identity")
 	}
-	c.w.WriteHeader(resp.Status)
-	return r
+	r.call.w.WriteHeader(resp.Status)
 }
 
 // resumable reports whether another endpoint may resume the stream.
@@ -111,6 +131,7 @@
 		resp.Body.Discard()
 		return err
 	}
+	r.writeHead()
 	return resp.Body.Close()
 }
 
@@ -182,6 +203,7 @@
 	}
 	r.keepTail(p)
 	r.observe(r.call.server.now() - r.call.arrived)
+	r.writeHead()
 	_, err := r.call.w.Write(p)
 	if err == nil {
 		err = r.control.Flush()
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -196,6 +196,10 @@
 		c.relay = newRelay(c, resp)
 	}
 	if err := c.relay.copy(resp); err != nil {
+		if !c.relay.begun() {
+			c.relay.release()
+			c.relay = nil
+		}
 		result, coded := c.failed(err)
 		if coded.Code == resultcode.StreamBroken {
 			result = pool.Unknown // only the endpoint's software version does not fit
--- a/internal/coordination/forward/takeup_test.go
+++ b/internal/coordination/forward/takeup_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -296,9 +298,9 @@
 	w.server.mu.streams.Began(w.server.now(), streamOf("id-0"), "models", "e0", "v1")
 	w.server.cfg.Client = changingClient{w.endpoints, func() { w.server.SetEndpoints(versionedEndpoints("v2")) }}
 	w.endpoints.replies = []reply{restOfStream()}
-	_, _, body, err := w.do("/resumed/x", map[string]string{"Model": "m", "Resume": "1", "Resumes": "id-0"})
-	if err == nil || body != "" {
-		t.Errorf("body %q, error %v, want no event and a broken answer", body, err)
+	status, h, body, err := w.do("/resumed/x", map[string]string{"Model": "m", "Resume": "1", "Resumes": "id-0"})
+	if err != nil || status != http.StatusBadGateway || h.Get(resultcode.Header) != "4007" || hasEvents(h) || strings.Contains(body, "data:") {
+		t.Errorf("status %d, header %v, body %q, error %v, want no event and the code of a broken stream", status, h, body, err)
 	}
 }
 
