soak/proxy: a reset is passed on as a reset if a write met it first

Cause: the proxy between the entry and the endpoint had the fault of the incident itself. Its write to the endpoint met the reset and took the socket's error, and the other direction read an orderly end, which it passed on.

Change: an end that is read counts as an orderly one only if no write to the same connection has failed. A write that is under way is waited for, since it returns at once after a reset.

This proxy stands in tests only.

--- a/soak/proxy/proxy.go
+++ b/soak/proxy/proxy.go
@@ -103,9 +103,10 @@
 	}
 	p.track(c, true)
 	p.track(upstream, true)
+	near, far := &side{Conn: c}, &side{Conn: upstream}
 	var directions sync.WaitGroup
-	directions.Go(func() { p.relay(upstream, c, Stall) })
-	directions.Go(func() { p.relay(c, upstream, Stall, StallResponses) })
+	directions.Go(func() { p.relay(far, near, Stall) })
+	directions.Go(func() { p.relay(near, far, Stall, StallResponses) })
 	directions.Wait()
 	p.track(c, false)
 	p.track(upstream, false)
@@ -123,27 +124,53 @@
 	}
 }
 
+// side is one of the two connections of a relayed exchange.
+type side struct {
+	net.Conn
+	// writing is held during a write; failed is set once one has failed. A failed write
+	// consumes the error of the socket, so that reads end in order after a reset.
+	writing sync.Mutex
+	failed  bool
+}
+
+// Write implements io.Writer.
+func (s *side) Write(b []byte) (int, error) {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	n, err := s.Conn.Write(b)
+	s.failed = s.failed || err != nil
+	return n, err
+}
+
+// writeFailed reports whether a write has failed. It waits for the one that is under way.
+func (s *side) writeFailed() bool {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	return s.failed
+}
+
 // relay copies data in one direction and stalls while the mode is one of
-// heldModes.
-func (p *Proxy) relay(to, from net.Conn, heldModes ...Mode) {
+// heldModes. An orderly close would look like the end of a response, so it passes on a reset
+// as a reset.
+func (p *Proxy) relay(to, from *side, heldModes ...Mode) {
 	buf := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buf)
 		p.hold(heldModes)
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
-				_ = from.Close()
+				listen.Reset(from.Conn)
 				return
 			}
 		}
-		if errors.Is(err, io.EOF) {
-			if tcp, ok := to.(*net.TCPConn); ok {
+		if errors.Is(err, io.EOF) && !from.writeFailed() {
+			if tcp, ok := to.Conn.(*net.TCPConn); ok {
 				_ = tcp.CloseWrite()
 			}
 			return
 		}
 		if err != nil {
-			listen.Reset(to) // an orderly close would look like the end of a response
+			listen.Reset(to.Conn)
 			return
 		}
 	}
