soak: endpoints cut answers to long uploads

The stand-in has the fault CutEarly: the beginning of an answer, with a length, chunks, or the close of the connection announced or not, of no byte, whole events or any size, sent before the request is read or when half of it is, and then a reset at once or 20 ms later. TestSoak has the fault at a low rate.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -170,12 +170,16 @@
 // malformedRate is the share of answers that are no HTTP responses.
 const malformedRate = 0.02
 
+// cutEarlyRate is the share of answers that are cut off while their requests are being sent.
+const cutEarlyRate = 0.02
+
 // drawFaults returns some of the faults of an endpoint, each with a high or a low rate.
 func (s *script) drawFaults() standin.Faults {
 	rate := func() float64 { return []float64{0, 0, 0.03, 0.2}[s.rng.IntN(4)] }
 	return standin.Faults{
 		Refuse: rate(), Early: rate(), CutHead: rate() / 2, CutBody: rate() / 2, NoLength: rate(), Drop: rate() / 2,
 		Repeat: rate(), Unnamed: s.rng.Float64(), Garbage: rate() / 2, LateOrder: rate(), Endless: rate() / 4, Copy: copyRate, Malformed: malformedRate,
+		CutEarly: cutEarlyRate,
 	}
 }
 
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -19,7 +19,12 @@
 )
 
 // size is the number of processes of a run, and of further engines.
-type size struct{ control, entries, engines int }
+type size struct {
+	control, entries, engines int
+	// direct makes entries connect to the endpoints without a proxy, whose buffers would
+	// take requests that an endpoint does not read.
+	direct bool
+}
 
 const (
 	// stopTimeout is longer than the grace period of the settings.
@@ -85,7 +90,7 @@
 
 func newFleet(t *testing.T, run int, binary string, n size) *fleet {
 	f := &fleet{t: t, run: run, dir: t.TempDir(), endpoints: standin.NewFleet(), binary: binary}
-	f.startEndpoints(run, n.engines)
+	f.startEndpoints(run, n)
 	f.platformList = httptest.NewServer(f.endpoints)
 	t.Cleanup(f.platformList.Close)
 	var seeds []string
@@ -120,9 +125,9 @@
 	return p
 }
 
-func (f *fleet) startEndpoints(run, furtherEngines int) {
+func (f *fleet) startEndpoints(run int, n size) {
 	services := []string{"plain", "plain", "plain", engineService, engineService, engineService, engineService}
-	for i, service := range append(services, slices.Repeat([]string{engineService}, furtherEngines)...) {
+	for i, service := range append(services, slices.Repeat([]string{engineService}, n.engines)...) {
 		var models []string
 		if service == engineService {
 			models = engineModels(i)
@@ -133,6 +138,9 @@
 		}
 		p := f.newProxy(address(run, firstEndpointProxy+i), e.Listen())
 		e.Address = p.Address()
+		if n.direct {
+			e.Address = e.Listen()
+		}
 		if i == evacuatedPlain || i == evacuatedEngine {
 			e.DataCentre = evacuatedDataCentre
 		}
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -80,13 +80,14 @@
 }
 
 var (
-	statusLinePattern = regexp.MustCompile(`^HTTP/1\.1 [1-5][0-9][0-9]( [ -~]*)?$`)
+	statusLinePattern = regexp.MustCompile(`^HTTP/1\.[01] [1-5][0-9][0-9]( [ -~]*)?$`)
 	fieldPattern      = regexp.MustCompile(`^[A-Za-z0-9-]+: ?[\t -~]*$`)
 )
 
 // findMalformed looks at the bytes that a caller received, since the library that parses
-// them accepts more than HTTP allows. A head that has not arrived whole is not judged.
-func findMalformed(received string) string {
+// them accepts more than HTTP allows. The version is that of the request. A head that has not
+// arrived whole is not judged.
+func findMalformed(received, version string) string {
 	if strings.Contains(received, standin.MalformedMark) {
 		return fmt.Sprintf("part of a malformed answer was passed on: %q", excerpt(received))
 	}
@@ -95,7 +96,7 @@
 		return ""
 	}
 	lines := strings.Split(head, "\r\n")
-	if !statusLinePattern.MatchString(lines[0]) {
+	if !strings.HasPrefix(lines[0], version) || !statusLinePattern.MatchString(lines[0]) {
 		return fmt.Sprintf("malformed status line %q", lines[0])
 	}
 	for _, line := range lines[1:] {
--- a/soak/session_test.go
+++ b/soak/session_test.go
@@ -23,8 +23,11 @@
 // has just sent: unlike net/http it knows of no unasked response.
 type session struct {
 	address string
-	conn    net.Conn
-	reader  *bufio.Reader
+	// http10 makes the caller one of HTTP/1.0, for which the close of the connection ends a
+	// body of unknown length.
+	http10 bool
+	conn   net.Conn
+	reader *bufio.Reader
 	// received holds what has arrived for the present exchange, up to maxReceived bytes.
 	received received
 }
@@ -61,13 +64,13 @@
 		s.conn, s.reader = conn, bufio.NewReader(io.TeeReader(conn, &s.received))
 	}
 	s.received.Reset()
-	defer func() { o.malformed = findMalformed(s.received.String()) }()
+	defer func() { o.malformed = findMalformed(s.received.String(), s.version()) }()
 	if s.conn.SetDeadline(time.Now().Add(callerTimeout)) != nil {
 		s.close()
 		return
 	}
 	// A response may have arrived although the request could not be sent whole.
-	sendErr := r.Write(s.conn)
+	sendErr := s.write(r)
 	resp, err := http.ReadResponse(s.reader, r)
 	if err != nil {
 		s.close()
@@ -84,6 +87,27 @@
 	}
 }
 
+// version returns the caller's version of HTTP.
+func (s *session) version() string {
+	if s.http10 {
+		return "HTTP/1.0"
+	}
+	return "HTTP/1.1"
+}
+
+// write sends a request in the caller's version of HTTP.
+func (s *session) write(r *http.Request) error {
+	if !s.http10 {
+		return r.Write(s.conn)
+	}
+	var request bytes.Buffer
+	if err := r.Write(&request); err != nil {
+		return err
+	}
+	_, err := s.conn.Write(bytes.Replace(request.Bytes(), []byte(" HTTP/1.1\r\n"), []byte(" HTTP/1.0\r\n"), 1))
+	return err
+}
+
 // resultCode returns the result code of a response, or 0.
 func resultCode(h http.Header) resultcode.Code {
 	code, err := strconv.ParseUint(h.Get(resultcode.Header), 10, 16)
