--- a/soak/doc.go
+++ b/soak/doc.go
@@ -8,7 +8,8 @@
 // end and read whatever arrives as the response to what they have just sent. Processes
 // are killed, paused, stopped and restarted by signals, in series that overlap; a control
 // VM may lose its data directory. Endpoints refuse, answer early, cut heads and bodies,
-// repeat answers, send heads that are no HTTP responses, restart on their address, and change their identifier on their open
+// repeat answers, send heads that are no HTTP responses, cut answers while the request is
+// being sent, restart on their address, and change their identifier on their open
 // connections (standin.Faults). Callers repeat the identifier of a refused request, at one
 // entry and at others, or send it twice at a time; each request of theirs is judged by its
 // own answer and its own runs, which a number in the query tells apart. The operator evacuates
@@ -22,7 +23,9 @@
 // entries and control VMs are lost, and streams are cut off. In
 // TestStreamsAtAnEntryThatStoodStillDuringARelease one entry is frozen meanwhile.
 //
+// In TestAnswersCutEarlyAreNotWhole callers send long requests, some of them with HTTP/1.0.
+//
 // go test ./soak runs one short fixed seed and the regression seeds. make soak runs many
-// (SOAK_SEEDS, SOAK_FIRST, SOAK_SECONDS) of both plays; each tenth seed of TestSoak has a
+// (SOAK_SEEDS, SOAK_FIRST, SOAK_SECONDS) of these plays; each tenth seed of TestSoak has a
 // large fleet.
 package soak
