standin: one type counts the faults of the endpoints

Copies, malformed answers and early cuts each had a field, a getter and a recorder of their own. They are atomic counters of Fleet.Counts now. forward: a reason why a response of which nothing was passed on is dropped.

--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -196,7 +196,7 @@
 		c.relay = newRelay(c, resp)
 	}
 	if err := c.relay.copy(resp); err != nil {
-		if !c.relay.begun() {
+		if !c.relay.begun() { // the request can still be refused, or sent to another endpoint
 			c.relay.release()
 			c.relay = nil
 		}
--- a/soak/copies_test.go
+++ b/soak/copies_test.go
@@ -50,7 +50,7 @@
 
 // run plays at two plain endpoints; the others are leaving.
 func (p *copyPlay) run(t *testing.T, c *callers, seed uint64) {
-	f, copies := c.fleet, c.fleet.endpoints.Copies()
+	f, copies := c.fleet, c.fleet.endpoints.Counts.Copies.Load()
 	for i, e := range f.servers {
 		e.SetLeaving(i > 1)
 		e.SetWork(p.work)
@@ -73,7 +73,7 @@
 			t.Errorf("request %s, number %d: %s", o.id, o.number, violation)
 		}
 	}
-	copies = f.endpoints.Copies() - copies
+	copies = f.endpoints.Counts.Copies.Load() - copies
 	t.Logf("%d requests, %d copies of refusals", len(c.outcomes), copies)
 }
 
--- a/soak/cutearly_test.go
+++ b/soak/cutearly_test.go
@@ -46,7 +46,7 @@
 	}
 	wg.Wait()
 	served, statuses := f.checkOutcomes(load.outcomes)
-	cut := f.endpoints.CutEarly()
+	cut := f.endpoints.Counts.CutEarly.Load()
 	t.Logf("%d requests, %d served, %v by status, %d answers cut early", len(load.outcomes), served, statuses, cut)
 	if served == 0 || cut == 0 {
 		t.Error("no request was served, or no answer was cut early")
--- a/soak/malformed_test.go
+++ b/soak/malformed_test.go
@@ -34,7 +34,7 @@
 	}
 	wg.Wait()
 	served, statuses := f.checkOutcomes(load.outcomes)
-	malformed := f.endpoints.Malformed()
+	malformed := f.endpoints.Counts.Malformed.Load()
 	t.Logf("%d requests, %d served, %v by status, %d malformed answers", len(load.outcomes), served, statuses, malformed)
 	if served == 0 || malformed == 0 {
 		t.Error("no request was served, or no answer was malformed")
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -90,7 +90,7 @@
 	}
 	f.checkLastCatalog(acked)
 	served, statuses := f.checkOutcomes(outcomes)
-	t.Logf("seed %d: %d requests, %d served, %v by status, catalog %d, %d runs, %d copies of refusals, %d MB at most in an entry", seed, len(outcomes), served, statuses, acked, f.endpoints.Total(), f.endpoints.Copies(), f.peakMemory/1e6)
+	t.Logf("seed %d: %d requests, %d served, %v by status, catalog %d, %d runs, %d copies of refusals, %d MB at most in an entry", seed, len(outcomes), served, statuses, acked, f.endpoints.Total(), f.endpoints.Counts.Copies.Load(), f.peakMemory/1e6)
 	if t.Failed() {
 		f.saveLogs(seed)
 	}
