--- a/internal/coordination/forward/close_test.go
+++ b/internal/coordination/forward/close_test.go
@@ -63,10 +63,19 @@
 	client := httpclient.New(httpclient.Options{ConnectTimeout: time.Minute})
 	w.t.Cleanup(client.Close)
 	w.server.cfg.Client = client
-	w.server.SetEndpoints([]pool.Endpoint{
-		{Endpoint: directory.Endpoint{ID: "p1", Service: "plain", Address: address, Slots: 4}},
-		{Endpoint: directory.Endpoint{ID: "e1", Service: "models", Address: address, Slots: 4, Models: []directory.Resident{{Model: "m"}}}},
-	})
+	w.server.SetEndpoints(endpointsAt(address, 1))
+}
+
+// endpointsAt returns n endpoints of each service, which all have the same address.
+func endpointsAt(address string, n int) []pool.Endpoint {
+	var out []pool.Endpoint
+	for i := 1; i <= n; i++ {
+		out = append(out,
+			pool.Endpoint{Endpoint: directory.Endpoint{ID: fmt.Sprint("p", i), Service: "plain", Address: address, Slots: 4}},
+			pool.Endpoint{Endpoint: directory.Endpoint{ID: fmt.Sprint("e", i), Service: "models", Address: address, Slots: 4, Models: []directory.Resident{{Model: "m"}}}},
+		)
+	}
+	return out
 }
 
 func (e closingEndpoint) serve(c *net.TCPConn) {
--- a/internal/coordination/forward/early_test.go
+++ b/internal/coordination/forward/early_test.go
@@ -11,8 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/radishloom/radishloom/internal/coordination/directory"
-	"github.com/radishloom/radishloom/internal/coordination/pool"
 	"github.com/radishloom/radishloom/internal/resultcode"
 	"github.com/radishloom/radishloom/internal/standin/rawserver"
 )
@@ -122,7 +120,7 @@
 					e := earlyEndpoint{part: head, read: 1, whole: "id: 1\ndata: whole\n\n"}
 					address := rawserver.Listen(t, e.serve)
 					w := newConnectedFixture(t, address)
-					w.addEndpoints(address)
+					w.server.SetEndpoints(endpointsAt(address, 2))
 					resp, body, err := w.upload(version, path, 1)
 					if err != nil {
 						t.Fatalf("the caller got no answer: %v", err)
@@ -141,13 +139,3 @@
 		}
 	}
 }
-
-// addEndpoints adds one endpoint of each service at the address.
-func (w *fixture) addEndpoints(address string) {
-	w.server.SetEndpoints([]pool.Endpoint{
-		{Endpoint: directory.Endpoint{ID: "p1", Service: "plain", Address: address, Slots: 4}},
-		{Endpoint: directory.Endpoint{ID: "p2", Service: "plain", Address: address, Slots: 4}},
-		{Endpoint: directory.Endpoint{ID: "e1", Service: "models", Address: address, Slots: 4, Models: []directory.Resident{{Model: "m"}}}},
-		{Endpoint: directory.Endpoint{ID: "e2", Service: "models", Address: address, Slots: 4, Models: []directory.Resident{{Model: "m"}}}},
-	})
-}
--- a/internal/httpresponse/transport.go
+++ b/internal/httpresponse/transport.go
@@ -63,6 +63,10 @@
 // isCloseDelimited reports whether only the close of the connection ends the body. The end of
 // a body that net/http has decompressed is part of its encoding.
 func isCloseDelimited(resp *http.Response) bool {
-	return resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 &&
-		resp.Body != http.NoBody && !resp.Uncompressed
+	return resp.ProtoMajor == 1 && !HasFraming(resp) && resp.Body != http.NoBody && !resp.Uncompressed
+}
+
+// HasFraming reports whether a Content-Length or chunked encoding marks the end of the body.
+func HasFraming(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
--- a/internal/transport/httpclient/body.go
+++ b/internal/transport/httpclient/body.go
@@ -30,7 +30,7 @@
 
 func newResponse(ctx context.Context, cn *conn, resp *http.Response, req *exchange.Request) *exchange.Response {
 	b := &body{ctx: ctx, conn: cn, r: checkedBody{resp}, noReuse: resp.Close || cn.sendFailed || cn.skippedRefusal || cn.refused.full()}
-	b.closeDelimited = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	b.closeDelimited = !httpresponse.HasFraming(resp)
 	b.allowCloseDelimited = req.AllowCloseDelimited
 	b.noReuse = b.noReuse || b.closeDelimited || (req.MayReuse != nil && !req.MayReuse(resp.StatusCode, resp.Header))
 	out := &exchange.Response{Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, CloseDelimited: b.closeDelimited, Body: b}
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -297,7 +297,7 @@
 // skipResponse reads a response to an earlier request to its end, and returns the
 // size of its body.
 func skipResponse(resp *http.Response, limit int64) (skipped int64, err error) {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if !httpresponse.HasFraming(resp) {
 		return 0, httpresponse.ErrCloseDelimited
 	}
 	skipped, err = io.CopyN(io.Discard, checkedBody{resp}, limit)
--- a/internal/transport/httpclient/early_test.go
+++ b/internal/transport/httpclient/early_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -224,7 +225,7 @@
 	ended := c.server.accept(l)
 	req := uploadRequest(l.Addr().String())
 	if c.asReader {
-		req.BodyReader = io.LimitReader(endlessText{}, int64(c.size))
+		req.BodyReader = bytes.NewReader(make([]byte, c.size))
 	} else {
 		req.Body = make([]byte, c.size)
 	}
@@ -243,17 +244,6 @@
 	return ""
 }
 
-// endlessText is a reader without end.
-type endlessText struct{}
-
-// Read implements io.Reader.
-func (endlessText) Read(p []byte) (int, error) {
-	for i := range p {
-		p[i] = 'x'
-	}
-	return len(p), nil
-}
-
 // Guards against part of a response that counts as complete, and against a false run state,
 // when an endpoint answers while a long request is being sent and ends the connection at any
 // byte of the response, with each framing.
--- a/soak/cutearly_test.go
+++ b/soak/cutearly_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
 	"strconv"
-	"sync"
 	"testing"
 	"time"
 
@@ -27,36 +25,15 @@
 }
 
 func playEarlyCuts(t *testing.T, binary string, seed int) {
-	const (
-		callerCount = 16
-		rate        = 0.25
-		length      = 4 * time.Second
-	)
 	f := newFleet(t, seed, binary, size{control: 3, entries: 3, direct: true})
 	f.putFirstCatalog(uploadDeadline)
-	f.waitReady(startTimeout)
-	for i, e := range f.servers {
-		e.SetFaults(standin.Faults{CutEarly: rate}, uint64(seed+i))
-	}
-	load := &callers{fleet: f}
-	end := time.Now().Add(length)
-	var wg sync.WaitGroup
-	for i := range callerCount {
-		wg.Go(func() { load.uploadUntil(end, i, rand.New(rand.NewPCG(uint64(seed), uint64(i)))) })
-	}
-	wg.Wait()
-	served, statuses := f.checkOutcomes(load.outcomes)
-	cut := f.endpoints.Counts.CutEarly.Load()
-	t.Logf("%d requests, %d served, %v by status, %d answers cut early", len(load.outcomes), served, statuses, cut)
-	if served == 0 || cut == 0 {
-		t.Error("no request was served, or no answer was cut early")
-	}
+	statuses := f.playFault(faultPlay{
+		faults: standin.Faults{CutEarly: 0.25}, count: &f.endpoints.Counts.CutEarly,
+		callers: 16, call: (*callers).uploadUntil,
+	})
 	if n := statuses[0]; n > 0 {
 		t.Errorf("%d callers got no answer", n)
 	}
-	if n := statuses[http.StatusGatewayTimeout]; n > 0 {
-		t.Errorf("%d callers waited until their deadline", n)
-	}
 	if t.Failed() {
 		f.saveLogs(seed)
 	}
--- a/soak/malformed_test.go
+++ b/soak/malformed_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -15,33 +13,13 @@
 // is believed, or on which a caller waits until its deadline. Status 000 and names with a
 // blank or a control byte count.
 func TestMalformedAnswersReachNoCaller(t *testing.T) {
-	const (
-		seed, callerCount = 9048, 36
-		rate              = 0.1
-		length            = 4 * time.Second
-	)
+	const seed = 9048
 	f := newFleet(t, seed, buildDaemon(t), size{control: 3, entries: 3})
 	f.putFirstCatalog(standin.RouteTimeout)
-	f.waitReady(startTimeout)
-	for i, e := range f.servers {
-		e.SetFaults(standin.Faults{Malformed: rate}, seed+uint64(i))
-	}
-	load := &callers{fleet: f}
-	end := time.Now().Add(length)
-	var wg sync.WaitGroup
-	for i := range callerCount {
-		wg.Go(func() { load.callUntil(end, i, rand.New(rand.NewPCG(seed, uint64(i)))) })
-	}
-	wg.Wait()
-	served, statuses := f.checkOutcomes(load.outcomes)
-	malformed := f.endpoints.Counts.Malformed.Load()
-	t.Logf("%d requests, %d served, %v by status, %d malformed answers", len(load.outcomes), served, statuses, malformed)
-	if served == 0 || malformed == 0 {
-		t.Error("no request was served, or no answer was malformed")
-	}
-	if n := statuses[http.StatusGatewayTimeout]; n > 0 {
-		t.Errorf("%d callers waited until their deadline", n)
-	}
+	f.playFault(faultPlay{
+		faults: standin.Faults{Malformed: 0.1}, count: &f.endpoints.Counts.Malformed,
+		callers: 36, call: (*callers).callUntil,
+	})
 	if t.Failed() {
 		f.saveLogs(seed)
 	}
--- a/soak/proxy/proxy_test.go
+++ b/soak/proxy/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -50,9 +51,8 @@
 	defer c.Close() // the exchange is over
 	sent := make(chan error, 1)
 	go func() {
-		r, err := http.NewRequest(http.MethodPost, "http://"+address+"/", http.NoBody)
+		r, err := http.NewRequest(http.MethodPost, "http://"+address+"/", bytes.NewReader(make([]byte, size)))
 		if err == nil {
-			r.Body, r.ContentLength = io.NopCloser(io.LimitReader(zeros{}, int64(size))), int64(size)
 			err = r.Write(c)
 		}
 		sent <- err
@@ -61,9 +61,3 @@
 	_ = c.Close() // a write that is blocked ends
 	return <-sent == nil && readErr == nil
 }
-
-// zeros has bytes without end.
-type zeros struct{}
-
-// Read implements io.Reader.
-func (zeros) Read(p []byte) (int, error) { return len(p), nil }
