control: the seeds agree on the first membership of a fleet

What callers saw: after a first start with the same three seeds in another order at each VM, manifests were acknowledged and later reads at some control VMs showed older ones, for good.

Cause: a VM founded a fleet if it stood first in its own list and each other seed had answered that it belongs to none. That answer bound nobody: two VMs that each stand first ask each other before either has founded. With lists in which no VM stands first, none founds.

Change: the seeds run single-decree Paxos on the first membership (state/bootstrap), over the sorted set of their addresses. A seed saves its promise and its acceptance (wal, file "bootstrap") before it answers, so they hold across restarts, and takes part only for the seeds of its own first start. Two majorities share a seed, so that no two memberships are decided, and a majority is enough. All seeds that answered are voters from the first entry on. The core is restarted from disk when the membership is installed, since it may have saved a vote before.

Evidence: TestSeedsInAnyOrderFoundOneFleet with the test network of this commit on: the servers end with the memberships {0} and {1, 2}, each with its leader.

TestFullDiskOfAFollowerDoesNotRefuseChanges fills a disk once three servers vote. Three voters used to imply a leader, now they may still elect one, and a member that cannot save the term of its first leader never hears of it. The test waits for a leader as well, which is the state that it started from. The simulation founds its fleet with the same call as the server.

--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -52,6 +52,10 @@
 	return nil, errUnreachable
 }
 
+func (soloTransport) Bootstrap(context.Context, *statev1.Member, *peerv1.BootstrapRequest) (*peerv1.BootstrapResponse, error) {
+	return nil, errUnreachable
+}
+
 // inProcessClient calls the control server in this process. Messages are copied,
 // as they are when sent over a connection.
 type inProcessClient struct {
--- a/internal/coordination/control/config.go
+++ b/internal/coordination/control/config.go
@@ -66,6 +66,20 @@
 	// joinInterval is the pause between two rounds of join requests.
 	joinInterval = 500 * time.Millisecond
 	joinTimeout  = 3 * time.Second
+	// bootstrapInterval is the shortest pause between two attempts of a seed to agree
+	// on the first membership, bootstrapTimeout the longest time of one.
+	bootstrapInterval = 200 * time.Millisecond
+	bootstrapTimeout  = time.Second
+	// bootstrapTakeover is how much later than the seed before it, in the order of
+	// their addresses, a seed makes its first attempt: attempts at the same time
+	// prevent each other.
+	bootstrapTakeover = time.Second
+	// bootstrapPatience is the time since its start in which a seed waits for the
+	// promises of all seeds. From then on a majority is enough.
+	bootstrapPatience = 1500 * time.Millisecond
+	// bootstrapGrace is how long an attempt then waits for further promises.
+	bootstrapGrace = 200 * time.Millisecond
+
 	// rejoinRounds is the number of rounds without a known leader after which a
 	// member sends join requests again.
 	rejoinRounds = 6
@@ -111,6 +125,11 @@
 	// EvacuationChanged reports, on the leader, that an operator began or ended the
 	// evacuation of a data centre.
 	EvacuationChanged(dataCentre string, evacuated bool, author string, version uint64)
+	// BootstrapRefused reports that a seed refuses to agree with this VM on the first
+	// membership of a fleet.
+	BootstrapRefused(address string, err error)
+	// Bootstrapped reports the first membership of the fleet, once it is decided.
+	Bootstrapped(m *statev1.Membership)
 	// CommitLatency reports the time from the proposal of a command until it is
 	// applied.
 	CommitLatency(d time.Duration)
@@ -129,8 +148,11 @@
 	// Peers are the control VMs from the settings. Only their addresses are
 	// used.
 	Peers []*statev1.Member
-	// Bootstrap allows the first of Peers to start a new fleet if its data folder
-	// is empty and every other peer has answered that it belongs to no fleet.
+	// Bootstrap says that all VMs start for the first time, with empty data folders.
+	// The VMs at the addresses of Peers, in any order, then agree on the first
+	// membership of a fleet; without Peers, this VM founds one alone. It is ignored
+	// once the data folder holds a log, and must not be set for a VM that has lost its
+	// data folder.
 	Bootstrap bool
 	// MinVoters is the number of voters that a forming fleet needs before it
 	// acknowledges a change, and below which no inactive voter is removed. With
@@ -179,6 +201,9 @@
 func (noMetrics) EvacuatedDataCentres(int)          {}
 func (noMetrics) CommitLatency(time.Duration)       {}
 func (noMetrics) SnapshotTaken(int, time.Duration)  {}
+func (noMetrics) BootstrapRefused(string, error)    {}
+
+func (noMetrics) Bootstrapped(*statev1.Membership) {}
 
 func (noMetrics) EvacuationChanged(string, bool, string, uint64) {}
 
--- a/internal/coordination/control/disk_server_test.go
+++ b/internal/coordination/control/disk_server_test.go
@@ -128,7 +128,9 @@
 	for i := range 3 {
 		servers = append(servers, n.start(t, i, 3, newDisk()))
 	}
-	eventually(t, "all servers vote", func() bool { return servers[0].voters(t) == 3 })
+	eventually(t, "all servers vote and have a leader", func() bool {
+		return servers[0].voters(t) == 3 && servers[0].hasLeader(t) && servers[1].hasLeader(t)
+	})
 	follower := servers[0]
 	if _, leading := follower.Leading(t.Context()); leading {
 		follower = servers[1]
--- a/internal/coordination/control/disk_test.go
+++ b/internal/coordination/control/disk_test.go
@@ -391,7 +391,7 @@
 		v := &vm{sim: s, disk: faultfs.New(s.rand.IntN), member: &statev1.Member{Vm: "vm0", Address: "10.0.0.1:1"}, clock: &fakeClock{sim: s}}
 		s.vms = []*vm{v}
 		s.start(v)
-		s.must(v.loop.bootstrap())
+		s.must(v.loop.install(&statev1.Membership{Members: []*statev1.Member{v.loop.member}}))
 		v.disk.SetFreeBytes(0)
 		s.run(2 * time.Second)
 		v.disk.SetFreeBytes(freeDisk)
--- a/internal/coordination/control/join.go
+++ b/internal/coordination/control/join.go
@@ -109,8 +109,8 @@
 // SetPeers replaces the control VMs from the settings.
 func (s *Server) SetPeers(peers []*statev1.Member) { s.peers.Store(&peers) }
 
-// joinFleet makes this member part of a fleet. It bootstraps a fleet if allowed,
-// and otherwise sends join requests to its peers while loop.mustJoin says so.
+// joinFleet makes this member part of a fleet: it sends join requests to its peers
+// while loop.mustJoin says so.
 func (s *Server) joinFleet(ctx context.Context) {
 	for {
 		must, err := callLoop(ctx, s, noLeader("stopped"), func(done func(bool, error)) {
@@ -157,43 +157,21 @@
 }
 
 // requestJoin sends a join request to one peer after the other until one that
-// belongs to a fleet responds. If all peers respond that they belong to no fleet,
-// this VM may bootstrap one. A peer that does not respond may belong to a fleet,
-// so it prevents the bootstrap.
+// belongs to a fleet responds.
 func (s *Server) requestJoin(ctx context.Context) {
-	peersWithoutFleet := 0
 	request := &peerv1.JoinRequest{Member: s.loop.member, Replaces: s.cfg.Replaces}
 	for _, peer := range s.joinTargets(ctx) {
 		if peer.GetAddress() == s.cfg.Member.GetAddress() {
-			peersWithoutFleet++
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 		resp, err := s.cfg.Transport.Join(callCtx, peer, request)
 		cancel()
-		switch {
-		case err != nil:
-		case len(resp.GetMembership().GetMembers()) == 0:
-			peersWithoutFleet++
-		default:
-			s.joinAnswerer = peer.GetAddress()
-			_ = s.post(ctx, func() { s.loop.addKnownMembers(resp.GetMembership()) })
-			return
+		if err != nil || len(resp.GetMembership().GetMembers()) == 0 {
+			continue
 		}
+		s.joinAnswerer = peer.GetAddress()
+		_ = s.post(ctx, func() { s.loop.addKnownMembers(resp.GetMembership()) })
+		return
 	}
-	if s.mayBootstrap() && peersWithoutFleet == len(*s.peers.Load()) {
-		_ = s.post(ctx, func() {
-			if err := s.loop.bootstrap(); err != nil {
-				s.loop.fatal = err
-			}
-		})
-	}
-}
-
-// mayBootstrap reports whether this VM may start the fleet. All VMs can have the
-// same settings, so only the VM with the first address of the peers may.
-func (s *Server) mayBootstrap() bool {
-	peers := *s.peers.Load()
-	first := len(peers) == 0 || peers[0].GetAddress() == s.cfg.Member.GetAddress()
-	return s.cfg.Bootstrap && first
 }
--- a/internal/coordination/control/loop.go
+++ b/internal/coordination/control/loop.go
@@ -47,8 +47,9 @@
 	log     *wal.Log
 	machine *fleet.Machine
 	member  *statev1.Member
-	// hasLog is true if the data folder holds a log.
-	hasLog bool
+	// bootstrap is the record of a seed of a first start, which is never modified in
+	// place; nil at other VMs.
+	bootstrap *statev1.BootstrapRecord
 
 	status raft.Status
 	// applied is the index of the last entry that the state machine applied. The
@@ -112,7 +113,6 @@
 	if err != nil {
 		return nil, err
 	}
-	l.hasLog = recovered.HardState != nil || recovered.Snapshot != nil || len(recovered.Entries) != 0
 	l.member = proto.CloneOf(cfg.Member)
 	l.member.Id = recovered.MemberID
 	if s := recovered.Snapshot; s != nil {
@@ -120,6 +120,9 @@
 			return nil, errors.Join(err, l.log.Close())
 		}
 	}
+	if err := l.openBootstrap(recovered); err != nil {
+		return nil, errors.Join(err, l.log.Close())
+	}
 	return l, nil
 }
 
@@ -160,33 +163,6 @@
 	return nil
 }
 
-// bootstrap starts a fleet that has this member only. It does nothing if the
-// data folder holds a log already.
-func (l *loop) bootstrap() error {
-	if l.hasLog || l.core.Status().LastIndex != 0 {
-		return nil
-	}
-	data, err := l.machine.Snapshot()
-	if err != nil {
-		return err
-	}
-	s, err := raft.Bootstrap([]*statev1.Member{l.member}, data)
-	if err != nil {
-		return err
-	}
-	if err := l.log.SaveSnapshot(s); err != nil {
-		return fmt.Errorf("save the initial snapshot: %w", err)
-	}
-	core, err := raft.New(l.raftConfig(l.member.GetId()), nil, s, nil)
-	if err != nil {
-		return err
-	}
-	l.core = core
-	l.hasLog = true
-	l.status = core.Status()
-	return l.restore(s)
-}
-
 // step passes messages of other members to the core. It returns an error only if
 // the core detects that this member lost its log; the core drops other invalid
 // messages.
@@ -283,10 +259,7 @@
 // applied state in memory is kept, since it consists of committed entries.
 func (l *loop) reopen() error {
 	l.diskFull = true
-	if err := l.log.Close(); err != nil {
-		return fmt.Errorf("close the log on a full disk: %w", err)
-	}
-	recovered, err := l.open()
+	recovered, err := l.restart()
 	if err != nil {
 		return err
 	}
@@ -296,6 +269,14 @@
 	return nil
 }
 
+// restart creates the core anew from the state on disk.
+func (l *loop) restart() (*wal.Recovered, error) {
+	if err := l.log.Close(); err != nil {
+		return nil, fmt.Errorf("close the log: %w", err)
+	}
+	return l.open()
+}
+
 // failPending fails the pending proposals whose index satisfies drop, in the
 // order of their indexes.
 func (l *loop) failPending(drop func(index uint64) bool, err error) {
--- a/internal/coordination/control/loop_test.go
+++ b/internal/coordination/control/loop_test.go
@@ -93,6 +93,10 @@
 	return nil, errNotSimulated
 }
 
+func (v *vm) Bootstrap(context.Context, *statev1.Member, *peerv1.BootstrapRequest) (*peerv1.BootstrapResponse, error) {
+	return nil, errNotSimulated
+}
+
 // change is one configuration change of an operator. firstResult is the first
 // result that was received for it.
 type change struct {
@@ -147,7 +151,7 @@
 		s.vms = append(s.vms, v)
 		s.start(v)
 	}
-	s.must(s.vms[0].loop.bootstrap())
+	s.must(s.vms[0].loop.install(&statev1.Membership{Members: []*statev1.Member{s.vms[0].loop.member}}))
 	return s
 }
 
--- a/internal/coordination/control/server.go
+++ b/internal/coordination/control/server.go
@@ -25,6 +25,7 @@
 	Propose(ctx context.Context, to *statev1.Member, r *peerv1.ProposeRequest) (*peerv1.ProposeResponse, error)
 	Sync(ctx context.Context, to *statev1.Member, r *peerv1.SyncRequest) (*peerv1.SyncResponse, error)
 	Join(ctx context.Context, to *statev1.Member, r *peerv1.JoinRequest) (*peerv1.JoinResponse, error)
+	Bootstrap(ctx context.Context, to *statev1.Member, r *peerv1.BootstrapRequest) (*peerv1.BootstrapResponse, error)
 }
 
 const (
@@ -100,6 +101,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var joining sync.WaitGroup
 	joining.Go(func() { s.joinFleet(background) })
+	joining.Go(func() { s.bootstrapFleet(background) })
 	err := s.runLoop(ctx)
 	cancel()
 	close(s.stopped)
--- a/internal/coordination/control/server_test.go
+++ b/internal/coordination/control/server_test.go
@@ -20,8 +20,10 @@
 type network struct {
 	mu      sync.Mutex
 	servers map[string]*Server
-	// hangs is an address at which Join calls get no answer.
+	// hangs is an address at which Join and Bootstrap calls get no answer.
 	hangs string
+	// delay is how long these calls take to arrive.
+	delay time.Duration
 }
 
 var errUnreachable = errors.New("unreachable")
@@ -38,6 +40,27 @@
 	n.servers[address] = s
 }
 
+// hang sets the address at which calls get no answer.
+func (n *network) hang(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hangs = address
+}
+
+// arrive waits until a Join or Bootstrap call has arrived, or for its end if it gets no
+// answer.
+func (n *network) arrive(ctx context.Context, to *statev1.Member) error {
+	n.mu.Lock()
+	hangs := to.GetAddress() == n.hangs
+	n.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(n.delay)
+	return nil
+}
+
 func (n *network) Send(to *statev1.Member, messages []*statev1.Message) {
 	if s := n.at(to); s != nil {
 		s.Step(messages)
@@ -59,9 +82,8 @@
 }
 
 func (n *network) Join(ctx context.Context, to *statev1.Member, r *peerv1.JoinRequest) (*peerv1.JoinResponse, error) {
-	if to.GetAddress() == n.hangs {
-		<-ctx.Done()
-		return nil, ctx.Err()
+	if err := n.arrive(ctx, to); err != nil {
+		return nil, err
 	}
 	if s := n.at(to); s != nil {
 		return s.Join(ctx, r)
@@ -69,6 +91,16 @@
 	return nil, errUnreachable
 }
 
+func (n *network) Bootstrap(ctx context.Context, to *statev1.Member, r *peerv1.BootstrapRequest) (*peerv1.BootstrapResponse, error) {
+	if err := n.arrive(ctx, to); err != nil {
+		return nil, err
+	}
+	if s := n.at(to); s != nil {
+		return s.Bootstrap(ctx, r)
+	}
+	return nil, errUnreachable
+}
+
 // runningServer is a server whose Run method was started.
 type runningServer struct {
 	*Server
@@ -137,6 +169,15 @@
 	return n
 }
 
+func (r *runningServer) hasLeader(t *testing.T) bool {
+	t.Helper()
+	m, err := r.Members(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m.GetLeader() != 0
+}
+
 func customerChange(id string, base uint64) *peerv1.ProposeRequest {
 	return &peerv1.ProposeRequest{Command: &statev1.Command{RequestId: id, Op: &statev1.Command_ConfigChange{ConfigChange: &statev1.ConfigChange{
 		BaseVersion: base,
--- a/internal/protocol/peerrpc/server.go
+++ b/internal/protocol/peerrpc/server.go
@@ -22,6 +22,7 @@
 	Propose(ctx context.Context, r *peerv1.ProposeRequest) (*peerv1.ProposeResponse, error)
 	Sync(ctx context.Context, r *peerv1.SyncRequest) (*peerv1.SyncResponse, error)
 	Join(ctx context.Context, r *peerv1.JoinRequest) (*peerv1.JoinResponse, error)
+	Bootstrap(ctx context.Context, r *peerv1.BootstrapRequest) (*peerv1.BootstrapResponse, error)
 	Members(ctx context.Context) (*peerv1.MembersResponse, error)
 }
 
@@ -70,6 +71,11 @@
 	return resp, toTwirp(err)
 }
 
+func (s fleetServer) Bootstrap(ctx context.Context, r *peerv1.BootstrapRequest) (*peerv1.BootstrapResponse, error) {
+	resp, err := s.control.Bootstrap(ctx, r)
+	return resp, toTwirp(err)
+}
+
 func (s fleetServer) Members(ctx context.Context, _ *peerv1.MembersRequest) (*peerv1.MembersResponse, error) {
 	resp, err := s.control.Members(ctx)
 	return resp, toTwirp(err)
--- a/internal/protocol/peerrpc/transport.go
+++ b/internal/protocol/peerrpc/transport.go
@@ -184,6 +184,14 @@
 	return resp, t.callError(to.GetAddress(), err, resultcode.ChangeUnconfirmed)
 }
 
+// Bootstrap sends a step of the agreement on the first membership to a seed.
+func (t *Transport) Bootstrap(ctx context.Context, to *statev1.Member, r *peerv1.BootstrapRequest) (*peerv1.BootstrapResponse, error) {
+	ctx, cancel := withDefaultTimeout(ctx, forwardTimeout)
+	defer cancel()
+	resp, err := t.fleet(to.GetAddress()).Bootstrap(ctx, r)
+	return resp, t.callError(to.GetAddress(), err, resultcode.NoLeader)
+}
+
 // Members requests the membership from a control VM.
 func (t *Transport) Members(ctx context.Context, address string) (*peerv1.MembersResponse, error) {
 	ctx, cancel := withDefaultTimeout(ctx, forwardTimeout)
--- a/internal/state/wal/recover.go
+++ b/internal/state/wal/recover.go
@@ -77,51 +77,65 @@
 }
 
 func (l *Log) open() (*Recovered, error) {
-	segments, snapshots, hasIdentity, err := l.listFiles()
+	files, err := l.listFiles()
 	if err != nil {
 		return nil, err
 	}
 	switch {
-	case len(segments) == 0 && len(snapshots) == 0:
+	case len(files.segments) == 0 && len(files.snapshots) == 0:
 		return l.create()
-	case !hasIdentity:
+	case !files.identity:
 		return nil, fmt.Errorf("%s: %w", l.dir, ErrIdentityMissing)
-	case len(segments) == 0:
-		return nil, &CorruptError{File: l.snapshotPath(snapshots[len(snapshots)-1]), Reason: "the folder holds a snapshot but no segment"}
+	case len(files.segments) == 0:
+		return nil, &CorruptError{File: l.snapshotPath(files.snapshots[len(files.snapshots)-1]), Reason: "the folder holds a snapshot but no segment"}
 	}
 	if l.memberID, err = l.readIdentity(); err != nil {
 		return nil, err
 	}
-	return l.recover(segments, snapshots)
+	r, err := l.recover(files.segments, files.snapshots)
+	if err != nil || !files.bootstrap {
+		return r, err
+	}
+	r.Bootstrap, err = l.readBootstrap()
+	return r, err
+}
+
+// logFiles are the files of a folder: the numbers of segments and snapshots in ascending
+// order, and which of the other files exist.
+type logFiles struct {
+	segments, snapshots []uint64
+	identity, bootstrap bool
 }
 
-// listFiles returns the numbers of segments and snapshots in ascending order and
-// removes temporary files.
-func (l *Log) listFiles() (segments, snapshots []uint64, hasIdentity bool, err error) {
+// listFiles returns the files of the folder and removes temporary ones.
+func (l *Log) listFiles() (logFiles, error) {
+	var files logFiles
 	names, err := l.fs.ReadDir(l.dir)
 	if err != nil {
-		return nil, nil, false, fmt.Errorf("wal: %w", err)
+		return files, fmt.Errorf("wal: %w", err)
 	}
 	for _, name := range names {
 		switch {
 		case strings.HasSuffix(name, tempSuffix):
 			if err := l.fs.Remove(filepath.Join(l.dir, name)); err != nil {
-				return nil, nil, false, fmt.Errorf("wal: %w", err)
+				return files, fmt.Errorf("wal: %w", err)
 			}
 		case name == identityName:
-			hasIdentity = true
+			files.identity = true
+		case name == bootstrapName:
+			files.bootstrap = true
 		case strings.HasSuffix(name, segmentSuffix):
-			segments, err = appendNumber(segments, name, segmentSuffix)
+			files.segments, err = appendNumber(files.segments, name, segmentSuffix)
 		case strings.HasSuffix(name, snapshotSuffix):
-			snapshots, err = appendNumber(snapshots, name, snapshotSuffix)
+			files.snapshots, err = appendNumber(files.snapshots, name, snapshotSuffix)
 		}
 		if err != nil {
-			return nil, nil, false, err
+			return files, err
 		}
 	}
-	slices.Sort(segments)
-	slices.Sort(snapshots)
-	return segments, snapshots, hasIdentity, nil
+	slices.Sort(files.segments)
+	slices.Sort(files.snapshots)
+	return files, nil
 }
 
 func appendNumber(numbers []uint64, name, suffix string) ([]uint64, error) {
@@ -409,16 +423,16 @@
 // removeObsolete removes segments before the newest base segment and older
 // snapshots. The next Open removes files for which this fails.
 func (l *Log) removeObsolete() {
-	segments, snapshots, _, err := l.listFiles()
+	files, err := l.listFiles()
 	if err != nil {
 		return
 	}
-	for _, n := range segments {
+	for _, n := range files.segments {
 		if n < l.baseSegment {
 			_ = l.fs.Remove(l.segmentPath(n))
 		}
 	}
-	for _, n := range snapshots {
+	for _, n := range files.snapshots {
 		if n < l.snapIndex {
 			_ = l.fs.Remove(l.snapshotPath(n))
 		}
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -1,10 +1,10 @@
 // Package wal implements a write-ahead log: it stores the replicated log, the hard
 // state, snapshots and the member's identity in one folder.
 //
-// The folder holds "identity", "lock", segments (<number>.wal) and snapshots
-// (<index>.snap). Identity, segments and snapshots are written under a temporary
-// name, synced and renamed, and then the folder is synced, so that each exists
-// either completely or not at all. A segment starts with a header frame; each
+// The folder holds "identity", "lock", "bootstrap", segments (<number>.wal) and
+// snapshots (<index>.snap). All but the lock are written under a temporary name,
+// synced and renamed, and then the folder is synced, so that each exists either
+// completely or not at all. A segment starts with a header frame; each
 // Append adds one frame. SaveSnapshot starts a base segment, which holds the
 // entries that follow the snapshot, and removes all older files, so that the cost
 // of Open depends on the entries since the last snapshot and not on the length of
@@ -74,6 +74,9 @@
 	Snapshot  *statev1.Snapshot
 	// Entries follow the snapshot.
 	Entries []*statev1.LogEntry
+	// Bootstrap is the record of the agreement on the first membership; nil if none was
+	// saved.
+	Bootstrap *statev1.BootstrapRecord
 	// TornBytes is the size of the torn tail that was truncated.
 	TornBytes int64
 }
--- a/internal/state/wal/wal_test.go
+++ b/internal/state/wal/wal_test.go
@@ -144,3 +144,24 @@
 		t.Fatalf("members %x, %x, %x", first.MemberID, second.MemberID, third.MemberID)
 	}
 }
+
+// Guards against a bootstrap record that is lost in a crash, after a snapshot or on a full
+// disk.
+func TestBootstrapRecordIsKept(t *testing.T) {
+	fs := newFS(1)
+	l, r := mustOpen(t, fs, wal.Options{})
+	if r.Bootstrap != nil {
+		t.Fatalf("a new folder holds the record %v", r.Bootstrap)
+	}
+	record := &statev1.BootstrapRecord{Seeds: []string{"a", "b"}, Promised: &statev1.BootstrapBallot{Round: 3, Member: 1}}
+	must(t, l.SaveBootstrap(record))
+	must(t, l.SaveSnapshot(snapshotAt(1, 1)))
+	fs.SetFreeBytes(0)
+	if err := l.SaveBootstrap(&statev1.BootstrapRecord{}); !errors.Is(err, wal.ErrDiskFull) {
+		t.Errorf("on a full disk: got %v", err)
+	}
+	fs.Crash()
+	if _, r = mustOpen(t, fs, wal.Options{}); !proto.Equal(r.Bootstrap, record) {
+		t.Errorf("after a crash: got %v, want %v", r.Bootstrap, record)
+	}
+}
--- a/internal/telemetry/control.go
+++ b/internal/telemetry/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	statev1 "github.com/radishloom/radishloom/api/state/v1"
 )
 
 // ControlMetrics implements control.Metrics: it records the measurements of a
@@ -47,6 +48,20 @@
 	c.Log.Warn("evacuation changed", "target_data_centre", dataCentre, "evacuated", evacuated, "author", author, "version", version)
 }
 
+// BootstrapRefused implements control.Metrics.
+func (c ControlMetrics) BootstrapRefused(address string, err error) {
+	c.Log.Warn("a seed refuses to agree on the first membership of the fleet", "seed", address, "error", err)
+}
+
+// Bootstrapped implements control.Metrics.
+func (c ControlMetrics) Bootstrapped(m *statev1.Membership) {
+	var vms []string
+	for _, x := range m.GetMembers() {
+		vms = append(vms, x.GetVm())
+	}
+	c.Log.Info("the first membership of the fleet is decided", "vms", vms)
+}
+
 // LogSize implements control.Metrics.
 func (c ControlMetrics) LogSize(entries uint64, bytes int) { c.Metrics.LogSize(int64(bytes), entries) }
 
