--- a/internal/coordination/control/bootstrap_test.go
+++ b/internal/coordination/control/bootstrap_test.go
@@ -102,6 +102,27 @@
 	}
 }
 
+// Guards against a fleet that is never founded since one seed is lost right after the
+// first start.
+func TestFleetIsFoundedWithoutOneSeed(t *testing.T) {
+	for lost := range 3 {
+		t.Run(fmt.Sprint("seed ", lost), func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
+				n := &network{servers: map[string]*Server{}, delay: time.Millisecond, hangs: seedMember(lost).GetAddress()}
+				var servers []*runningServer
+				for i := range 4 {
+					if i != lost {
+						servers = append(servers, n.startSeed(t, i, 0, 1, 2))
+					}
+				}
+				time.Sleep(foundingTime)
+				checkSameFleet(t, servers...)
+				stopAll(t, servers...)
+			})
+		})
+	}
+}
+
 // Guards against a VM whose older settings name other seeds, and which founds a fleet of
 // its own or keeps the others from founding one.
 func TestSeedWithAnOldListJoinsTheFleet(t *testing.T) {
