forward: a change of other routes does not make streams unknown

Cause: routeChanges compared the resumable routes of the whole host. Any difference counted for each of its streams, and the leader, which had a report of each, was not asked.

Change: routeHistory keeps the tables of resumable routes that were replaced within streamMemory, and looks up the path of the stream in each of them. If all name the same service, the leader is asked. Beyond 64 tables in a minute the answer is that there may be others.

TestStreamGoesOnAfterAChangeOfOtherRoutes on: status 503, 4013 (route moved; the test stops at the first). TestStreamOfARouteThatMovedIsUnknown holds as it was.

--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -100,7 +100,7 @@
 		listState    listState
 		streams      *StreamRegister
 		doubtful     doubtfulEndpoints
-		routeChanges routeChanges
+		routeHistory routeHistory
 		lookups      lookups
 	}
 }
@@ -126,7 +126,6 @@
 	s.mu.streams = NewStreamRegister()
 	s.mu.lookups = newLookups()
 	s.mu.doubtful = doubtfulEndpoints{}
-	s.mu.routeChanges = routeChanges{}
 	return s
 }
 
@@ -169,7 +168,7 @@
 	if old := s.index.Load(); old != nil && old.Version() >= x.Version() {
 		return
 	}
-	s.mu.routeChanges.note(s.now(), s.index.Load(), x)
+	s.mu.routeHistory.set(s.now(), x)
 	s.index.Store(x)
 	s.mu.entry.SetWarmUps(s.warmUpOf)
 	s.cfg.Log.Info("catalog applied", "version", x.Version(), "routes", len(x.Catalog().Routes), "since_start_ms", s.now().Milliseconds())
--- a/internal/coordination/forward/takeup.go
+++ b/internal/coordination/forward/takeup.go
@@ -68,28 +68,17 @@
 	s := c.server
 	s.mu.Lock()
 	version, found := s.mu.streams.Version(s.now(), c.stream)
-	moved := s.mu.routeChanges.recent(s.now(), c.route.Host)
+	services, complete := s.mu.routeHistory.services(s.now(), c.route.Host, c.req.Path)
 	s.mu.Unlock()
 	if found {
 		return version, takeUpOwnMemory
 	}
-	if moved || c.severalServices() {
+	if !complete || len(services) != 1 {
 		return "", takeUpUnknown // the leader cannot tell which of them began the stream
 	}
 	return s.lookUpStream(c.ctx, lookupKey{c.stream, c.service.Name}), takeUpLeader
 }
 
-// severalServices reports whether the streams of the route begin at several services.
-func (c *call) severalServices() bool {
-	n := 0
-	for _, split := range c.route.Splits {
-		if split.Weight > 0 {
-			n++
-		}
-	}
-	return n > 1
-}
-
 func notResumable(format string, args ...any) *resultcode.Error {
 	err := resultcode.New(resultcode.StreamNotResumable, format, args...)
 	err.RetryAfter = newStreamRetryAfter
