--- a/internal/coordination/directory/streamrecords.go
+++ b/internal/coordination/directory/streamrecords.go
@@ -9,7 +9,7 @@
 // streamMemory. Beyond it, those that were reported first are forgotten.
 const maxStreamRecords = 1 << 18
 
-// streamRecords holds the software versions at which streams began.
+// streamRecords holds the services and software versions at which streams began.
 type streamRecords struct {
 	byStream map[uint64]streamRecord
 	// queue has the records in the order of their reports. An element whose time differs
@@ -17,12 +17,14 @@
 	queue []queuedStream
 }
 
-// streamRecord is the version that began a stream; an empty one is unknown.
+// streamRecord is what began a stream; unknown if its version is empty.
 type streamRecord struct {
-	version unique.Handle[string]
+	origin  unique.Handle[ServiceVersion]
 	expires time.Duration
 }
 
+func (r streamRecord) unknown() bool { return r.origin.Value().Version == "" }
+
 type queuedStream struct {
 	stream  uint64
 	expires time.Duration
@@ -32,19 +34,21 @@
 	return streamRecords{byStream: map[uint64]streamRecord{}}
 }
 
-func (r *streamRecords) record(now time.Duration, stream uint64, version string, age time.Duration) {
-	next := streamRecord{version: unique.Make(version), expires: now - age + streamMemory}
-	if version == "" {
-		next.expires = now + streamMemory
+// record records what began a stream, age ago. An empty version, or another origin than
+// that of an earlier report, makes it unknown.
+func (r *streamRecords) record(now time.Duration, stream uint64, origin ServiceVersion, age time.Duration) {
+	if origin.Version == "" {
+		origin, age = ServiceVersion{}, 0
 	}
+	next := streamRecord{origin: unique.Make(origin), expires: now - age + streamMemory}
 	if stream == 0 || next.expires <= now {
 		return
 	}
 	if old, known := r.byStream[stream]; known && now < old.expires {
-		if old.version == next.version || old.version.Value() == "" {
+		if old.origin == next.origin || old.unknown() {
 			return
 		}
-		next = streamRecord{version: unique.Make(""), expires: now + streamMemory}
+		next = streamRecord{origin: unique.Make(ServiceVersion{}), expires: now + streamMemory}
 	}
 	r.byStream[stream] = next
 	r.queue = append(r.queue, queuedStream{stream, next.expires})
@@ -67,12 +71,12 @@
 	return len(r.byStream)
 }
 
-// find returns the version that began a stream, which is empty if it is unknown. known is
-// false if the stream has no record.
-func (r *streamRecords) find(now time.Duration, stream uint64) (version string, known bool) {
+// find returns what began a stream, without a version if that is unknown. known is false
+// if the stream has no record.
+func (r *streamRecords) find(now time.Duration, stream uint64) (origin ServiceVersion, known bool) {
 	found, known := r.byStream[stream]
 	if !known || found.expires <= now {
-		return "", false
+		return ServiceVersion{}, false
 	}
-	return found.version.Value(), true
+	return found.origin.Value(), true
 }
--- a/internal/coordination/directory/streams.go
+++ b/internal/coordination/directory/streams.go
@@ -22,7 +22,11 @@
 	if err := s.confirmTerm(ctx, term); err != nil {
 		return nil, err
 	}
-	out.SoftwareVersions, err = s.answerStreams(term, r.GetQueries())
+	origins, err := s.answerStreams(term, r.GetQueries())
+	for _, origin := range origins {
+		out.Services = append(out.Services, origin.Service)
+		out.SoftwareVersions = append(out.SoftwareVersions, origin.Version)
+	}
 	return out, err
 }
 
@@ -47,7 +51,8 @@
 	}
 	now := s.now()
 	for _, b := range begun {
-		s.mu.versions.Record(now, b.GetStream(), b.GetSoftwareVersion(), time.Duration(b.GetAgeMs())*time.Millisecond)
+		origin := ServiceVersion{b.GetService(), b.GetSoftwareVersion()}
+		s.mu.versions.Record(now, b.GetStream(), origin, time.Duration(b.GetAgeMs())*time.Millisecond)
 	}
 	s.countStreamsLocked()
 	return term, nil
@@ -65,14 +70,14 @@
 	return nil
 }
 
-func (s *Server) answerStreams(term uint64, queries []*peerv1.StreamQuery) ([]string, error) {
+func (s *Server) answerStreams(term uint64, queries []*peerv1.StreamQuery) ([]ServiceVersion, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if current, err := s.streamsTermLocked(); err != nil || current != term {
 		return nil, notLeading()
 	}
 	now := s.now()
-	out := make([]string, len(queries))
+	out := make([]ServiceVersion, len(queries))
 	for i, q := range queries {
 		var kind StreamAnswer
 		out[i], kind = s.mu.versions.Answer(now, q.GetStream(), q.GetService())
--- a/internal/coordination/directory/streamversions.go
+++ b/internal/coordination/directory/streamversions.go
@@ -216,7 +216,7 @@
 
 // Kinds of answers, which are label values of a metric.
 const (
-	// StreamRecorded: the version was reported for this stream.
+	// StreamRecorded: what began the stream was reported.
 	StreamRecorded StreamAnswer = "recorded"
 	// StreamOnlyVersion: the service has one recent version.
 	StreamOnlyVersion StreamAnswer = "only_version"
@@ -224,28 +224,29 @@
 	StreamUnknown StreamAnswer = "unknown"
 )
 
-// Record records that a stream began at a version, age ago. An empty version, or one that
-// differs from that of an earlier report, makes the version of the stream unknown.
-func (v *StreamVersions) Record(now time.Duration, stream uint64, version string, age time.Duration) {
-	v.streams.record(now, stream, version, age)
+// Record records that a stream began at a version of a service, age ago. An empty version,
+// or an origin that differs from that of an earlier report, makes its origin unknown.
+func (v *StreamVersions) Record(now time.Duration, stream uint64, origin ServiceVersion, age time.Duration) {
+	v.streams.record(now, stream, origin, age)
 }
 
 // Streams returns the number of recorded streams.
 func (v *StreamVersions) Streams(now time.Duration) int { return v.streams.prune(now) }
 
-// Answer returns the version that began a stream of a service, which is empty if it is
-// unknown. A stream of zero has no record.
-func (v *StreamVersions) Answer(now time.Duration, stream uint64, service string) (string, StreamAnswer) {
-	if version, known := v.streams.find(now, stream); known {
-		if version == "" {
-			return "", StreamUnknown
+// Answer returns what began a stream, without a version if that is unknown. A stream of
+// zero has no record. service is the only service that can have begun the stream, or empty
+// if several can.
+func (v *StreamVersions) Answer(now time.Duration, stream uint64, service string) (ServiceVersion, StreamAnswer) {
+	if origin, known := v.streams.find(now, stream); known {
+		if origin.Version == "" {
+			return ServiceVersion{}, StreamUnknown
 		}
-		return version, StreamRecorded
+		return origin, StreamRecorded
 	}
 	if version := v.onlyVersion(service); version != "" {
-		return version, StreamOnlyVersion
+		return ServiceVersion{service, version}, StreamOnlyVersion
 	}
-	return "", StreamUnknown
+	return ServiceVersion{}, StreamUnknown
 }
 
 // onlyVersion returns the only version of a service at which streams can have begun, or an
--- a/internal/coordination/directory/streamversions_test.go
+++ b/internal/coordination/directory/streamversions_test.go
@@ -22,9 +22,13 @@
 	return out
 }
 
+// of returns the origin of a stream that began at a version of the service s.
+func of(version string) ServiceVersion { return ServiceVersion{"s", version} }
+
 func wantAnswer(t *testing.T, v *StreamVersions, now time.Duration, stream uint64, version string, kind StreamAnswer) {
 	t.Helper()
-	if got, gotKind := v.Answer(now, stream, "s"); got != version || gotKind != kind {
+	got, gotKind := v.Answer(now, stream, "s")
+	if got.Version != version || gotKind != kind || (got.Service == "s") != (version != "") {
 		t.Errorf("at %v, stream %d: %q (%s), want %q (%s)", now, stream, got, gotKind, version, kind)
 	}
 }
@@ -49,12 +53,12 @@
 	}
 	wantRecent(t, v, "v1", "v2", "v3")
 	for i := range uint64(3) {
-		v.Record(0, i+1, fmt.Sprint("v", i+1), 0)
+		v.Record(0, i+1, of(fmt.Sprint("v", i+1)), 0)
 	}
 	for i := range uint64(3) {
 		wantAnswer(t, v, time.Second, i+1, fmt.Sprint("v", i+1), StreamRecorded)
 	}
-	v.Record(0, 0, "v1", 0) // of a caller that did not state its attempt
+	v.Record(0, 0, of("v1"), 0) // of a caller that did not state its attempt
 	wantAnswer(t, v, time.Second, 9, "", StreamUnknown)
 	wantAnswer(t, v, time.Second, 0, "", StreamUnknown)
 }
@@ -117,15 +121,15 @@
 func TestContradictoryRecordsMakeAStreamUnknown(t *testing.T) {
 	v := NewStreamVersions(false)
 	v.SetList(0, endpointsAt("v1"))
-	v.Record(0, 1, "v1", 0)
-	v.Record(0, 1, "v1", time.Second)
+	v.Record(0, 1, of("v1"), 0)
+	v.Record(0, 1, of("v1"), time.Second)
 	wantAnswer(t, v, 0, 1, "v1", StreamRecorded)
-	v.Record(time.Second, 1, "v2", 0)
-	v.Record(time.Second, 1, "v1", 0)
-	v.Record(0, 2, "v1", 0)
-	v.Record(time.Second, 2, "", 5*time.Second)
-	v.Record(time.Second, 3, "", 0)
-	v.Record(time.Second, 3, "v1", 0)
+	v.Record(time.Second, 1, of("v2"), 0)
+	v.Record(time.Second, 1, of("v1"), 0)
+	v.Record(0, 2, of("v1"), 0)
+	v.Record(time.Second, 2, of(""), 5*time.Second)
+	v.Record(time.Second, 3, of(""), 0)
+	v.Record(time.Second, 3, of("v1"), 0)
 	for stream := range uint64(3) {
 		wantAnswer(t, v, streamMemory, stream+1, "", StreamUnknown)
 	}
@@ -136,13 +140,13 @@
 func TestRecordsAreBoundedInTimeAndNumber(t *testing.T) {
 	v := NewStreamVersions(false)
 	v.SetList(0, endpointsAt("v1", "v2"))
-	v.Record(0, 1, "v1", 20*time.Second)
-	v.Record(0, 2, "v1", streamMemory)
+	v.Record(0, 1, of("v1"), 20*time.Second)
+	v.Record(0, 2, of("v1"), streamMemory)
 	wantAnswer(t, v, 40*time.Second-1, 1, "v1", StreamRecorded)
 	wantAnswer(t, v, 40*time.Second, 1, "", StreamUnknown)
 	wantAnswer(t, v, 0, 2, "", StreamUnknown)
 	for i := range uint64(maxStreamRecords) {
-		v.Record(time.Second, 10+i, "v2", 0)
+		v.Record(time.Second, 10+i, of("v2"), 0)
 	}
 	if n := v.Streams(time.Second); n != maxStreamRecords {
 		t.Errorf("%d records, the bound is %d", n, maxStreamRecords)
@@ -275,3 +279,24 @@
 		}
 	})
 }
+
+// Guards against a stream of a split route that is unknown although its begin was reported,
+// or for which the only version of one of the services is a guess.
+func TestOriginOfAStreamIsKnownByItsAttempt(t *testing.T) {
+	v := NewStreamVersions(false)
+	list := endpointsAt("v1")
+	other := endpointsAt("v1")
+	other[0].ID, other[0].Service = "o", "other"
+	v.SetList(0, append(list, other...))
+	v.Record(0, 1, ServiceVersion{"other", "v1"}, 0)
+	if got, kind := v.Answer(0, 1, ""); got != (ServiceVersion{"other", "v1"}) || kind != StreamRecorded {
+		t.Errorf("a reported stream began at %v (%s)", got, kind)
+	}
+	if got, kind := v.Answer(0, 2, ""); got != (ServiceVersion{}) || kind != StreamUnknown {
+		t.Errorf("a stream without a report began at %v (%s)", got, kind)
+	}
+	v.Record(0, 1, of("v1"), 0)
+	if got, kind := v.Answer(0, 1, "s"); got != (ServiceVersion{}) || kind != StreamUnknown {
+		t.Errorf("an attempt at two services began at %v (%s)", got, kind)
+	}
+}
--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 
 	"github.com/radishloom/radishloom/internal/coordination/pool"
@@ -29,14 +30,19 @@
 	if c.req.Timeout > 0 {
 		c.deadline = min(c.deadline, c.arrived+c.req.Timeout)
 	}
-	c.service = c.index.Service(c.pickService())
-	c.query = c.newQuery()
+	c.setService(c.route.PickService(rand.Float64()))
 	if err := c.checkQuarantine(); err != nil {
 		return err
 	}
 	return c.charge()
 }
 
+// setService chooses the service that the request is sent to.
+func (c *call) setService(name string) {
+	c.service = c.index.Service(name)
+	c.query = c.newQuery()
+}
+
 func (c *call) authenticate() *resultcode.Error {
 	if c.req.Key != "" {
 		c.customer = c.index.Authenticate(c.req.Key)
@@ -146,8 +152,7 @@
 	return max(1, q.PromptTokens+perToken*output)
 }
 
-// charge takes the cost of the request from the customer's rate and counts it in
-// the retry budget and in the demand for its model.
+// charge takes the cost of the request from the customer's rate.
 func (c *call) charge() *resultcode.Error {
 	s := c.server
 	tokens := c.req.PromptTokens + c.req.OutputTokens
@@ -163,7 +168,16 @@
 		err.RetryAfter = wait
 		return err
 	}
-	s.mu.budget.CountRequest(now, c.service.Name)
+	return nil
+}
+
+// count counts the request in the retry budget of its service and in the demand for its
+// model.
+func (c *call) count() {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.budget.CountRequest(s.now(), c.service.Name)
 	if c.query.Model != "" {
 		d := demandOf(s.mu.demand, c.query.Model, "")
 		d.Requests++
@@ -172,5 +186,4 @@
 			demandOf(s.mu.demand, c.query.Model, c.query.Adapter).Requests++
 		}
 	}
-	return nil
 }
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -131,6 +131,7 @@
 		c.finish(err)
 		return
 	}
+	c.count()
 	c.run()
 }
 
--- a/internal/coordination/forward/doubtful_test.go
+++ b/internal/coordination/forward/doubtful_test.go
@@ -55,8 +55,8 @@
 	withLeader(t, &streamLeader{}, versionedEndpoints("v1"), func(t *testing.T, e *ledEntry) {
 		e.do("/stream/x", nil, reply{err: errNoConnection})
 		e.do("/resumed/x", map[string]string{"Id": "id-0"}, reply{status: 200, header: sealed(), body: firstEvent, length: -1})
-		if v, found := e.server.mu.streams.Version(e.server.now(), streamOf("id-0")); v != "" || !found {
-			t.Errorf("the stream has the version %q, want it to be unknown", v)
+		if v, found := e.server.mu.streams.Origin(e.server.now(), streamOf("id-0")); v.version != "" || !found {
+			t.Errorf("the stream began at %v, want it to be unknown", v)
 		}
 	})
 }
@@ -86,7 +86,7 @@
 			time.Sleep(2 * versionLag)
 			e.server.confirmList(e.server.now(), minHold)
 			connectedAt := time.Now().Add(test.connected)
-			e.server.mu.streams.Began(e.server.now(), streamOf("id-0"), "models", "e0", "v1")
+			e.server.mu.streams.Began(e.server.now(), streamOf("id-0"), modelsAt("v1"), "e0", false)
 			time.Sleep(versionLag + time.Second)
 			rest := restOfStream()
 			rest.connectedAt = connectedAt
@@ -96,8 +96,8 @@
 			}
 			e.endpoints.replies = nil
 			e.do("/resumed/x", map[string]string{"Id": "id-2"}, reply{status: 200, header: sealed(), body: firstEvent, length: -1, connectedAt: connectedAt})
-			if v, found := e.server.mu.streams.Version(e.server.now(), streamOf("id-2")); !found || (v != "") != test.served {
-				t.Errorf("%s: a new stream has the version %q", name, v)
+			if v, found := e.server.mu.streams.Origin(e.server.now(), streamOf("id-2")); !found || (v.version != "") != test.served {
+				t.Errorf("%s: a new stream began at %v", name, v)
 			}
 		})
 	}
--- a/internal/coordination/forward/leader_test.go
+++ b/internal/coordination/forward/leader_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -26,6 +27,10 @@
 	mu       sync.Mutex
 	term     uint64
 	versions map[uint64]string
+	// services has the service of a recorded stream, if it is not models. only has the
+	// only version of a service, at which a stream without a record began.
+	services map[uint64]string
+	only     map[string]string
 	// delay is the time until an answer; a negative one is longer than every call lasts.
 	// fails is the number of calls that fail.
 	delay     time.Duration
@@ -66,11 +71,20 @@
 	defer l.mu.Unlock()
 	out := &peerv1.StreamsResponse{Term: l.term}
 	for _, q := range r.GetQueries() {
-		out.SoftwareVersions = append(out.SoftwareVersions, l.versions[q.GetStream()])
+		service, version := l.answer(q)
+		out.Services = append(out.Services, service)
+		out.SoftwareVersions = append(out.SoftwareVersions, version)
 	}
 	return out, nil
 }
 
+func (l *streamLeader) answer(q *peerv1.StreamQuery) (service, version string) {
+	if version, recorded := l.versions[q.GetStream()]; recorded {
+		return cmp.Or(l.services[q.GetStream()], "models"), version
+	}
+	return q.GetService(), l.only[q.GetService()]
+}
+
 // begun returns the software versions in the last report of each stream.
 func (l *streamLeader) begun() map[uint64]string {
 	l.mu.Lock()
--- a/internal/coordination/forward/lookup.go
+++ b/internal/coordination/forward/lookup.go
@@ -8,8 +8,7 @@
 )
 
 const (
-	// lookupTimeout bounds the wait for the software version of a stream that a caller
-	// takes up. Within it a query can wait for the call in flight to fail, and for one of
+	// lookupTimeout bounds the wait for the origin of a stream that a caller takes up. Within it a query can wait for the call in flight to fail, and for one of
 	// its own. streamsCallTimeout bounds a call to the leader.
 	lookupTimeout      = 600 * time.Millisecond
 	streamsCallTimeout = 280 * time.Millisecond
@@ -23,20 +22,21 @@
 	reportIntervalPerEntry = 2 * time.Millisecond
 )
 
-// lookup asks the leader for the software version that began a stream. The same lookup
+// lookup asks the leader for the origin of a stream. The same lookup
 // serves all requests that ask before it is sent: an answer to a call that was sent
 // earlier may be older than the first event of the stream.
 type lookup struct {
 	query lookupKey
 	// until is when nobody waits any more.
 	until time.Duration
-	// version is valid once done is closed; empty if it is unknown.
-	version string
-	done    chan struct{}
+	// origin is valid once done is closed.
+	origin streamOrigin
+	done   chan struct{}
 }
 
 type lookupKey struct {
-	stream  uint64 // zero if the attempt is not stated
+	stream uint64 // zero if the attempt is not stated
+	// service is the only service that can have begun the stream; empty if several can.
 	service string
 }
 
@@ -89,9 +89,9 @@
 	return out
 }
 
-// lookUpStream asks the leader for the software version that began a stream. It returns
-// an empty string if that is unknown, or if there is no answer in time.
-func (s *Server) lookUpStream(ctx context.Context, key lookupKey) string {
+// lookUpStream asks the leader for the origin of a stream. It has no version if that is
+// unknown, or if there is no answer in time.
+func (s *Server) lookUpStream(ctx context.Context, key lookupKey) streamOrigin {
 	s.mu.Lock()
 	l := s.mu.lookups.add(s.now(), key)
 	s.mu.Unlock()
@@ -99,11 +99,11 @@
 	defer end.Stop()
 	select {
 	case <-l.done:
-		return l.version
+		return l.origin
 	case <-end.C:
 	case <-ctx.Done():
 	}
-	return ""
+	return streamOrigin{}
 }
 
 func (s *Server) takeLookups() []*lookup {
@@ -153,20 +153,30 @@
 		if len(batch) == 0 {
 			continue
 		}
-		versions := w.askLeader(ctx, s, batch)
-		for i, l := range batch {
-			if versions != nil {
-				l.version = versions[i]
-			}
+		if resp := w.askLeader(ctx, s, batch); resp != nil {
+			setOrigins(batch, resp)
+		}
+		for _, l := range batch {
 			close(l.done)
 		}
 	}
 }
 
-// askLeader returns the software versions that lookups ask for, or nil if no leader
-// answers. A call that failed is repeated if another VM has become the leader meanwhile, or
+// setOrigins takes over the answers to lookups. A leader of an earlier release names no
+// services: it answers for the service of the query.
+func setOrigins(batch []*lookup, resp *peerv1.StreamsResponse) {
+	services := resp.GetServices()
+	for i, l := range batch {
+		l.origin = streamOrigin{l.query.service, resp.GetSoftwareVersions()[i]}
+		if len(services) == len(batch) && services[i] != "" {
+			l.origin.service = services[i]
+		}
+	}
+}
+
+// askLeader returns the leader's answer to lookups, or nil if there is none. A call that failed is repeated if another VM has become the leader meanwhile, or
 // if it failed early: a new leader has no list of endpoints at first.
-func (w *Watcher) askLeader(ctx context.Context, s *Server, batch []*lookup) []string {
+func (w *Watcher) askLeader(ctx context.Context, s *Server, batch []*lookup) *peerv1.StreamsResponse {
 	r := &peerv1.StreamsRequest{}
 	for _, l := range batch {
 		r.Queries = append(r.Queries, &peerv1.StreamQuery{Stream: l.query.stream, Service: l.query.service})
@@ -188,19 +198,18 @@
 		resp, err = w.callStreams(ctx, address, r)
 	}
 	if err != nil {
-		s.log.Info("software versions of streams not learned", "streams", len(batch), "error", err.Error())
+		s.log.Info("origins of streams not learned", "streams", len(batch), "error", err.Error())
 		return nil
 	}
 	s.leaderAnswered(resp.GetTerm())
 	if len(resp.GetSoftwareVersions()) != len(batch) {
-		s.log.Info("answer on software versions of streams does not match its call", "streams", len(batch), "answers", len(resp.GetSoftwareVersions()))
+		s.log.Info("answer on the origins of streams does not match its call", "streams", len(batch), "answers", len(resp.GetSoftwareVersions()))
 		return nil
 	}
-	return resp.GetSoftwareVersions()
+	return resp
 }
 
-// reportStreams reports to the leader at which software versions streams began, one call
-// at a time.
+// reportStreams reports to the leader where streams began, one call at a time.
 func (w *Watcher) reportStreams(ctx context.Context, s *Server) {
 	for {
 		select {
--- a/internal/coordination/forward/routehistory.go
+++ b/internal/coordination/forward/routehistory.go
@@ -88,12 +88,19 @@
 	// forgotten is when the newest table beyond the bound was replaced, if hasForgotten.
 	forgotten    time.Duration
 	hasForgotten bool
+	// fromFirst is set if this entry has seen the fleet before its first catalog. Otherwise
+	// there may have been others before the one that it got at the time start.
+	fromFirst bool
+	start     time.Duration
 }
 
 // set records the routes of the next catalog. It reports whether they differ.
 func (h *routeHistory) set(now time.Duration, x *catalog.Index) (changed bool) {
 	next := newStreamRoutes(x)
 	first := h.current == nil
+	if first {
+		h.start = now
+	}
 	if !first && h.current.equal(next) {
 		return false
 	}
@@ -121,3 +128,9 @@
 	slices.Sort(out)
 	return slices.Compact(out), !h.hasForgotten || now-h.forgotten > streamMemory
 }
+
+// clear reports whether every entry can tell by the path which service began a stream.
+func (h *routeHistory) clear(now time.Duration, host, path string) bool {
+	services, complete := h.services(now, host, path)
+	return complete && len(services) == 1 && (h.fromFirst || now-h.start > streamMemory)
+}
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -168,12 +168,23 @@
 	if old := s.index.Load(); old != nil && old.Version() >= x.Version() {
 		return
 	}
-	s.mu.routeHistory.set(s.now(), x)
+	if s.mu.routeHistory.set(s.now(), x) {
+		s.mu.streams.RoutesChanged()
+	}
 	s.index.Store(x)
 	s.mu.entry.SetWarmUps(s.warmUpOf)
 	s.cfg.Log.Info("catalog applied", "version", x.Version(), "routes", len(x.Catalog().Routes), "since_start_ms", s.now().Milliseconds())
 }
 
+// noCatalogYet records that a control VM has answered without a catalog.
+func (s *Server) noCatalogYet() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.index.Load() == nil {
+		s.mu.routeHistory.fromFirst = true
+	}
+}
+
 // warmUpOf returns the rate and the time of the warm-up of a service, by the catalog.
 func (s *Server) warmUpOf(service string) (rate float64, duration time.Duration) {
 	x := s.index.Load()
--- a/internal/coordination/forward/stale_test.go
+++ b/internal/coordination/forward/stale_test.go
@@ -27,7 +27,7 @@
 	withLeader(t, &streamLeader{}, list, func(t *testing.T, e *ledEntry) {
 		time.Sleep(2 * versionLag)
 		e.server.confirmList(e.server.now(), minHold)
-		e.server.mu.streams.Began(e.server.now(), streamOf("id-0"), "models", "e0", "v1")
+		e.server.mu.streams.Began(e.server.now(), streamOf("id-0"), modelsAt("v1"), "e0", false)
 		time.Sleep(outOfStep)
 		f(t, e)
 	})
@@ -93,8 +93,8 @@
 func TestStreamBeginsWithAStaleList(t *testing.T) {
 	withStaleList(t, versionedEndpoints("v1"), func(t *testing.T, e *ledEntry) {
 		status, code, took := e.do("/resumed/x", map[string]string{"Id": "id-2"}, reply{status: 200, header: sealed(), body: firstEvent, length: -1, connectedAt: time.Now()})
-		if v, _ := e.server.mu.streams.Version(e.server.now(), streamOf("id-2")); status != 200 || took > pool.TickInterval || v != "v1" {
-			t.Errorf("status %d, result %s after %v, version %q", status, code, took, v)
+		if v, _ := e.server.mu.streams.Origin(e.server.now(), streamOf("id-2")); status != 200 || took > pool.TickInterval || v != modelsAt("v1") {
+			t.Errorf("status %d, result %s after %v, origin %v", status, code, took, v)
 		}
 	})
 }
--- a/internal/coordination/forward/streams.go
+++ b/internal/coordination/forward/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,9 +22,12 @@
 	maxBegunPerReport = 4096
 )
 
-// StreamRegister knows at which software versions the streams began that this entry has
-// relayed lately, and which of them the leader has to be told. It does no I/O and reads
-// no clock.
+// streamOrigin is where a stream began; unknown if its version is empty.
+type streamOrigin struct{ service, version string }
+
+// StreamRegister knows at which services and software versions the streams began that this
+// entry has relayed lately, and which of them the leader has to be told. It does no I/O
+// and reads no clock.
 type StreamRegister struct {
 	byKey map[uint64]*begunStream
 	// order holds the streams by the time of their begin, the oldest first.
@@ -41,13 +45,16 @@
 
 // begunStream is a stream whose first event was passed on to its caller.
 type begunStream struct {
-	key               uint64 // zero if its attempt has no identifier
-	service, endpoint string
-	// version is the software version of the endpoint; empty if it cannot be told.
-	version string
-	at      time.Duration
-	// ambiguous is set if attempts with the same identifier began at several versions.
+	key      uint64 // zero if its attempt has no identifier
+	endpoint string
+	// origin has the service and the software version of the endpoint.
+	origin streamOrigin
+	at     time.Duration
+	// ambiguous is set if attempts with the same identifier have several origins.
 	ambiguous bool
+	// serviceUnclear is set if another entry cannot tell the service by the path of the
+	// stream. The leader is told then, whichever versions the service has.
+	serviceUnclear bool
 	// reported is set once the stream has been sent to the leader, queued while it waits
 	// for that.
 	reported, queued bool
@@ -58,34 +65,48 @@
 	return &StreamRegister{byKey: map[uint64]*begunStream{}, differ: map[string]bool{}, ready: make(chan struct{}, 1)}
 }
 
-// streamKey identifies the stream that an attempt began, at all entries and at the
-// leader. It is zero without an identifier of the attempt.
-func streamKey(service, attempt string) uint64 {
+// streamKey identifies the stream that an attempt began at a host, at all entries and at
+// the leader. It is zero without an identifier of the attempt.
+func streamKey(host, attempt string) uint64 {
 	if attempt == "" {
 		return 0
 	}
-	return cmp.Or(xxhash.Sum64String(service+"\x00"+attempt), 1)
+	return cmp.Or(xxhash.Sum64String(strings.ToLower(host)+"\x00"+attempt), 1)
 }
 
-// Began records that the first event of a stream was passed on, from an endpoint with a
-// software version, which is empty if it cannot be told.
-func (r *StreamRegister) Began(now time.Duration, key uint64, service, endpoint, version string) *begunStream {
+// Began records that the first event of a stream was passed on, from an endpoint of its
+// origin. serviceUnclear is set if other entries cannot tell the service by the path.
+func (r *StreamRegister) Began(now time.Duration, key uint64, origin streamOrigin, endpoint string, serviceUnclear bool) *begunStream {
 	r.expire(now)
-	b := &begunStream{key: key, service: service, endpoint: endpoint, version: version, at: now}
+	b := &begunStream{key: key, endpoint: endpoint, origin: origin, at: now, serviceUnclear: serviceUnclear}
 	r.order = append(r.order, b)
 	if key == 0 {
 		return b
 	}
 	if old := r.byKey[key]; old != nil {
-		b.ambiguous = old.ambiguous || old.version != version
+		b.ambiguous = old.ambiguous || old.origin != origin
 	}
 	r.byKey[key] = b
-	if r.differ[service] {
+	if r.mustReport(b) {
 		r.report(b)
 	}
 	return b
 }
 
+// mustReport reports whether other entries need the leader to know where a stream began.
+func (r *StreamRegister) mustReport(b *begunStream) bool {
+	return b.serviceUnclear || r.differ[b.origin.service]
+}
+
+// RoutesChanged records that a catalog has changed the routes with resumable streams:
+// other entries may no longer be able to tell the service of a stream by its path.
+func (r *StreamRegister) RoutesChanged() {
+	for _, b := range r.order {
+		b.serviceUnclear = true
+	}
+	r.reportAll()
+}
+
 // expire forgets streams that began too long ago, and the oldest if there are too many.
 func (r *StreamRegister) expire(now time.Duration) {
 	for len(r.order) >= maxStreams || len(r.order) > 0 && now-r.order[0].at > streamMemory {
@@ -96,23 +117,22 @@
 	}
 }
 
-// Version returns the software version at which a stream began; empty if it cannot be
-// told. found is false if this entry does not know the stream.
-func (r *StreamRegister) Version(now time.Duration, key uint64) (version string, found bool) {
+// Origin returns where a stream began. found is false if this entry does not know the
+// stream.
+func (r *StreamRegister) Origin(now time.Duration, key uint64) (origin streamOrigin, found bool) {
 	b := r.byKey[key]
 	if b == nil || now-b.at > streamMemory {
-		return "", false
+		return streamOrigin{}, false
 	}
 	return b.known(), true
 }
 
-// known returns the software version of the stream with the identifier; empty if it
-// cannot be told.
-func (b *begunStream) known() string {
+// known returns the origin of the stream with the identifier.
+func (b *begunStream) known() streamOrigin {
 	if b.ambiguous {
-		return ""
+		return streamOrigin{}
 	}
-	return b.version
+	return b.origin
 }
 
 // SetEndpoints applies a new list of endpoints: version returns the software version of
@@ -121,15 +141,17 @@
 // shortly before, at an endpoint that has another version by the new list: which of the
 // two began them is unknown.
 func (r *StreamRegister) SetEndpoints(confirmed time.Duration, version func(endpoint string) string, differ map[string]bool) (doubtful int) {
+	newlyDiffer := false
 	for service := range differ {
-		if !r.differ[service] {
-			r.reportService(service)
-		}
+		newlyDiffer = newlyDiffer || !r.differ[service]
 	}
 	r.differ = differ
+	if newlyDiffer {
+		r.reportAll()
+	}
 	for i := len(r.order) - 1; i >= 0 && r.order[i].at >= confirmed-versionLag; i-- {
 		b := r.order[i]
-		if v := version(b.endpoint); b.version != "" && v != "" && v != b.version {
+		if v := version(b.endpoint); b.origin.version != "" && v != "" && v != b.origin.version {
 			r.doubt(b)
 			doubtful++
 		}
@@ -137,10 +159,11 @@
 	return doubtful
 }
 
-// reportService queues the streams of a service that were not reported yet.
-func (r *StreamRegister) reportService(service string) {
+// reportAll queues the streams that the leader has to be told and that were not reported
+// yet.
+func (r *StreamRegister) reportAll() {
 	for _, b := range r.order {
-		if b.service == service && r.byKey[b.key] == b && !b.reported {
+		if r.byKey[b.key] == b && !b.reported && r.mustReport(b) {
 			r.report(b)
 		}
 	}
@@ -148,13 +171,13 @@
 
 // doubt records that the software version that began a stream is unknown.
 func (r *StreamRegister) doubt(b *begunStream) {
-	b.version = ""
+	b.origin.version = ""
 	latest := r.byKey[b.key]
 	if latest == nil {
 		return
 	}
-	latest.version, latest.reported = "", false
-	if r.differ[latest.service] {
+	latest.origin.version, latest.reported = "", false
+	if r.mustReport(latest) {
 		r.report(latest)
 	}
 }
@@ -181,7 +204,7 @@
 	for _, b := range waiting {
 		b.queued = false
 		switch {
-		case now-b.at > streamMemory || !r.differ[b.service]:
+		case now-b.at > streamMemory || !r.mustReport(b):
 			b.reported = false
 		case len(batch) < maxBegunPerReport:
 			b.reported = true
@@ -211,16 +234,17 @@
 	for _, b := range r.order {
 		b.reported = false
 	}
-	for service := range r.differ {
-		r.reportService(service)
-	}
+	r.reportAll()
 }
 
 // encodeBegun returns the message for streams.
 func encodeBegun(now time.Duration, batch []*begunStream) []*peerv1.BegunStream {
 	out := make([]*peerv1.BegunStream, 0, len(batch))
 	for _, b := range batch {
-		out = append(out, &peerv1.BegunStream{Stream: b.key, SoftwareVersion: b.known(), AgeMs: uint32((now - b.at).Milliseconds())})
+		origin := b.known()
+		out = append(out, &peerv1.BegunStream{
+			Stream: b.key, Service: origin.service, SoftwareVersion: origin.version, AgeMs: uint32((now - b.at).Milliseconds()),
+		})
 	}
 	return out
 }
--- a/internal/coordination/forward/streams_test.go
+++ b/internal/coordination/forward/streams_test.go
@@ -71,6 +71,58 @@
 	})
 }
 
+// Guards against streams of which the leader does not learn although other entries cannot
+// tell their service by the path: on a split route, after a route has moved, and at an
+// entry that started after a route may have moved.
+func TestStreamsOfUnclearServicesAreReported(t *testing.T) {
+	begin := func(e *ledEntry, attempt string) {
+		t.Helper()
+		e.do("/resumed/x", map[string]string{"Id": attempt}, reply{status: 200, header: sealed(), body: firstEvent, length: -1})
+		time.Sleep(time.Second)
+	}
+	want := func(e *ledEntry, attempts ...string) {
+		t.Helper()
+		got := e.leader.begun()
+		for _, a := range attempts {
+			if got[streamOf(a)] != "v1" {
+				t.Errorf("stream %s is reported as %q, want v1", a, got[streamOf(a)])
+			}
+		}
+		if len(got) != len(attempts) {
+			t.Errorf("%d streams are reported, want %v", len(got), attempts)
+		}
+	}
+	withLeader(t, &streamLeader{term: 1}, versionedEndpoints("v1", "v1"), func(_ *testing.T, e *ledEntry) {
+		e.server.SetCatalog(catalogOf(2, resumableRoute("/resumed/", "models")))
+		begin(e, "before")
+		want(e)
+		e.server.SetCatalog(catalogOf(3, resumableRoute("/resumed/", "models"), resumableRoute("/resumed/longer/", "other")))
+		begin(e, "beside")
+		want(e, "before")
+		split := resumableRoute("/resumed/", "models", "other")
+		split.Splits[1].Weight, split.Splits[0].Weight = 1, 1<<30
+		e.server.SetCatalog(catalogOf(4, split))
+		time.Sleep(2 * streamMemory)
+		begin(e, "split")
+		want(e, "before", "beside", "split")
+		e.server.SetCatalog(catalogOf(5, resumableRoute("/resumed/", "models")))
+		begin(e, "moved")
+		want(e, "before", "beside", "split", "moved")
+		time.Sleep(streamMemory)
+		begin(e, "long after")
+		want(e, "before", "beside", "split", "moved")
+	})
+	withLeader(t, &streamLeader{term: 1}, versionedEndpoints("v1", "v1"), func(_ *testing.T, e *ledEntry) {
+		e.server.mu.routeHistory = routeHistory{}
+		e.server.SetCatalog(catalogOf(2, resumableRoute("/resumed/", "models")))
+		begin(e, "started late")
+		want(e, "started late")
+		time.Sleep(streamMemory)
+		begin(e, "long after")
+		want(e, "started late")
+	})
+}
+
 // recordedStreams is a leader's record of streams, as their reports say.
 type recordedStreams map[uint64]map[string]bool
 
@@ -107,11 +159,12 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 8000).Draw(t, "pause")) * time.Millisecond
-			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
 			case 0, 1:
 				key := uint64(rapid.IntRange(0, 3).Draw(t, "stream"))
 				endpoint := rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "endpoint")
-				began[key] = append(began[key], r.Began(now, key, "s", endpoint, listed[endpoint]))
+				unclear := rapid.Bool().Draw(t, "unclear")
+				began[key] = append(began[key], r.Began(now, key, streamOrigin{"s", listed[endpoint]}, endpoint, unclear))
 				if truth[key] == nil {
 					truth[key] = map[string]bool{}
 				}
@@ -122,11 +175,11 @@
 				r.SetEndpoints(confirmed, version, differ)
 				for key, streams := range began {
 					for _, b := range streams {
-						if now-b.at <= versionLag && listed[b.endpoint] != b.version && b.version != "" {
-							t.Fatalf("the stream that began %v ago counts as begun at %q; its endpoint has %q", now-b.at, b.version, listed[b.endpoint])
+						if now-b.at <= versionLag && listed[b.endpoint] != b.origin.version && b.origin.version != "" {
+							t.Fatalf("the stream that began %v ago counts as begun at %q; its endpoint has %q", now-b.at, b.origin.version, listed[b.endpoint])
 						}
-						if got, _ := r.Version(now, key); now-b.at <= versionLag && b.version == "" && got != "" {
-							t.Fatalf("stream %d has the version %q although it is in doubt", key, got)
+						if got, _ := r.Origin(now, key); now-b.at <= versionLag && b.origin.version == "" && got.version != "" {
+							t.Fatalf("stream %d has the version %q although it is in doubt", key, got.version)
 						}
 					}
 				}
@@ -141,16 +194,19 @@
 			case 5:
 				term++
 				leader = recordedStreams{}
+			case 6:
+				r.RoutesChanged()
 			}
 			for key, versions := range truth {
-				got, found := r.Version(now, key)
+				origin, found := r.Origin(now, key)
+				got := origin.version
 				if key == 0 && found {
 					t.Fatal("a stream without an identifier is known")
 				}
 				recent := map[string]bool{}
 				for _, b := range began[key] {
 					if now-b.at <= streamMemory {
-						recent[b.version] = true
+						recent[b.origin.version] = true
 					}
 				}
 				if got != "" && (!versions[got] || len(recent) > 1) {
@@ -161,9 +217,6 @@
 				t.Fatalf("%d streams are kept", len(r.order))
 			}
 		}
-		if !differ["s"] {
-			return
-		}
 		// The first answer may be that of a new leader, which the second report is for.
 		for range 2 {
 			batch := r.TakeUnreported(now)
@@ -171,8 +224,9 @@
 			r.Answered(term)
 		}
 		for key := range r.byKey {
-			if want, found := r.Version(now, key); found && !leader[key][want] {
-				t.Fatalf("stream %d has the version %q, which the leader does not know: %v", key, want, leader[key])
+			needed := differ["s"] || r.byKey[key].serviceUnclear
+			if want, found := r.Origin(now, key); needed && found && !leader[key][want.version] {
+				t.Fatalf("stream %d has the version %q, which the leader does not know: %v", key, want.version, leader[key])
 			}
 		}
 	})
@@ -183,12 +237,12 @@
 	r := NewStreamRegister()
 	r.SetEndpoints(0, func(string) string { return "" }, map[string]bool{"s": true})
 	for i := range 2 * maxStreams {
-		r.Began(time.Second, uint64(i+1), "s", "e", "v")
+		r.Began(time.Second, uint64(i+1), streamOrigin{"s", "v"}, "e", false)
 	}
 	if len(r.order) > maxStreams || len(r.byKey) > maxStreams {
 		t.Errorf("%d streams are kept, want at most %d", len(r.byKey), maxStreams)
 	}
-	if _, found := r.Version(time.Second+streamMemory+1, 2*maxStreams); found {
+	if _, found := r.Origin(time.Second+streamMemory+1, 2*maxStreams); found {
 		t.Error("a stream is known after its time")
 	}
 }
--- a/internal/coordination/forward/takeup.go
+++ b/internal/coordination/forward/takeup.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/radishloom/radishloom/internal/resultcode"
@@ -13,7 +13,8 @@
 const (
 	takeUpOwnMemory  = "own_memory"  // continued at the version that this entry knows
 	takeUpLeader     = "leader"      // continued at the version that the leader knows
-	takeUpUnknown    = "unknown"     // refused: the version is unknown
+	takeUpUnknown    = "unknown"     // refused: the service or the version is unknown
+	takeUpMoved      = "moved"       // refused: the route no longer leads to the service
 	takeUpNoEndpoint = "no_endpoint" // refused: no usable endpoint has the version
 )
 
@@ -24,59 +25,55 @@
 // takesUp reports whether the caller continues a stream with this request.
 func (c *call) takesUp() bool { return c.req.LastEventID != "" && c.resumable() }
 
-// pickService returns the service for the request: that which began the stream that the
-// caller takes up, if this entry knows it, or one by the weights of the route.
-func (c *call) pickService() string {
-	if c.takesUp() {
-		s := c.server
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for _, split := range c.route.Splits {
-			if _, found := s.mu.streams.Version(s.now(), streamKey(split.Service, c.req.Resumes)); found {
-				return split.Service
-			}
-		}
-	}
-	return c.route.PickService(rand.Float64())
-}
-
-// takeUpStream restricts a request that takes up a stream to the software version that
-// began it, and refuses the request if that is unknown.
+// takeUpStream restricts a request that takes up a stream to the service and the software
+// version that began it, and refuses the request if they are unknown or if the route no
+// longer leads to the service.
 func (c *call) takeUpStream() *resultcode.Error {
 	attempt := c.req.ID
 	if c.takesUp() {
 		attempt = c.req.Resumes
 	}
-	c.stream = streamKey(c.service.Name, attempt)
+	c.stream = streamKey(c.route.Host, attempt)
 	if !c.takesUp() {
 		return nil
 	}
-	c.query.SoftwareVersion, c.takeUp = c.beganAt()
+	origin, source := c.beganAt()
+	c.takeUp = source
 	if errors.Is(c.ctx.Err(), context.Canceled) {
-		return resultcode.New(resultcode.CallerGone, "the caller disconnected while the request waited for the software version of its stream")
+		return resultcode.New(resultcode.CallerGone, "the caller disconnected while the request waited for the origin of its stream")
 	}
-	if c.query.SoftwareVersion == "" {
+	if origin.version == "" {
 		c.takeUp = takeUpUnknown
-		return notResumable("the software version that began the stream is unknown")
+		return notResumable("the service or the software version that began the stream is unknown")
+	}
+	if !slices.Contains(beginningServices(c.route), origin.service) {
+		c.takeUp = takeUpMoved
+		return notResumable("route %q no longer leads to service %q, which began the stream", c.route.Name, origin.service)
 	}
+	c.setService(origin.service)
+	c.query.SoftwareVersion = origin.version
 	return nil
 }
 
-// beganAt returns the software version that began the stream which the caller takes up,
-// and where it is known from.
-func (c *call) beganAt() (version, source string) {
+// beganAt returns the origin of the stream that the caller takes up, and where it is
+// known from.
+func (c *call) beganAt() (origin streamOrigin, source string) {
 	s := c.server
 	s.mu.Lock()
-	version, found := s.mu.streams.Version(s.now(), c.stream)
+	origin, found := s.mu.streams.Origin(s.now(), c.stream)
 	services, complete := s.mu.routeHistory.services(s.now(), c.route.Host, c.req.Path)
 	s.mu.Unlock()
 	if found {
-		return version, takeUpOwnMemory
+		return origin, takeUpOwnMemory
+	}
+	key := lookupKey{stream: c.stream}
+	if complete && len(services) == 1 {
+		key.service = services[0]
 	}
-	if !complete || len(services) != 1 {
-		return "", takeUpUnknown // the leader cannot tell which of them began the stream
+	if key == (lookupKey{}) {
+		return streamOrigin{}, takeUpUnknown // neither the attempt nor the route names a service
 	}
-	return s.lookUpStream(c.ctx, lookupKey{c.stream, c.service.Name}), takeUpLeader
+	return s.lookUpStream(c.ctx, key), takeUpLeader
 }
 
 func notResumable(format string, args ...any) *resultcode.Error {
--- a/internal/coordination/forward/takeup_test.go
+++ b/internal/coordination/forward/takeup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -19,7 +20,10 @@
 // takeUp is the header of a request that takes up the stream of the attempt id-0.
 func takeUp() map[string]string { return map[string]string{"Resume": "1", "Resumes": "id-0"} }
 
-func streamOf(attempt string) uint64 { return streamKey("models", attempt) }
+func streamOf(attempt string) uint64 { return streamKey("h", attempt) }
+
+// modelsAt is the origin of a stream that began at a version of the service models.
+func modelsAt(version string) streamOrigin { return streamOrigin{"models", version} }
 
 // Guards against a stream that its caller takes up and that goes on at another version
 // than that which the leader names.
@@ -69,11 +73,11 @@
 	leader := &streamLeader{versions: map[uint64]string{streamOf("id-0"): "v1"}}
 	withLeader(t, leader, versionedEndpoints("v1", "v2"), func(t *testing.T, e *ledEntry) {
 		e.do("/resumed/x", takeUp(), restOfStream())
-		if _, found := e.server.mu.streams.Version(e.server.now(), streamOf("id-1")); found {
+		if _, found := e.server.mu.streams.Origin(e.server.now(), streamOf("id-1")); found {
 			t.Error("the attempt counts as a stream")
 		}
-		if v, _ := e.server.mu.streams.Version(e.server.now(), streamOf("id-0")); v != "v1" {
-			t.Errorf("the stream has the version %q, want v1", v)
+		if v, _ := e.server.mu.streams.Origin(e.server.now(), streamOf("id-0")); v != modelsAt("v1") {
+			t.Errorf("the stream began at %v, want v1", v)
 		}
 	})
 }
@@ -123,7 +127,7 @@
 // whose stream goes on at any version.
 func TestCallerWithoutResumesIsAskedForByItsService(t *testing.T) {
 	for _, version := range []string{"v1", ""} {
-		leader := &streamLeader{versions: map[uint64]string{0: version}}
+		leader := &streamLeader{only: map[string]string{"models": version}}
 		withLeader(t, leader, versionedEndpoints("v2", "v1"), func(t *testing.T, e *ledEntry) {
 			status, code, _ := e.do("/resumed/x", map[string]string{"Resume": "1"}, restOfStream())
 			if served := status == 200 && slices.Equal(e.sentTo(), []string{"e2"}); served != (version != "") {
@@ -252,8 +256,8 @@
 		var running sync.WaitGroup
 		for _, attempt := range attempts {
 			running.Go(func() {
-				if v := e.server.lookUpStream(t.Context(), lookupKey{streamOf(attempt), "models"}); v != "v1" {
-					t.Errorf("stream %s: version %q", attempt, v)
+				if v := e.server.lookUpStream(t.Context(), lookupKey{streamOf(attempt), "models"}); v != modelsAt("v1") {
+					t.Errorf("stream %s: origin %v", attempt, v)
 				}
 			})
 		}
@@ -295,7 +299,7 @@
 	list := versionedEndpoints("v1")
 	w := newFixture(t)
 	w.server.SetEndpoints(list)
-	w.server.mu.streams.Began(w.server.now(), streamOf("id-0"), "models", "e0", "v1")
+	w.server.mu.streams.Began(w.server.now(), streamOf("id-0"), modelsAt("v1"), "e0", false)
 	w.server.cfg.Client = changingClient{w.endpoints, func() { w.server.SetEndpoints(versionedEndpoints("v2")) }}
 	w.endpoints.replies = []reply{restOfStream()}
 	status, h, body, err := w.do("/resumed/x", map[string]string{"Model": "m", "Resume": "1", "Resumes": "id-0"})
@@ -314,8 +318,8 @@
 	if _, _, body, err := w.do("/resumed/x", map[string]string{"Model": "m"}); err == nil || body != firstEvent {
 		t.Errorf("body %q, error %v, want the first event and a broken answer", body, err)
 	}
-	if v, found := w.server.mu.streams.Version(w.server.now(), streamOf("id-1")); v != "" || !found {
-		t.Errorf("the stream has the version %q, want it to be unknown", v)
+	if v, found := w.server.mu.streams.Origin(w.server.now(), streamOf("id-1")); v.version != "" || !found {
+		t.Errorf("the stream began at %v, want it to be unknown", v)
 	}
 }
 
@@ -339,7 +343,7 @@
 		for _, s := range servers {
 			s.SetEntries([]string{"a", "b"})
 		}
-		asking.mu.streams.Began(asking.now(), streamOf("id-0"), "models", "e0", "v1")
+		asking.mu.streams.Began(asking.now(), streamOf("id-0"), modelsAt("v1"), "e0", false)
 		e := &ledEntry{endpoints: sent[i], server: asking}
 		status, code, _ := e.do("/resumed/x", takeUp())
 		if status != 200 || !slices.Equal(e.sentTo(), []string{"e4"}) {
@@ -350,11 +354,8 @@
 
 // Guards against a stream that is continued at another service of its route.
 func TestStreamStaysAtTheServiceThatBeganIt(t *testing.T) {
-	other := versionedEndpoints("v1", "v1")
-	for i := range other {
-		other[i].ID, other[i].Service, other[i].Address = "o"+other[i].ID, "other", "o"+other[i].Address
-	}
-	leader := &streamLeader{versions: map[uint64]string{0: "v1", streamKey("other", "id-9"): "v1"}}
+	other := otherEndpoints("v1", "v1")
+	leader := &streamLeader{only: map[string]string{"other": "v1", "models": "v1"}}
 	withLeader(t, leader, append(versionedEndpoints("v1", "v1"), other...), func(t *testing.T, e *ledEntry) {
 		c := testCatalog()
 		c.Version++
@@ -367,7 +368,7 @@
 			}
 		}
 		e.server.SetCatalog(catalog.NewIndex(c))
-		e.server.mu.streams.Began(e.server.now(), streamOf("id-0"), "models", "e1", "v1")
+		e.server.mu.streams.Began(e.server.now(), streamOf("id-0"), modelsAt("v1"), "e1", false)
 		for range 8 {
 			e.do("/resumed/x", takeUp(), restOfStream())
 		}
@@ -396,7 +397,7 @@
 		}
 		return catalog.NewIndex(c)
 	}
-	leader := &streamLeader{versions: map[uint64]string{streamOf("id-0"): "v1", streamKey("other", "id-0"): "v1"}}
+	leader := &streamLeader{only: map[string]string{"models": "v1", "other": "v1"}}
 	withLeader(t, leader, versionedEndpoints("v1"), func(t *testing.T, e *ledEntry) {
 		for i, moved := range []bool{false, true, true} {
 			e.server.SetCatalog(move(uint64(2+i), []string{"models", "other", "models"}[i]))
@@ -415,6 +416,84 @@
 	})
 }
 
+// otherEndpoints returns the endpoints o1, o2 and so on of the service other.
+func otherEndpoints(versions ...string) []pool.Endpoint {
+	out := versionedEndpoints(versions...)
+	for i := range out {
+		id := fmt.Sprintf("o%d", i+1)
+		out[i].ID, out[i].Service, out[i].Address = id, "other", id+":1"
+	}
+	return out
+}
+
+// Guards against streams of a split route that are refused after the loss of their entry,
+// or that go on at the other service, also after a catalog has split the route or changed
+// its weights.
+func TestStreamOfASplitRouteGoesOnWhereItBegan(t *testing.T) {
+	leader := &streamLeader{
+		versions: map[uint64]string{streamOf("id-0"): "v1"}, services: map[uint64]string{streamOf("id-0"): "other"},
+		only: map[string]string{"models": "v1", "other": "v1"},
+	}
+	weighted := resumableRoute("/resumed/", "models", "other")
+	weighted.Splits[0].Weight = 99
+	routes := map[string][]catalog.Route{
+		"split":           {resumableRoute("/resumed/", "models", "other")},
+		"split later":     {resumableRoute("/resumed/", "other"), resumableRoute("/resumed/", "models", "other")},
+		"weights changed": {resumableRoute("/resumed/", "models", "other"), weighted},
+	}
+	for name, catalogs := range routes {
+		t.Run(name, func(t *testing.T) {
+			withLeader(t, leader, append(versionedEndpoints("v1", "v1"), otherEndpoints("v1", "v2")...), func(t *testing.T, e *ledEntry) {
+				for i, r := range catalogs {
+					e.server.SetCatalog(catalogOf(uint64(2+i), r))
+				}
+				for range 8 {
+					if status, code, _ := e.do("/resumed/x", takeUp(), restOfStream()); status != 200 {
+						t.Errorf("status %d, result %s", status, code)
+					}
+				}
+				if sent := e.sentTo(); slices.ContainsFunc(sent, func(id string) bool { return id != "o1" }) {
+					t.Errorf("sent to %v, want o1 only", sent)
+				}
+				if status, code, _ := e.do("/resumed/x", map[string]string{"Resume": "1", "Resumes": "not reported"}); status != 503 || code != "4013" {
+					t.Errorf("unknown stream: status %d, result %s", status, code)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a stream that goes on at a service to which the current catalog does not
+// send the request, or at the service to which its path was given since.
+func TestStreamOfAServiceThatTheRouteLostIsRefused(t *testing.T) {
+	removed := resumableRoute("/resumed/", "models", "other")
+	removed.Splits[1].Weight = 0
+	routes := map[string][]catalog.Route{
+		"moved":       {resumableRoute("/resumed/", "models")},
+		"no weight":   {removed},
+		"path below":  {resumableRoute("/resumed/", "other"), resumableRoute("/resumed/x", "models")},
+		"path before": {resumableRoute("/re", "models")},
+	}
+	for name, next := range routes {
+		for _, remembered := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, remembered: %t", name, remembered), func(t *testing.T) {
+				leader := &streamLeader{versions: map[uint64]string{streamOf("id-0"): "v1"}, services: map[uint64]string{streamOf("id-0"): "other"}}
+				withLeader(t, leader, append(versionedEndpoints("v1"), otherEndpoints("v1")...), func(t *testing.T, e *ledEntry) {
+					e.server.SetCatalog(catalogOf(2, resumableRoute("/resumed/", "other")))
+					if remembered {
+						e.server.mu.streams.Began(e.server.now(), streamOf("id-0"), streamOrigin{"other", "v1"}, "o1", false)
+					}
+					e.server.SetCatalog(catalogOf(3, next...))
+					status, code, took := e.do("/resumed/x", takeUp())
+					if status != 503 || code != "4013" || took > pool.TickInterval || len(e.sentTo()) != 0 {
+						t.Errorf("status %d, result %s after %v, sent to %v", status, code, took, e.sentTo())
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against requests of other routes that are refused because of a field which has
 // no meaning there.
 func TestOtherRoutesIgnoreTheVersion(t *testing.T) {
--- a/internal/coordination/forward/versions.go
+++ b/internal/coordination/forward/versions.go
@@ -19,8 +19,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.begun != nil {
-		c.query.SoftwareVersion = c.begun.version
-		if c.begun.version == "" {
+		c.query.SoftwareVersion = c.begun.origin.version
+		if c.begun.origin.version == "" {
 			c.countResumptionRefused()
 			return resultcode.New(resultcode.StreamBroken, "the software version that began the stream is unknown")
 		}
@@ -31,7 +31,7 @@
 		return nil
 	}
 	c.excludeDoubtfulLocked()
-	if version, found := s.mu.streams.Version(s.now(), c.stream); found && version != c.query.SoftwareVersion {
+	if origin, found := s.mu.streams.Origin(s.now(), c.stream); found && origin != (streamOrigin{c.service.Name, c.query.SoftwareVersion}) {
 		c.takeUp = takeUpUnknown
 		return notResumable("the software version that began the stream has become unknown")
 	}
@@ -77,7 +77,9 @@
 		return resultcode.New(resultcode.StreamBroken, "endpoint %s no longer has the software version %q, which began the stream", from.EndpointID, required)
 	}
 	if c.begun == nil {
-		c.begun = s.mu.streams.Began(s.now(), c.stream, c.service.Name, from.EndpointID, version)
+		origin := streamOrigin{c.service.Name, version}
+		unclear := c.resumable() && !s.mu.routeHistory.clear(s.now(), c.route.Host, c.req.Path)
+		c.begun = s.mu.streams.Began(s.now(), c.stream, origin, from.EndpointID, unclear)
 	}
 	return nil
 }
