forward, directory: entries report their streams to each new leader

What callers saw: an entry was stopped, and the leader next.

Cause: an entry reported its memory to a new leader only when it saw the new term in a response of Streams, and called that only for new streams and lookups. An entry without new streams never did, although each answer to its Watch call names the term.

Change: the term of the list of endpoints counts as news of a leader. Terms only grow, since another control VM may answer with an older list; they begin anew with the list if the control VMs were founded anew. A report that a leader of an earlier term took is repeated. A new leader answers "pending" instead of "unknown" for the 3 s in which reports may arrive; the entry asks again within its 0.6 s, then refuses with a Retry-After of 0.5 s in place of 0.02 s.

TestStreamsAreReportedToALeaderThatOnlyTheListNames on: the new leader knows no stream.

--- a/internal/coordination/directory/streams.go
+++ b/internal/coordination/directory/streams.go
@@ -22,12 +22,7 @@
 	if err := s.confirmTerm(ctx, term); err != nil {
 		return nil, err
 	}
-	origins, err := s.answerStreams(term, r.GetQueries())
-	for _, origin := range origins {
-		out.Services = append(out.Services, origin.Service)
-		out.SoftwareVersions = append(out.SoftwareVersions, origin.Version)
-	}
-	return out, err
+	return out, s.answerStreams(out, r.GetQueries())
 }
 
 // streamsTermLocked returns the term in which this VM can answer for streams.
@@ -70,20 +65,22 @@
 	return nil
 }
 
-func (s *Server) answerStreams(term uint64, queries []*peerv1.StreamQuery) ([]ServiceVersion, error) {
+// answerStreams adds the answers to queries to the response of a term.
+func (s *Server) answerStreams(out *peerv1.StreamsResponse, queries []*peerv1.StreamQuery) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if current, err := s.streamsTermLocked(); err != nil || current != term {
-		return nil, notLeading()
+	if current, err := s.streamsTermLocked(); err != nil || current != out.GetTerm() {
+		return notLeading()
 	}
 	now := s.now()
-	out := make([]ServiceVersion, len(queries))
-	for i, q := range queries {
-		var kind StreamAnswer
-		out[i], kind = s.mu.versions.Answer(now, q.GetStream(), q.GetService())
+	for _, q := range queries {
+		origin, kind := s.mu.versions.Answer(now, q.GetStream(), q.GetService())
+		out.Services = append(out.Services, origin.Service)
+		out.SoftwareVersions = append(out.SoftwareVersions, origin.Version)
+		out.Pending = append(out.Pending, kind == StreamPending)
 		s.cfg.Metrics.StreamAnswer(string(kind))
 	}
-	return out, nil
+	return nil
 }
 
 func (s *Server) countStreams() {
--- a/internal/coordination/directory/streamversions.go
+++ b/internal/coordination/directory/streamversions.go
@@ -16,6 +16,9 @@
 	// Other programs write to the platform's list too.
 	maxRecentVersions   = 1024
 	maxVersionNameBytes = 512
+	// reportsDue is the time in which entries hear of a new leader, with the answer to a
+	// held call or from another control VM, and report their streams to it.
+	reportsDue = 3 * time.Second
 )
 
 // ServiceVersion is a software version of endpoints of a service. Versions have no order.
@@ -47,6 +50,8 @@
 	// replicated is set if there is a replicated state, opened once it refuses declarations
 	// of earlier terms and its versions are known.
 	replicated, opened bool
+	// reportsAt is when the entries' reports to a new leader have arrived.
+	reportsAt time.Duration
 	// unsure is set after a save that may or may not have been carried out.
 	unsure bool
 	// ready is set once the list may be published.
@@ -85,9 +90,10 @@
 }
 
 // Open takes over the versions of the replicated state once no leader of an earlier term
-// can change them.
-func (v *StreamVersions) Open(stored []ServiceVersion) {
+// can change them. From now on entries can report their streams.
+func (v *StreamVersions) Open(now time.Duration, stored []ServiceVersion) {
 	v.opened, v.unsure = true, false
+	v.reportsAt = now + reportsDue
 	v.committed = make(map[ServiceVersion]bool, len(stored))
 	for _, k := range stored {
 		v.committed[k] = true
@@ -220,6 +226,8 @@
 	StreamRecorded StreamAnswer = "recorded"
 	// StreamOnlyVersion: the service has one recent version.
 	StreamOnlyVersion StreamAnswer = "only_version"
+	// StreamPending: a report of the stream may be on its way to a new leader.
+	StreamPending StreamAnswer = "pending"
 	// StreamUnknown: the version that began the stream cannot be told.
 	StreamUnknown StreamAnswer = "unknown"
 )
@@ -246,6 +254,9 @@
 	if version := v.onlyVersion(service); version != "" {
 		return ServiceVersion{service, version}, StreamOnlyVersion
 	}
+	if stream != 0 && now < v.reportsAt {
+		return ServiceVersion{}, StreamPending
+	}
 	return ServiceVersion{}, StreamUnknown
 }
 
--- a/internal/coordination/directory/streamversions_test.go
+++ b/internal/coordination/directory/streamversions_test.go
@@ -90,7 +90,7 @@
 // not saved again after its outcome was not learned.
 func TestVersionThatComesBackDuringItsRemovalWaitsForTheNextSave(t *testing.T) {
 	v := NewStreamVersions(true)
-	v.Open([]ServiceVersion{{"s", "v1"}, {"s", "v2"}})
+	v.Open(0, []ServiceVersion{{"s", "v1"}, {"s", "v2"}})
 	v.SetList(0, endpointsAt("v1"))
 	v.SetList(streamMemory, endpointsAt("v1"))
 	for range 2 {
@@ -231,7 +231,7 @@
 	case !ok || !acknowledged:
 		w.leader.SaveFailed()
 	case d.opens:
-		w.leader.Open(decodeVersions(w.machine.RecentVersions()))
+		w.leader.Open(w.now, decodeVersions(w.machine.RecentVersions()))
 	default:
 		w.leader.Saved(d.versions)
 	}
@@ -300,3 +300,19 @@
 		t.Errorf("an attempt at two services began at %v (%s)", got, kind)
 	}
 }
+
+// Guards against a new leader that answers "unknown", for good, for a stream whose entry has
+// not reported to it yet, and against one that never says so.
+func TestStreamIsPendingUntilTheReportsHaveArrived(t *testing.T) {
+	v := NewStreamVersions(true)
+	v.SetList(0, endpointsAt("v1", "v2"))
+	v.Open(time.Second, []ServiceVersion{of("v1"), of("v2"), {"other", "v1"}})
+	wantAnswer(t, v, time.Second, 1, "", StreamPending)
+	wantAnswer(t, v, time.Second, 0, "", StreamUnknown) // no report names it
+	if got, kind := v.Answer(time.Second, 1, "other"); got.Version != "v1" || kind != StreamOnlyVersion {
+		t.Errorf("service with one version: %v (%s)", got, kind)
+	}
+	v.Record(time.Second, 1, of("v1"), 0)
+	wantAnswer(t, v, time.Second, 1, "v1", StreamRecorded)
+	wantAnswer(t, v, time.Second+reportsDue, 2, "", StreamUnknown)
+}
--- a/internal/coordination/directory/versions.go
+++ b/internal/coordination/directory/versions.go
@@ -85,7 +85,7 @@
 		stored, err = s.cfg.Versions.RecentVersions(ctx)
 	}
 	s.versionsSaved(ctx, term, err, func() bool {
-		s.mu.versions.Open(decodeVersions(stored))
+		s.mu.versions.Open(s.now(), decodeVersions(stored))
 		s.cfg.Log.Info("recent software versions taken over", "versions", s.mu.versions.Committed(), "term", term)
 		return true
 	})
--- a/internal/coordination/forward/leader_test.go
+++ b/internal/coordination/forward/leader_test.go
@@ -31,6 +31,8 @@
 	// only version of a service, at which a stream without a record began.
 	services map[uint64]string
 	only     map[string]string
+	// pending is the number of answers without a record that may come later.
+	pending int
 	// delay is the time until an answer; a negative one is longer than every call lasts.
 	// fails is the number of calls that fail.
 	delay     time.Duration
@@ -72,6 +74,11 @@
 	out := &peerv1.StreamsResponse{Term: l.term}
 	for _, q := range r.GetQueries() {
 		service, version := l.answer(q)
+		later := version == "" && l.pending > 0
+		if later {
+			l.pending--
+		}
+		out.Pending = append(out.Pending, later)
 		out.Services = append(out.Services, service)
 		out.SoftwareVersions = append(out.SoftwareVersions, version)
 	}
@@ -132,6 +139,13 @@
 
 // do sends one request and returns the status, the result code and the time that it took.
 func (e *ledEntry) do(path string, header map[string]string, replies ...reply) (status int, code string, took time.Duration) {
+	started := time.Now()
+	w := e.exchange(path, header, replies...)
+	return w.Code, w.Header().Get(resultcode.Header), time.Since(started)
+}
+
+// exchange sends one request and returns the answer.
+func (e *ledEntry) exchange(path string, header map[string]string, replies ...reply) *httptest.ResponseRecorder {
 	e.endpoints.mu.Lock()
 	e.endpoints.replies = append(e.endpoints.replies, replies...)
 	e.endpoints.mu.Unlock()
@@ -142,7 +156,6 @@
 		r.Header.Set(name, value)
 	}
 	w := httptest.NewRecorder()
-	started := time.Now()
 	func() {
 		defer func() {
 			if p := recover(); p != nil && p != http.ErrAbortHandler {
@@ -151,7 +164,7 @@
 		}()
 		e.server.ServeHTTP(w, r)
 	}()
-	return w.Code, w.Header().Get(resultcode.Header), time.Since(started)
+	return w
 }
 
 // sentTo returns the endpoints that got the requests.
--- a/internal/coordination/forward/lookup.go
+++ b/internal/coordination/forward/lookup.go
@@ -29,11 +29,19 @@
 	query lookupKey
 	// until is when nobody waits any more.
 	until time.Duration
-	// origin is valid once done is closed.
-	origin streamOrigin
+	// answer is valid once done is closed.
+	answer lookupAnswer
 	done   chan struct{}
 }
 
+// lookupAnswer is what a lookup has found out.
+type lookupAnswer struct {
+	origin streamOrigin
+	// pending is set if the origin is unknown and the leader is new: it does not have the
+	// reports of all entries yet.
+	pending bool
+}
+
 type lookupKey struct {
 	stream uint64 // zero if the attempt is not stated
 	// service is the only service that can have begun the stream; empty if several can.
@@ -78,7 +86,9 @@
 	for len(l.order) > 0 && len(out) < maxQueriesPerCall {
 		next := l.order[0]
 		l.order = l.order[1:]
-		delete(l.waiting, next.query)
+		if l.waiting[next.query] == next {
+			delete(l.waiting, next.query)
+		}
 		if next.until > now {
 			out = append(out, next)
 		}
@@ -89,9 +99,17 @@
 	return out
 }
 
-// lookUpStream asks the leader for the origin of a stream. It has no version if that is
-// unknown, or if there is no answer in time.
-func (s *Server) lookUpStream(ctx context.Context, key lookupKey) streamOrigin {
+// putBack makes a lookup that was not answered part of the next call. It keeps its end.
+func (l *lookups) putBack(old *lookup) {
+	if l.waiting[old.query] == nil {
+		l.waiting[old.query] = old
+	}
+	l.order = append(l.order, old)
+	l.signal()
+}
+
+// lookUpStream asks the leader for the origin of a stream.
+func (s *Server) lookUpStream(ctx context.Context, key lookupKey) lookupAnswer {
 	s.mu.Lock()
 	l := s.mu.lookups.add(s.now(), key)
 	s.mu.Unlock()
@@ -99,11 +117,11 @@
 	defer end.Stop()
 	select {
 	case <-l.done:
-		return l.origin
+		return l.answer
 	case <-end.C:
 	case <-ctx.Done():
 	}
-	return streamOrigin{}
+	return lookupAnswer{}
 }
 
 func (s *Server) takeLookups() []*lookup {
@@ -127,11 +145,19 @@
 	s.mu.streams.NotReported(batch)
 }
 
-// leaderAnswered records an answer of the leader of a term.
-func (s *Server) leaderAnswered(term uint64) {
+// leaderAnswered records that the leader of a term was heard of. It returns false if a
+// later one is known.
+func (s *Server) leaderAnswered(term uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mu.streams.Answered(term)
+	return s.mu.streams.Answered(term)
+}
+
+// forgetLeader records that the terms of leaders may begin anew.
+func (s *Server) forgetLeader() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mu.streams.ForgetLeader()
 }
 
 // streamReportInterval returns the least time between two reports of streams.
@@ -154,26 +180,44 @@
 			continue
 		}
 		if resp := w.askLeader(ctx, s, batch); resp != nil {
-			setOrigins(batch, resp)
+			setAnswers(batch, resp)
 		}
-		for _, l := range batch {
-			close(l.done)
+		if s.finishLookups(batch) {
+			sleep(ctx, lookupRetryDelay)
 		}
 	}
 }
 
-// setOrigins takes over the answers to lookups. A leader of an earlier release names no
-// services: it answers for the service of the query.
-func setOrigins(batch []*lookup, resp *peerv1.StreamsResponse) {
-	services := resp.GetServices()
+// setAnswers takes over the leader's answers to lookups. A leader of an earlier release
+// names no services: it answers for the service of the query.
+func setAnswers(batch []*lookup, resp *peerv1.StreamsResponse) {
+	services, pending := resp.GetServices(), resp.GetPending()
 	for i, l := range batch {
-		l.origin = streamOrigin{l.query.service, resp.GetSoftwareVersions()[i]}
+		origin := streamOrigin{l.query.service, resp.GetSoftwareVersions()[i]}
 		if len(services) == len(batch) && services[i] != "" {
-			l.origin.service = services[i]
+			origin.service = services[i]
 		}
+		l.answer = lookupAnswer{origin, len(pending) == len(batch) && pending[i]}
 	}
 }
 
+// finishLookups ends the lookups of a call. Pending ones are part of the next call, if there
+// is time for one. It reports whether there are such.
+func (s *Server) finishLookups(batch []*lookup) (again bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lastCall := s.now() + lookupRetryDelay + streamsCallTimeout
+	for _, l := range batch {
+		if l.answer.pending && l.until > lastCall {
+			s.mu.lookups.putBack(l)
+			again = true
+			continue
+		}
+		close(l.done)
+	}
+	return again
+}
+
 // askLeader returns the leader's answer to lookups, or nil if there is none. A call that failed is repeated if another VM has become the leader meanwhile, or
 // if it failed early: a new leader has no list of endpoints at first.
 func (w *Watcher) askLeader(ctx context.Context, s *Server, batch []*lookup) *peerv1.StreamsResponse {
@@ -228,7 +272,9 @@
 			s.begunNotReported(batch)
 			continue
 		}
-		s.leaderAnswered(resp.GetTerm())
+		if !s.leaderAnswered(resp.GetTerm()) {
+			s.begunNotReported(batch)
+		}
 	}
 }
 
--- a/internal/coordination/forward/streams.go
+++ b/internal/coordination/forward/streams.go
@@ -39,7 +39,7 @@
 	// there are any.
 	unreported []*begunStream
 	ready      chan struct{}
-	// term is the term of the leader that answered last; zero before.
+	// term is the latest term of a leader that this entry has heard of; zero before.
 	term uint64
 }
 
@@ -223,20 +223,25 @@
 	}
 }
 
-// Answered records an answer of the leader of a term. A leader of another term has no
-// record of the streams that were reported before.
-func (r *StreamRegister) Answered(term uint64) {
-	last := r.term
-	r.term = term
-	if last == 0 || last == term {
-		return
+// Answered records that the leader of a term was heard of. A leader of a later term has no
+// record of the streams that were reported before. It returns false if a later leader is
+// known: what the one of this term was told, the later one does not know.
+func (r *StreamRegister) Answered(term uint64) bool {
+	if term <= r.term {
+		return term == r.term
 	}
+	r.term = term
 	for _, b := range r.order {
 		b.reported = false
 	}
 	r.reportAll()
+	return true
 }
 
+// ForgetLeader makes the register take any term for a new one: the control VMs were
+// founded anew.
+func (r *StreamRegister) ForgetLeader() { r.term = 0 }
+
 // encodeBegun returns the message for streams.
 func encodeBegun(now time.Duration, batch []*begunStream) []*peerv1.BegunStream {
 	out := make([]*peerv1.BegunStream, 0, len(batch))
--- a/internal/coordination/forward/streams_test.go
+++ b/internal/coordination/forward/streams_test.go
@@ -123,6 +123,63 @@
 	})
 }
 
+// watched passes the answer of a control VM to the entry that names the term of a leader.
+func (e *ledEntry) watched(t *testing.T, term uint64) {
+	t.Helper()
+	if err := e.watcher.apply(e.server, "c", &peerv1.WatchResponse{Epoch: term, Partial: true}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against an entry that begins no streams, for example since it stops, and does not
+// report those that it relays to a new leader.
+func TestStreamsAreReportedToALeaderThatOnlyTheListNames(t *testing.T) {
+	list := versionedEndpoints("v1", "v1")
+	list[0].VersionsDiffer, list[1].VersionsDiffer = true, true
+	withLeader(t, &streamLeader{term: 1}, list, func(t *testing.T, e *ledEntry) {
+		e.watched(t, 1)
+		e.server.SetEndpoints(list)
+		e.do("/resumed/x", map[string]string{"Id": "id-0"}, reply{status: 200, header: sealed(), body: firstEvent, length: -1})
+		time.Sleep(time.Second)
+		newLeader := func(term uint64) {
+			e.leader.mu.Lock()
+			e.leader.term, e.leader.requests = term, nil
+			e.leader.mu.Unlock()
+			e.watched(t, term)
+			e.server.SetEndpoints(list)
+			time.Sleep(time.Second)
+		}
+		newLeader(2)
+		if got := e.leader.begun(); got[streamOf("id-0")] != "v1" {
+			t.Errorf("the new leader knows %v, want the stream", got)
+		}
+		newLeader(1) // an old list, from another control VM
+		if n := e.leader.calls(); n != 0 {
+			t.Errorf("%d calls after a list of an earlier leader, want none", n)
+		}
+	})
+}
+
+// Guards against a report that counts as made although only a leader of an earlier term
+// has it.
+func TestReportToAFormerLeaderIsRepeated(t *testing.T) {
+	list := versionedEndpoints("v1", "v1")
+	list[0].VersionsDiffer, list[1].VersionsDiffer = true, true
+	withLeader(t, &streamLeader{term: 1}, list, func(t *testing.T, e *ledEntry) {
+		e.watched(t, 2)
+		e.server.SetEndpoints(list)
+		e.do("/resumed/x", map[string]string{"Id": "id-0"}, reply{status: 200, header: sealed(), body: firstEvent, length: -1})
+		time.Sleep(time.Second)
+		e.leader.mu.Lock()
+		e.leader.term, e.leader.requests = 2, nil
+		e.leader.mu.Unlock()
+		time.Sleep(time.Second)
+		if got := e.leader.begun(); got[streamOf("id-0")] != "v1" {
+			t.Errorf("the leader of the later term knows %v, want the stream", got)
+		}
+	})
+}
+
 // recordedStreams is a leader's record of streams, as their reports say.
 type recordedStreams map[uint64]map[string]bool
 
--- a/internal/coordination/forward/takeup.go
+++ b/internal/coordination/forward/takeup.go
@@ -15,12 +15,18 @@
 	takeUpLeader     = "leader"      // continued at the version that the leader knows
 	takeUpUnknown    = "unknown"     // refused: the service or the version is unknown
 	takeUpMoved      = "moved"       // refused: the route no longer leads to the service
+	takeUpPending    = "pending"     // refused: the leader is new and may learn it
 	takeUpNoEndpoint = "no_endpoint" // refused: no usable endpoint has the version
 )
 
-// newStreamRetryAfter is the Retry-After value of a refusal to continue a stream: a new
-// one can begin at once.
-const newStreamRetryAfter = 20 * time.Millisecond
+const (
+	// newStreamRetryAfter is the Retry-After value of a refusal to continue a stream: a new
+	// one can begin at once.
+	newStreamRetryAfter = 20 * time.Millisecond
+	// pendingRetryAfter is that of a refusal to continue a stream of which the leader may
+	// learn with the entries' reports, which arrive within about a second.
+	pendingRetryAfter = 500 * time.Millisecond
+)
 
 // takesUp reports whether the caller continues a stream with this request.
 func (c *call) takesUp() bool { return c.req.LastEventID != "" && c.resumable() }
@@ -37,11 +43,18 @@
 	if !c.takesUp() {
 		return nil
 	}
-	origin, source := c.beganAt()
+	answer, source := c.beganAt()
+	origin := answer.origin
 	c.takeUp = source
 	if errors.Is(c.ctx.Err(), context.Canceled) {
 		return resultcode.New(resultcode.CallerGone, "the caller disconnected while the request waited for the origin of its stream")
 	}
+	if answer.pending {
+		c.takeUp = takeUpPending
+		err := notResumable("the leader is new and does not know yet which service and software version began the stream")
+		err.RetryAfter = pendingRetryAfter
+		return err
+	}
 	if origin.version == "" {
 		c.takeUp = takeUpUnknown
 		return notResumable("the service or the software version that began the stream is unknown")
@@ -57,21 +70,21 @@
 
 // beganAt returns the origin of the stream that the caller takes up, and where it is
 // known from.
-func (c *call) beganAt() (origin streamOrigin, source string) {
+func (c *call) beganAt() (answer lookupAnswer, source string) {
 	s := c.server
 	s.mu.Lock()
 	origin, found := s.mu.streams.Origin(s.now(), c.stream)
 	services, complete := s.mu.routeHistory.services(s.now(), c.route.Host, c.req.Path)
 	s.mu.Unlock()
 	if found {
-		return origin, takeUpOwnMemory
+		return lookupAnswer{origin: origin}, takeUpOwnMemory
 	}
 	key := lookupKey{stream: c.stream}
 	if complete && len(services) == 1 {
 		key.service = services[0]
 	}
 	if key == (lookupKey{}) {
-		return streamOrigin{}, takeUpUnknown // neither the attempt nor the route names a service
+		return lookupAnswer{}, takeUpUnknown // neither the attempt nor the route names a service
 	}
 	return s.lookUpStream(c.ctx, key), takeUpLeader
 }
--- a/internal/coordination/forward/takeup_test.go
+++ b/internal/coordination/forward/takeup_test.go
@@ -256,7 +256,7 @@
 		var running sync.WaitGroup
 		for _, attempt := range attempts {
 			running.Go(func() {
-				if v := e.server.lookUpStream(t.Context(), lookupKey{streamOf(attempt), "models"}); v != modelsAt("v1") {
+				if v := e.server.lookUpStream(t.Context(), lookupKey{streamOf(attempt), "models"}); v.origin != modelsAt("v1") {
 					t.Errorf("stream %s: origin %v", attempt, v)
 				}
 			})
@@ -565,3 +565,32 @@
 		}
 	})
 }
+
+// Guards against a stream that is given up because a new leader has not got the reports of
+// all entries, and against a caller that is sent away for so short a time that the leader
+// cannot know more when it returns.
+func TestStreamThatANewLeaderMayLearnOfIsAskedForAgain(t *testing.T) {
+	for _, pending := range []int{2, 1 << 20} {
+		t.Run(fmt.Sprint(pending, " pending answers"), func(t *testing.T) {
+			leader := &streamLeader{pending: pending}
+			withLeader(t, leader, versionedEndpoints("v1", "v2"), func(t *testing.T, e *ledEntry) {
+				time.AfterFunc(150*time.Millisecond, func() {
+					leader.mu.Lock()
+					defer leader.mu.Unlock()
+					if pending == 2 {
+						leader.versions = map[uint64]string{streamOf("id-0"): "v1"}
+					}
+				})
+				started := time.Now()
+				w := e.exchange("/resumed/x", takeUp(), restOfStream())
+				code, retryAfter := w.Header().Get(resultcode.Header), w.Header().Get("Retry-After")
+				if served := w.Code == 200; served != (pending == 2) || time.Since(started) > lookupTimeout {
+					t.Errorf("status %d, result %s after %v", w.Code, code, time.Since(started))
+				}
+				if pending > 2 && (code != "4013" || retryAfter != "0.50" || leader.calls() > 6) {
+					t.Errorf("result %s, Retry-After %s, %d calls to the leader", code, retryAfter, leader.calls())
+				}
+			})
+		})
+	}
+}
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -229,10 +229,11 @@
 		w.peersVersion = v
 		s.SetEntries(resp.GetPeers())
 	}
-	w.checkBehind(resp.GetBehind())
+	w.checkBehind(s, resp.GetBehind())
 	if resp.GetEpoch() == 0 {
 		return nil // a control VM that has no list of endpoints yet, or an older one
 	}
+	s.leaderAnswered(resp.GetEpoch())
 	if resp.GetEpoch() == w.epoch && resp.GetEndpointsVersion() == w.version {
 		return nil
 	}
@@ -246,7 +247,7 @@
 
 // checkBehind gives up this entry's list of endpoints if control VMs have had an older
 // one for maxBehind, so that the next response has theirs.
-func (w *Watcher) checkBehind(behind bool) {
+func (w *Watcher) checkBehind(s *Server, behind bool) {
 	switch {
 	case !behind:
 		w.behindSince = time.Time{}
@@ -255,6 +256,7 @@
 	case time.Since(w.behindSince) > maxBehind:
 		w.cfg.Log.Warn("control VMs have an older list of endpoints, taking it over", "epoch", w.epoch, "version", w.version)
 		w.epoch, w.version, w.behindSince = 0, 0, time.Time{}
+		s.forgetLeader()
 	}
 }
 
