soak: the streams of a lost entry, after changes of routes and of the leader

TestStreamsOfALostEntryGoOn: 20 streams run at one entry, catalogs split, move or add routes, the leader is killed, and the entry is killed or stopped. Of the streams whose service the route still names, at least half go on elsewhere; no try runs at another service. TestStreamsAreNotJoinedAcrossVersions gets a second service, an operator that changes routes, and the loss of the leader before an entry; its other faults are drawn as before. Control VMs get their seeds in another order each.

The callers of the new test follow Retry-After.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -20,6 +20,8 @@
 	status int
 	// code is the result code in the response, 0 without one.
 	code resultcode.Code
+	// retryAfter is when the caller may come back, 0 if the response does not say it.
+	retryAfter time.Duration
 	// answerID is the identifier in the response, which may be missing.
 	answerID string
 	// complete reports that the response ended normally; body is what was received.
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -20,8 +20,12 @@
 //
 // Streams have a play of their own, TestStreamsAreNotJoinedAcrossVersions: callers take
 // them up at any entry while engines are replaced by those of other software versions,
-// entries and control VMs are lost, and streams are cut off. In
+// entries and control VMs are lost, the leader before an entry too, streams are cut off, and
+// an operator splits, moves and adds the routes of streams. In
 // TestStreamsAtAnEntryThatStoodStillDuringARelease one entry is frozen meanwhile.
+// TestStreamsOfALostEntryGoOn counts what goes on after the loss of one entry, for each
+// change of the routes, with one or two versions, and with or without the loss of the leader.
+// The seeds of the control VMs stand in another order at each VM.
 //
 // In TestAnswersCutEarlyAreNotWhole callers send long requests, some of them with HTTP/1.0.
 //
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -21,6 +21,8 @@
 // size is the number of processes of a run, and of further engines.
 type size struct {
 	control, entries, engines int
+	// others is the number of engines of standin.OtherEngineService.
+	others int
 	// direct makes entries connect to the endpoints without a proxy, whose buffers would
 	// take requests that an endpoint does not read.
 	direct bool
@@ -100,7 +102,7 @@
 	for i := range n.control + n.entries {
 		ip := address(run, firstVM+i)
 		p := &process{fleet: f, dir: filepath.Join(f.dir, fmt.Sprint("vm", i)), settings: standin.Settings{
-			VM: fmt.Sprint("vm-", i), IP: ip, Control: i < n.control, Seeds: seeds, Bootstrap: true, ListAddress: f.platformList.Listener.Addr().String(),
+			VM: fmt.Sprint("vm-", i), IP: ip, Control: i < n.control, Seeds: rotated(seeds, i), Bootstrap: true, ListAddress: f.platformList.Listener.Addr().String(),
 		}}
 		p.settings.DataDirectory = filepath.Join(p.dir, "data")
 		if i < n.control {
@@ -117,6 +119,12 @@
 	return f
 }
 
+// rotated returns the list from another place on: no order of the seeds is promised.
+func rotated(list []string, by int) []string {
+	by %= len(list)
+	return slices.Concat(list[by:], list[:by])
+}
+
 func (f *fleet) newProxy(ip, target string) *proxy.Proxy {
 	p, err := proxy.New(ip+":0", target)
 	if err != nil {
@@ -126,16 +134,21 @@
 }
 
 func (f *fleet) startEndpoints(run int, n size) {
-	services := []string{"plain", "plain", "plain", engineService, engineService, engineService, engineService}
-	for i, service := range append(services, slices.Repeat([]string{engineService}, n.engines)...) {
+	services := slices.Repeat([]string{standin.PlainService}, plainEndpoints)
+	services = append(services, slices.Repeat([]string{engineService}, firstEngines+n.engines)...)
+	services = append(services, slices.Repeat([]string{standin.OtherEngineService}, n.others)...)
+	for i, service := range services {
 		var models []string
-		if service == engineService {
+		if service != standin.PlainService {
 			models = engineModels(i)
 		}
 		e, err := f.endpoints.Add(fmt.Sprint("e-", i), service, address(run, firstEndpoint+i)+":0", models...)
 		if err != nil {
 			f.t.Fatal(err)
 		}
+		if service == standin.OtherEngineService {
+			e.SetVersion(otherVersionName)
+		}
 		p := f.newProxy(address(run, firstEndpointProxy+i), e.Listen())
 		e.Address = p.Address()
 		if n.direct {
@@ -148,8 +161,17 @@
 	}
 }
 
-// engineService is the service of the engines.
-const engineService = "models"
+const (
+	// engineService is the service of the engines.
+	engineService = standin.EngineService
+	// otherVersionName is the software version of the engines of the other service, which
+	// tells their events from those of engineService.
+	otherVersionName = "w1"
+	// plainEndpoints and firstEngines are the endpoints of each fleet, before the further
+	// engines of its size.
+	plainEndpoints = 3
+	firstEngines   = 4
+)
 
 // engineModels returns the models that an engine has at its start.
 func engineModels(server int) []string {
--- a/soak/releases_test.go
+++ b/soak/releases_test.go
@@ -34,11 +34,13 @@
 }
 
 func runVersions(t *testing.T, binary string, seed int, length time.Duration) {
-	f := newFleet(t, seed, binary, size{control: 3, entries: 4, engines: 2})
+	f := newFleet(t, seed, binary, size{control: 3, entries: 4, engines: 2, others: 3})
 	f.putFirstCatalog(streamTimeout)
 	f.waitReady(startTimeout)
 	load := startStreamCallers(f, seed)
+	routes := newRouteOperator(f, seed)
 	newReleaseScript(f, rand.New(rand.NewPCG(uint64(seed), 9)), length, seed%versionsInPlaceEvery == 0).inject()
+	routes.finish()
 	f.checkRecovery(load.callers)
 	counts, violations := load.finish()
 	for _, violation := range append(violations, f.endpoints.Violations()...) {
@@ -72,6 +74,9 @@
 	if inPlace {
 		s.series(500*time.Millisecond, 2*time.Second, s.changeInPlace)
 	}
+	// The other series draw the same faults as before this one was added.
+	s.rng = rand.New(rand.NewPCG(r.Uint64(), 10))
+	s.series(1500*time.Millisecond, 4*time.Second, s.leaderAndEntryLoss)
 	slices.SortStableFunc(s.events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
 	return s.script
 }
@@ -179,6 +184,18 @@
 	}
 }
 
+// leaderAndEntryLoss kills the leader, and an entry some time after it.
+func (s *releases) leaderAndEntryLoss(at time.Duration) {
+	p := pick(s.script, s.fleet.entries)
+	down, entryDown := s.between(50*time.Millisecond, time.Second), s.between(50*time.Millisecond, time.Second)
+	s.add(at, func() {
+		if leader := s.fleet.leaderNow(); leader != nil {
+			leader.stop(syscall.SIGKILL, down)
+		}
+	})
+	s.add(at+s.between(0, 4*time.Second), func() { p.stop(syscall.SIGKILL, entryDown) })
+}
+
 // cutStreams makes an engine cut off a share of its streams, which entries resume.
 func (s *releases) cutStreams(at time.Duration) {
 	e := s.fleet.servers[s.engines()[0]]
--- a/soak/session_test.go
+++ b/soak/session_test.go
@@ -77,6 +77,7 @@
 		return
 	}
 	o.status, o.code, o.answerID = resp.StatusCode, resultCode(resp.Header), standin.ResponseID(resp.Header)
+	o.retryAfter = retryAfter(resp.Header)
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
 	if err == nil && len(data) == maxBody {
 		err = errBodyTooLarge // the rest of the body is not read
@@ -108,6 +109,15 @@
 	return err
 }
 
+// retryAfter returns when a caller may come back, or 0 if the response does not say it.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // resultCode returns the result code of a response, or 0.
 func resultCode(h http.Header) resultcode.Code {
 	code, err := strconv.ParseUint(h.Get(resultcode.Header), 10, 16)
