--- a/internal/coordination/forward/lookup.go
+++ b/internal/coordination/forward/lookup.go
@@ -8,11 +8,13 @@
 )
 
 const (
-	// lookupTimeout bounds the wait for the origin of a stream that a caller takes up. Within it a query can wait for the call in flight to fail, and for one of
-	// its own. streamsCallTimeout bounds a call to the leader.
+	// lookupTimeout bounds the wait for the origin of a stream that a caller takes up.
+	// Within it a query can wait for the call in flight to fail, and for one of its own.
+	// streamsCallTimeout bounds a call to the leader.
 	lookupTimeout      = 600 * time.Millisecond
 	streamsCallTimeout = 280 * time.Millisecond
-	// lookupRetryDelay is the pause before a leader that refused a call is called again.
+	// lookupRetryDelay is the pause before a leader is called again that refused a call or
+	// gave a pending answer.
 	lookupRetryDelay = 100 * time.Millisecond
 	// maxQueriesPerCall bounds the queries of one call.
 	maxQueriesPerCall = 1024
@@ -22,9 +24,9 @@
 	reportIntervalPerEntry = 2 * time.Millisecond
 )
 
-// lookup asks the leader for the origin of a stream. The same lookup
-// serves all requests that ask before it is sent: an answer to a call that was sent
-// earlier may be older than the first event of the stream.
+// lookup asks the leader for the origin of a stream. The same lookup serves all requests
+// that ask before it is sent: an answer to a call that was sent earlier may be older than
+// the first event of the stream.
 type lookup struct {
 	query lookupKey
 	// until is when nobody waits any more.
--- a/internal/coordination/forward/streams_test.go
+++ b/internal/coordination/forward/streams_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	peerv1 "github.com/radishloom/radishloom/api/peer/v1"
+	"github.com/radishloom/radishloom/internal/coordination/pool"
 )
 
 // Guards against reports while a service has one version, and against streams that the
@@ -131,22 +132,33 @@
 	}
 }
 
+// differingEndpoints returns two endpoints of a service that has several versions.
+func differingEndpoints() []pool.Endpoint {
+	list := versionedEndpoints("v1", "v1")
+	list[0].VersionsDiffer, list[1].VersionsDiffer = true, true
+	return list
+}
+
+// beginAt makes the entry hear of the leader of a term and begin the stream id-0.
+func (e *ledEntry) beginAt(t *testing.T, term uint64) {
+	t.Helper()
+	e.watched(t, term)
+	e.server.SetEndpoints(differingEndpoints())
+	e.do("/resumed/x", map[string]string{"Id": "id-0"}, reply{status: 200, header: sealed(), body: firstEvent, length: -1})
+	time.Sleep(time.Second)
+}
+
 // Guards against an entry that begins no streams, for example since it stops, and does not
 // report those that it relays to a new leader.
 func TestStreamsAreReportedToALeaderThatOnlyTheListNames(t *testing.T) {
-	list := versionedEndpoints("v1", "v1")
-	list[0].VersionsDiffer, list[1].VersionsDiffer = true, true
-	withLeader(t, &streamLeader{term: 1}, list, func(t *testing.T, e *ledEntry) {
-		e.watched(t, 1)
-		e.server.SetEndpoints(list)
-		e.do("/resumed/x", map[string]string{"Id": "id-0"}, reply{status: 200, header: sealed(), body: firstEvent, length: -1})
-		time.Sleep(time.Second)
+	withLeader(t, &streamLeader{term: 1}, differingEndpoints(), func(t *testing.T, e *ledEntry) {
+		e.beginAt(t, 1)
 		newLeader := func(term uint64) {
 			e.leader.mu.Lock()
 			e.leader.term, e.leader.requests = term, nil
 			e.leader.mu.Unlock()
 			e.watched(t, term)
-			e.server.SetEndpoints(list)
+			e.server.SetEndpoints(differingEndpoints())
 			time.Sleep(time.Second)
 		}
 		newLeader(2)
@@ -163,13 +175,8 @@
 // Guards against a report that counts as made although only a leader of an earlier term
 // has it.
 func TestReportToAFormerLeaderIsRepeated(t *testing.T) {
-	list := versionedEndpoints("v1", "v1")
-	list[0].VersionsDiffer, list[1].VersionsDiffer = true, true
-	withLeader(t, &streamLeader{term: 1}, list, func(t *testing.T, e *ledEntry) {
-		e.watched(t, 2)
-		e.server.SetEndpoints(list)
-		e.do("/resumed/x", map[string]string{"Id": "id-0"}, reply{status: 200, header: sealed(), body: firstEvent, length: -1})
-		time.Sleep(time.Second)
+	withLeader(t, &streamLeader{term: 1}, differingEndpoints(), func(t *testing.T, e *ledEntry) {
+		e.beginAt(t, 2)
 		e.leader.mu.Lock()
 		e.leader.term, e.leader.requests = 2, nil
 		e.leader.mu.Unlock()
