control: an attempt to found a fleet ends when no response is awaited

An attempt whose calls had all failed, since no other seed listened yet, lasted until its timeout of 1 s. The next seed made its first attempt by then, so founding took over a second, and any of them led.

Change: an attempt ends with its last response. The seed that founds the fleet is the candidate of the first election as soon as a majority of the seeds has recorded the decision, in place of the first one whose election timeout ends.

--- a/internal/coordination/control/bootstrap.go
+++ b/internal/coordination/control/bootstrap.go
@@ -140,7 +140,7 @@
 		if !s.mayBootstrap(ctx) {
 			return
 		}
-		a := bootstrapAttempt{Server: s, seeds: seeds, refusals: refusals, responses: make(chan seedResponse)}
+		a := bootstrapAttempt{Server: s, seeds: seeds, refusals: refusals, responses: make(chan seedResponse), informed: map[string]bool{}}
 		a.run(ctx, s.cfg.Clock.Now()-started >= bootstrapPatience)
 		wait = bootstrapInterval + rand.N(bootstrapInterval)
 	}
@@ -172,7 +172,10 @@
 	// refusals has the last refusal of each seed, so that each is reported once.
 	refusals  map[string]string
 	responses chan seedResponse
+	awaited   int // number of responses
 	calls     sync.WaitGroup
+	// informed are the seeds that have recorded the decision.
+	informed map[string]bool
 }
 
 // seedResponse is the response of a seed to a request.
@@ -183,8 +186,8 @@
 	err      error
 }
 
-// run makes the attempt. With partial, the promises of a majority are enough after
-// bootstrapGrace.
+// run makes the attempt, until no response is awaited. With partial, the promises of a
+// majority are enough after bootstrapGrace.
 func (a *bootstrapAttempt) run(ctx context.Context, partial bool) {
 	defer a.calls.Wait()
 	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
@@ -194,18 +197,19 @@
 		return
 	}
 	a.send(ctx, request)
-	grace, proceed := time.After(bootstrapGrace), false
-	for {
+	grace, waiting := time.After(bootstrapGrace), partial
+	for a.awaited > 0 || waiting {
 		var next *peerv1.BootstrapRequest
 		select {
 		case r := <-a.responses:
+			a.awaited--
 			next = a.receive(ctx, p, r)
 		case <-grace:
-			proceed = partial
+			waiting = false
 		case <-ctx.Done():
 			return
 		}
-		if next == nil && proceed {
+		if next == nil && partial && !waiting {
 			next = p.Proceed()
 		}
 		if next != nil {
@@ -232,6 +236,7 @@
 // receive passes the response of a seed to the attempt and returns the next request.
 func (a *bootstrapAttempt) receive(ctx context.Context, p *bootstrap.Proposer, r seedResponse) *peerv1.BootstrapRequest {
 	if r.err == nil {
+		a.elect(ctx, r)
 		return p.Receive(r.address, r.request, r.response)
 	}
 	if text := r.err.Error(); resultcode.Of(r.err) == resultcode.MembershipRefused && a.refusals[r.address] != text {
@@ -241,8 +246,21 @@
 	return nil
 }
 
+// elect makes this member the candidate of the first election once a majority of the seeds
+// has recorded the decision: an election timeout has nothing to wait for.
+func (a *bootstrapAttempt) elect(ctx context.Context, r seedResponse) {
+	if !r.request.GetDecided() || !r.response.GetRecord().GetDecided() || a.informed[r.address] {
+		return
+	}
+	a.informed[r.address] = true
+	if len(a.informed) == len(a.seeds)/2+1 {
+		_ = a.post(ctx, func() { a.loop.core.Campaign() })
+	}
+}
+
 // send sends a request to all seeds.
 func (a *bootstrapAttempt) send(ctx context.Context, r *peerv1.BootstrapRequest) {
+	a.awaited += len(a.seeds)
 	for _, address := range a.seeds {
 		a.calls.Go(func() {
 			resp, err := a.call(ctx, address, r)
--- a/internal/coordination/control/bootstrap_test.go
+++ b/internal/coordination/control/bootstrap_test.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// Guards against a first election that waits for an election timeout.
+func TestFirstLeaderIsElectedWithTheFounding(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		n := &network{servers: map[string]*Server{}, delay: time.Millisecond}
+		servers := []*runningServer{n.startSeed(t, 0, 2, 1, 0), n.startSeed(t, 1, 0, 1, 2), n.startSeed(t, 2, 1, 0, 2)}
+		time.Sleep(electionTicks * tickInterval / 2)
+		for i, s := range servers {
+			m, err := s.Members(t.Context())
+			if err != nil || m.GetLeader() != servers[0].MemberID() {
+				t.Errorf("server %d knows the leader %x, error %v, want the first seed by address", i, m.GetLeader(), err)
+			}
+		}
+		stopAll(t, servers...)
+	})
+}
+
 // Guards against a fleet that is never founded since one seed is lost right after the
 // first start.
 func TestFleetIsFoundedWithoutOneSeed(t *testing.T) {
--- a/internal/state/raft/election.go
+++ b/internal/state/raft/election.go
@@ -45,6 +45,16 @@
 	c.requestVotes(statev1.MessageType_MESSAGE_TYPE_PRE_VOTE, c.term+1, 0)
 }
 
+// Campaign starts an election at once, without waiting for the election timeout, if this
+// member may and knows no leader.
+func (c *Core) Campaign() {
+	if c.role != Follower || c.leader != 0 || !c.mayCampaign() {
+		return
+	}
+	c.resetElectionTimer()
+	c.preCampaign()
+}
+
 func (c *Core) campaign(forced bool) {
 	c.role = Candidate
 	c.leader = 0
