--- a/internal/coordination/forward/doc.go
+++ b/internal/coordination/forward/doc.go
@@ -10,7 +10,7 @@
 // control VM; while that is unreachable, the entry uses the last known state.
 //
 // The decisions are made by pool.Entry (slots of endpoints), Buckets (rate limits),
-// RetryBudget and StreamRegister (software versions of streams). They do no I/O and read
+// RetryBudget and StreamRegister (where streams began). They do no I/O and read
 // no clock. Server drives them and does the I/O.
 //
 // Locks: Server.mu guards pool.Entry, Buckets, RetryBudget and StreamRegister, which have
