catalog: the routes with resumable streams move here

The entry's history of routes holds the table of each catalog. Route.Services takes the place of beginningServices. No change of behaviour.

--- a/internal/coordination/forward/routehistory.go
+++ b/internal/coordination/forward/routehistory.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/radishloom/radishloom/internal/state/catalog"
@@ -13,69 +11,9 @@
 // for a stream that is taken up.
 const maxReplacedRoutes = 64
 
-// streamRoute is a route with resumable streams, and the services that begin them.
-type streamRoute struct {
-	prefix   string
-	services []string // sorted
-}
-
-func (r streamRoute) equal(other streamRoute) bool {
-	return r.prefix == other.prefix && slices.Equal(r.services, other.services)
-}
-
-// streamRoutes has the routes with resumable streams of a catalog by host, the longest
-// prefix first.
-type streamRoutes map[string][]streamRoute
-
-func newStreamRoutes(x *catalog.Index) streamRoutes {
-	out := streamRoutes{}
-	for i := range x.Catalog().Routes {
-		r := &x.Catalog().Routes[i]
-		if services := beginningServices(r); r.Resumable && len(services) > 0 {
-			host := strings.ToLower(r.Host)
-			out[host] = append(out[host], streamRoute{r.Prefix, services})
-		}
-	}
-	for _, routes := range out {
-		slices.SortFunc(routes, func(a, b streamRoute) int {
-			if n := len(b.prefix) - len(a.prefix); n != 0 {
-				return n
-			}
-			return strings.Compare(a.prefix, b.prefix)
-		})
-	}
-	return out
-}
-
-// beginningServices returns the sorted services to which a route sends new requests.
-func beginningServices(r *catalog.Route) []string {
-	var out []string
-	for _, split := range r.Splits {
-		if split.Weight > 0 {
-			out = append(out, split.Service)
-		}
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
-// services returns the services that begin streams of a path.
-func (t streamRoutes) services(host, path string) []string {
-	for _, r := range t[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.prefix) {
-			return r.services
-		}
-	}
-	return nil
-}
-
-func (t streamRoutes) equal(other streamRoutes) bool {
-	return maps.EqualFunc(t, other, func(a, b []streamRoute) bool { return slices.EqualFunc(a, b, streamRoute.equal) })
-}
-
 // replacedRoutes are the routes of an earlier catalog.
 type replacedRoutes struct {
-	routes streamRoutes
+	routes catalog.StreamRoutes
 	at     time.Duration // when they were replaced
 }
 
@@ -83,7 +21,7 @@
 // the catalogs that were replaced within streamMemory: another service than that of the
 // current route may have begun a stream which is taken up now.
 type routeHistory struct {
-	current  streamRoutes
+	current  catalog.StreamRoutes
 	replaced []replacedRoutes // the oldest first
 	// forgotten is when the newest table beyond the bound was replaced, if hasForgotten.
 	forgotten    time.Duration
@@ -96,12 +34,12 @@
 
 // set records the routes of the next catalog. It reports whether they differ.
 func (h *routeHistory) set(now time.Duration, x *catalog.Index) (changed bool) {
-	next := newStreamRoutes(x)
+	next := catalog.NewStreamRoutes(x)
 	first := h.current == nil
 	if first {
 		h.start = now
 	}
-	if !first && h.current.equal(next) {
+	if !first && h.current.Equal(next) {
 		return false
 	}
 	h.replaced = slices.DeleteFunc(h.replaced, func(r replacedRoutes) bool { return now-r.at > streamMemory })
@@ -119,10 +57,10 @@
 // services returns the services that may have begun a stream of a path within
 // streamMemory. complete is false if there may be others.
 func (h *routeHistory) services(now time.Duration, host, path string) (services []string, complete bool) {
-	out := slices.Clone(h.current.services(host, path))
+	out := slices.Clone(h.current.Services(host, path))
 	for _, r := range h.replaced {
 		if now-r.at <= streamMemory {
-			out = append(out, r.routes.services(host, path)...)
+			out = append(out, r.routes.Services(host, path)...)
 		}
 	}
 	slices.Sort(out)
--- a/internal/coordination/forward/takeup.go
+++ b/internal/coordination/forward/takeup.go
@@ -59,7 +59,7 @@
 		c.takeUp = takeUpUnknown
 		return notResumable("the service or the software version that began the stream is unknown")
 	}
-	if !slices.Contains(beginningServices(c.route), origin.service) {
+	if !slices.Contains(c.route.Services(), origin.service) {
 		c.takeUp = takeUpMoved
 		return notResumable("route %q no longer leads to service %q, which began the stream", c.route.Name, origin.service)
 	}
--- a/internal/state/catalog/index.go
+++ b/internal/state/catalog/index.go
@@ -122,6 +122,18 @@
 // is one of an Index.
 func (r *Route) Idempotent() bool { return r.Kind == Idempotent || r.Resumable }
 
+// Services returns the sorted services to which the route sends new requests.
+func (r *Route) Services() []string {
+	var out []string
+	for _, split := range r.Splits {
+		if split.Weight > 0 {
+			out = append(out, split.Service)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // PickService returns the service that the weights assign to fraction, a number in
 // [0, 1).
 func (r *Route) PickService(fraction float64) string {
