forward, directory: a stream does not follow its route to another service

Cause: for a stream without a record the leader answers with the only version of the service that the entry derives from the path. An entry that has just started knows the present catalog only, and one that a catalog has not reached yet only the earlier one. The leader believed both. An entry also took any answer without a catalog, for example of a control VM that had just restarted, for a sign that it knows the fleet from its first catalog on.

Why it works: the replicated state notes which catalog changed the resumable routes last, and when, by a hash that the proposer adds. A query names the catalog of its entry and whether the entry has known catalogs for 60 s. The leader, which has applied all that was committed when the query came, believes the service only if no catalog that the entry does not know can matter. Until then records answer: entries report all streams for 60 s after such a change and after their own start.

--- a/internal/coordination/control/catalog.go
+++ b/internal/coordination/control/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	statev1 "github.com/radishloom/radishloom/api/state/v1"
 	"github.com/radishloom/radishloom/internal/state/fleet"
@@ -9,9 +10,25 @@
 
 // PutCatalog proposes a catalog. It returns nil once this catalog, or one with
 // the same or a higher version, is committed.
-func (s *Server) PutCatalog(ctx context.Context, version uint64, document []byte) error {
-	c := &statev1.Catalog{Version: version, Document: document}
-	return s.proposeCommand(ctx, &statev1.Command{Op: &statev1.Command_PutCatalog{PutCatalog: &statev1.PutCatalog{Catalog: c}}})
+func (s *Server) PutCatalog(ctx context.Context, p *statev1.PutCatalog) error {
+	return s.proposeCommand(ctx, &statev1.Command{Op: &statev1.Command_PutCatalog{PutCatalog: p}})
+}
+
+// StreamRoutesChanged returns the version of the catalog that last replaced other routes
+// with resumable streams, or zero, and how long ago that was. It fails on a VM that does
+// not lead.
+func (s *Server) StreamRoutesChanged(ctx context.Context) (catalogVersion uint64, ago time.Duration, err error) {
+	_, err = callLoop(ctx, s, noLeader("the change of the routes was not read before the deadline"), func(done func(struct{}, error)) {
+		if !s.loop.leading() {
+			done(struct{}{}, noLeader("this control VM is not the leader"))
+			return
+		}
+		routes := s.loop.machine.StreamRoutes()
+		catalogVersion = routes.GetChangedBy()
+		ago = time.Duration(s.loop.fleetTime()-routes.GetChangedMs()) * time.Millisecond
+		done(struct{}{}, nil)
+	})
+	return catalogVersion, ago, err
 }
 
 // ReadCatalog returns the newest committed catalog.
--- a/internal/coordination/control/catalog_test.go
+++ b/internal/coordination/control/catalog_test.go
@@ -155,3 +155,8 @@
 		}
 	})
 }
+
+// catalogCommand returns a catalog whose routes no other one has.
+func catalogCommand(version uint64) *statev1.PutCatalog {
+	return &statev1.PutCatalog{Catalog: &statev1.Catalog{Version: version, Document: []byte("document")}, StreamRoutes: version}
+}
--- a/internal/coordination/directory/relay_test.go
+++ b/internal/coordination/directory/relay_test.go
@@ -22,6 +22,10 @@
 
 func (f *fakeLeadership) ConfirmOwnership(context.Context) (uint64, error) { return 0, notLeading() }
 
+func (f *fakeLeadership) StreamRoutesChanged(context.Context) (uint64, time.Duration, error) {
+	return 0, 0, nil
+}
+
 func (f *fakeLeadership) Catalog(context.Context) (*statev1.Catalog, []*statev1.Member, error) {
 	return &statev1.Catalog{Version: f.applied}, nil, nil
 }
--- a/internal/coordination/directory/server.go
+++ b/internal/coordination/directory/server.go
@@ -71,6 +71,10 @@
 	// Leader returns the address of the current leader, or "" if it is not known, and
 	// the control VMs.
 	Leader(ctx context.Context) (string, []*statev1.Member, error)
+	// StreamRoutesChanged returns the version of the catalog that last replaced other routes
+	// with resumable streams, zero if none did, and how long ago that was. It fails unless
+	// this VM leads.
+	StreamRoutesChanged(ctx context.Context) (catalogVersion uint64, ago time.Duration, err error)
 	// CatalogChanged is closed when a catalog newer than the version is applied.
 	CatalogChanged(version uint64) <-chan struct{}
 }
--- a/internal/coordination/directory/streams.go
+++ b/internal/coordination/directory/streams.go
@@ -22,7 +22,35 @@
 	if err := s.confirmTerm(ctx, term); err != nil {
 		return nil, err
 	}
-	return out, s.answerStreams(out, r.GetQueries())
+	changed, err := s.lastRouteChange(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return out, s.answerStreams(out, r.GetQueries(), changed)
+}
+
+// routeChange is the last change of the routes with resumable streams. A version of zero
+// means that there was none.
+type routeChange struct {
+	catalogVersion uint64
+	ago            time.Duration
+}
+
+func (s *Server) lastRouteChange(ctx context.Context) (routeChange, error) {
+	version, ago, err := s.cfg.Leadership.StreamRoutesChanged(ctx)
+	return routeChange{version, ago}, err
+}
+
+// onlyService returns the only service that can have begun the stream of a query, or an
+// empty string. An entry may lack the catalog that changed the routes, or an earlier one.
+func (c routeChange) onlyService(q *peerv1.StreamQuery) string {
+	switch {
+	case q.GetCatalogVersion() < c.catalogVersion:
+		return ""
+	case q.GetEarlierRoutesUnknown() && c.catalogVersion != 0 && c.ago <= streamMemory:
+		return ""
+	}
+	return q.GetService()
 }
 
 // streamsTermLocked returns the term in which this VM can answer for streams.
@@ -66,7 +94,7 @@
 }
 
 // answerStreams adds the answers to queries to the response of a term.
-func (s *Server) answerStreams(out *peerv1.StreamsResponse, queries []*peerv1.StreamQuery) error {
+func (s *Server) answerStreams(out *peerv1.StreamsResponse, queries []*peerv1.StreamQuery, changed routeChange) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if current, err := s.streamsTermLocked(); err != nil || current != out.GetTerm() {
@@ -74,7 +102,7 @@
 	}
 	now := s.now()
 	for _, q := range queries {
-		origin, kind := s.mu.versions.Answer(now, q.GetStream(), q.GetService())
+		origin, kind := s.mu.versions.Answer(now, q.GetStream(), changed.onlyService(q))
 		out.Services = append(out.Services, origin.Service)
 		out.SoftwareVersions = append(out.SoftwareVersions, origin.Version)
 		out.Pending = append(out.Pending, kind == StreamPending)
--- a/internal/coordination/directory/versions_test.go
+++ b/internal/coordination/directory/versions_test.go
@@ -71,6 +71,12 @@
 	term       uint64
 	confirming func()
 	confirms   int
+	// changed is the last change of the routes.
+	changed routeChange
+}
+
+func (l *leadingRole) StreamRoutesChanged(context.Context) (uint64, time.Duration, error) {
+	return l.changed.catalogVersion, l.changed.ago, nil
 }
 
 func (l *leadingRole) Leading(context.Context) (uint64, bool) { return l.term, l.term != 0 }
@@ -370,6 +376,38 @@
 	})
 }
 
+// Guards against a stream that goes on at the service to which its route was moved, since
+// an entry started into the later catalog, or does not have it yet, and against an answer
+// that is withheld from an entry which knows all routes.
+func TestServiceOfAPathIsNotBelievedAfterAChangeOfRoutes(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		s, role := newVersionLeader(t, 1, newVersionStore())
+		list(t, s, endpointsAt("v1"))
+		settle()
+		time.Sleep(reportsDue)
+		s.stillLeads(t.Context())
+		want := func(changed routeChange, catalogVersion uint64, earlierUnknown bool, version string) {
+			t.Helper()
+			role.changed = changed
+			q := &peerv1.StreamQuery{Stream: 1, Service: "s", CatalogVersion: catalogVersion, EarlierRoutesUnknown: earlierUnknown}
+			out, err := s.Streams(t.Context(), &peerv1.StreamsRequest{Queries: []*peerv1.StreamQuery{q}})
+			if err != nil || out.GetSoftwareVersions()[0] != version {
+				t.Errorf("changed %+v, catalog %d, earlier unknown %t: %v, error %v, want %q", changed, catalogVersion, earlierUnknown, out, err, version)
+			}
+		}
+		never, lately, longAgo := routeChange{0, time.Second}, routeChange{5, streamMemory}, routeChange{5, streamMemory + 1}
+		want(never, 1, true, "v1")
+		want(lately, 5, false, "v1")
+		want(lately, 6, false, "v1")
+		want(lately, 5, true, "")
+		want(lately, 4, false, "")
+		want(longAgo, 4, false, "")
+		want(longAgo, 5, true, "v1")
+		report(t, s, 1, "v1") // a record is believed whatever the routes are
+		want(lately, 4, true, "v1")
+	})
+}
+
 // Guards against answers of a VM that does not lead or was frozen, and against a quorum
 // that is asked for each report.
 func TestStreamsNeedALeaderAndQueriesAQuorum(t *testing.T) {
--- a/internal/coordination/forward/leader_test.go
+++ b/internal/coordination/forward/leader_test.go
@@ -105,6 +105,18 @@
 	return out
 }
 
+// firstQuery returns the first query of a stream, or nil.
+func (l *streamLeader) firstQuery() *peerv1.StreamQuery {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.requests {
+		if queries := r.GetQueries(); len(queries) > 0 {
+			return queries[0]
+		}
+	}
+	return nil
+}
+
 func (l *streamLeader) calls() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/coordination/forward/lookup.go
+++ b/internal/coordination/forward/lookup.go
@@ -44,10 +44,23 @@
 	pending bool
 }
 
+// lookupKey is a question for the origin of a stream.
 type lookupKey struct {
 	stream uint64 // zero if the attempt is not stated
-	// service is the only service that can have begun the stream; empty if several can.
+	// service is the only service that can have begun the stream by the catalogs that this
+	// entry knows; empty if several can.
 	service string
+	// catalogVersion is that of the present catalog. earlierRoutesUnknown is set if this
+	// entry has not known the catalogs for as long as a stream may last.
+	catalogVersion       uint64
+	earlierRoutesUnknown bool
+}
+
+func (k lookupKey) encode() *peerv1.StreamQuery {
+	return &peerv1.StreamQuery{
+		Stream: k.stream, Service: k.service,
+		CatalogVersion: k.catalogVersion, EarlierRoutesUnknown: k.earlierRoutesUnknown,
+	}
 }
 
 // lookups are the lookups that wait to be sent. They are guarded by Server.mu. ready has
@@ -110,7 +123,8 @@
 	l.signal()
 }
 
-// lookUpStream asks the leader for the origin of a stream.
+// lookUpStream asks the leader for the origin of a stream, which has no version if it is
+// unknown.
 func (s *Server) lookUpStream(ctx context.Context, key lookupKey) lookupAnswer {
 	s.mu.Lock()
 	l := s.mu.lookups.add(s.now(), key)
@@ -220,12 +234,13 @@
 	return again
 }
 
-// askLeader returns the leader's answer to lookups, or nil if there is none. A call that failed is repeated if another VM has become the leader meanwhile, or
-// if it failed early: a new leader has no list of endpoints at first.
+// askLeader returns the leader's answer to lookups, or nil if there is none. A call that
+// failed is repeated if another VM has become the leader meanwhile, or if it failed early: a
+// new leader has no list of endpoints at first.
 func (w *Watcher) askLeader(ctx context.Context, s *Server, batch []*lookup) *peerv1.StreamsResponse {
 	r := &peerv1.StreamsRequest{}
 	for _, l := range batch {
-		r.Queries = append(r.Queries, &peerv1.StreamQuery{Stream: l.query.stream, Service: l.query.service})
+		r.Queries = append(r.Queries, l.query.encode())
 	}
 	// A call that begins later could not end while the requests wait.
 	lastCall := s.now() + lookupTimeout - streamsCallTimeout
--- a/internal/coordination/forward/recovery_test.go
+++ b/internal/coordination/forward/recovery_test.go
@@ -186,6 +186,10 @@
 	return 7, nil
 }
 
+func (e *elected) StreamRoutesChanged(context.Context) (uint64, time.Duration, error) {
+	return 0, 0, nil
+}
+
 func (e *elected) Catalog(context.Context) (*statev1.Catalog, []*statev1.Member, error) {
 	return e.catalog, e.members, nil
 }
--- a/internal/coordination/forward/routehistory.go
+++ b/internal/coordination/forward/routehistory.go
@@ -26,10 +26,8 @@
 	// forgotten is when the newest table beyond the bound was replaced, if hasForgotten.
 	forgotten    time.Duration
 	hasForgotten bool
-	// fromFirst is set if this entry has seen the fleet before its first catalog. Otherwise
-	// there may have been others before the one that it got at the time start.
-	fromFirst bool
-	start     time.Duration
+	// start is when this entry got its first catalog. It knows no earlier ones.
+	start time.Duration
 }
 
 // set records the routes of the next catalog. It reports whether they differ.
@@ -67,8 +65,21 @@
 	return slices.Compact(out), !h.hasForgotten || now-h.forgotten > streamMemory
 }
 
-// clear reports whether every entry can tell by the path which service began a stream.
+// young reports whether there may have been catalogs within streamMemory that this entry
+// does not know.
+func (h *routeHistory) young(now time.Duration) bool { return now-h.start <= streamMemory }
+
+// settled reports whether no catalog can have changed the routes within streamMemory.
+func (h *routeHistory) settled(now time.Duration) bool {
+	last := h.start
+	if n := len(h.replaced); n > 0 {
+		last = h.replaced[n-1].at
+	}
+	return now-last > streamMemory
+}
+
+// clear reports whether every entry, also one that starts now, can tell by the path which
+// service began a stream.
 func (h *routeHistory) clear(now time.Duration, host, path string) bool {
-	services, complete := h.services(now, host, path)
-	return complete && len(services) == 1 && (h.fromFirst || now-h.start > streamMemory)
+	return h.settled(now) && len(h.current.Services(host, path)) == 1
 }
--- a/internal/coordination/forward/server.go
+++ b/internal/coordination/forward/server.go
@@ -176,15 +176,6 @@
 	s.cfg.Log.Info("catalog applied", "version", x.Version(), "routes", len(x.Catalog().Routes), "since_start_ms", s.now().Milliseconds())
 }
 
-// noCatalogYet records that a control VM has answered without a catalog.
-func (s *Server) noCatalogYet() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.index.Load() == nil {
-		s.mu.routeHistory.fromFirst = true
-	}
-}
-
 // warmUpOf returns the rate and the time of the warm-up of a service, by the catalog.
 func (s *Server) warmUpOf(service string) (rate float64, duration time.Duration) {
 	x := s.index.Load()
--- a/internal/coordination/forward/takeup.go
+++ b/internal/coordination/forward/takeup.go
@@ -74,21 +74,26 @@
 	s := c.server
 	s.mu.Lock()
 	origin, found := s.mu.streams.Origin(s.now(), c.stream)
-	services, complete := s.mu.routeHistory.services(s.now(), c.route.Host, c.req.Path)
+	key := s.lookupKeyLocked(c)
 	s.mu.Unlock()
 	if found {
 		return lookupAnswer{origin: origin}, takeUpOwnMemory
 	}
-	key := lookupKey{stream: c.stream}
-	if complete && len(services) == 1 {
-		key.service = services[0]
-	}
-	if key == (lookupKey{}) {
+	if key.stream == 0 && key.service == "" {
 		return lookupAnswer{}, takeUpUnknown // neither the attempt nor the route names a service
 	}
 	return s.lookUpStream(c.ctx, key), takeUpLeader
 }
 
+func (s *Server) lookupKeyLocked(c *call) lookupKey {
+	now, history := s.now(), &s.mu.routeHistory
+	key := lookupKey{stream: c.stream, catalogVersion: s.index.Load().Version(), earlierRoutesUnknown: history.young(now)}
+	if services, complete := history.services(now, c.route.Host, c.req.Path); complete && len(services) == 1 {
+		key.service = services[0]
+	}
+	return key
+}
+
 func notResumable(format string, args ...any) *resultcode.Error {
 	err := resultcode.New(resultcode.StreamNotResumable, format, args...)
 	err.RetryAfter = newStreamRetryAfter
--- a/internal/coordination/forward/watch.go
+++ b/internal/coordination/forward/watch.go
@@ -215,8 +215,6 @@
 		}
 		w.cfg.Log.Info("catalog received", "version", c.GetVersion(), "address", address, "leader", resp.GetLeader(), "epoch", resp.GetEpoch())
 		s.SetCatalog(catalog.NewIndex(decoded))
-	} else {
-		s.noCatalogYet()
 	}
 	w.controls.set(resp.GetMembers(), address)
 	if list := resp.GetSuspects(); list != nil {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -33,7 +33,10 @@
 	if err != nil {
 		return err
 	}
-	return c.control.PutCatalog(ctx, in.Version, packed)
+	return c.control.PutCatalog(ctx, &statev1.PutCatalog{
+		Catalog:      &statev1.Catalog{Version: in.Version, Document: packed},
+		StreamRoutes: catalog.NewStreamRoutes(catalog.NewIndex(in)).Digest(),
+	})
 }
 
 // Get implements platform.CatalogStore.
--- a/internal/state/fleet/machine.go
+++ b/internal/state/fleet/machine.go
@@ -48,6 +48,7 @@
 	orders         *order.Ledger
 	suspects       suspects
 	catalog        *statev1.Catalog
+	streamRoutes   *statev1.StreamRoutes      // never modified
 	quarantine     *statev1.QuarantineRecord  // never modified
 	recentVersions *statev1.PutRecentVersions // never modified
 	evacuations    evacuations
@@ -106,7 +107,7 @@
 	case *statev1.Command_EndpointObserved:
 		return m.endpointObserved(op.EndpointObserved)
 	case *statev1.Command_PutCatalog:
-		m.putCatalog(op.PutCatalog.GetCatalog())
+		m.putCatalog(op.PutCatalog)
 		return &statev1.Result{}
 	case *statev1.Command_PutQuarantine:
 		m.putQuarantine(op.PutQuarantine)
@@ -169,15 +170,3 @@
 func (m *Machine) Suspects() (version uint64, list []*statev1.Suspect) {
 	return m.suspects.version, m.suspects.list()
 }
-
-// putCatalog replaces the catalog by one with a higher version. A repeated or
-// competing catalog of the same version is ignored.
-func (m *Machine) putCatalog(c *statev1.Catalog) {
-	if c.GetVersion() > m.catalog.GetVersion() {
-		m.catalog = c
-	}
-}
-
-// Catalog returns the current catalog, which is shared and never modified, or nil
-// if there is none yet.
-func (m *Machine) Catalog() *statev1.Catalog { return m.catalog }
--- a/internal/state/fleet/snapshot.go
+++ b/internal/state/fleet/snapshot.go
@@ -28,6 +28,7 @@
 		Orders:         m.orders.Save(),
 		Suspects:       m.suspects.save(),
 		Catalog:        m.catalog,
+		StreamRoutes:   m.streamRoutes,
 		Quarantine:     m.quarantine,
 		Evacuations:    m.evacuations.save(),
 		RecentVersions: m.recentVersions,
@@ -67,7 +68,7 @@
 	m.claims.Load(s.GetClaims())
 	m.orders.Load(s.GetOrders())
 	m.suspects.load(s.GetSuspects())
-	m.catalog = s.GetCatalog()
+	m.restoreCatalog(s)
 	m.quarantine = s.GetQuarantine()
 	m.recentVersions = s.GetRecentVersions()
 	m.evacuations.load(s.GetEvacuations())
--- a/soak/takeup_test.go
+++ b/soak/takeup_test.go
@@ -331,3 +331,66 @@
 	}
 	return false
 }
+
+// Guards against streams that go on at the service to which their route was moved: all
+// entries are lost before they report the streams, and start into the later catalog.
+func TestStreamsOfLostEntriesDoNotFollowTheirRoute(t *testing.T) {
+	const (
+		run = 40900
+		// unreported is shorter than the time in which entries report a stream.
+		unreported = 60 * time.Millisecond
+	)
+	f := newFleet(t, run, buildDaemon(t), size{control: 3, entries: 3, engines: 2, others: 3, direct: true})
+	f.putFirstCatalog(takeUpTimeout)
+	f.waitReady(startTimeout)
+	load := newStreamCallers(f)
+	load.deadline = takeUpTimeout
+	var streams []*chain
+	var begin sync.WaitGroup
+	for i := range takeUpStreams {
+		s := &chain{name: standin.StreamName(load.callers.lastID.Add(1), takeUpEvents), model: standin.Model}
+		streams = append(streams, s)
+		begin.Go(func() { load.judge(s, load.try(s, f.entries[i%len(f.entries)].callerAddress())) })
+	}
+	f.waitForRun(startTimeout)
+	time.Sleep(unreported)
+	for _, p := range f.entries {
+		p.kill()
+	}
+	begin.Wait()
+	f.putRoutes(2, otherService)
+	for _, p := range f.entries {
+		p.start()
+	}
+	f.waitReady(startTimeout)
+	taken := 0
+	for i, s := range streams {
+		if s.last == 0 {
+			continue
+		}
+		taken++
+		if load.judge(s, load.try(s, f.entries[i%len(f.entries)].callerAddress())); s.wentOn {
+			t.Errorf("stream %s goes on after its route has moved", s.name)
+		}
+	}
+	if taken == 0 {
+		t.Error("no stream had begun")
+	}
+	_, violations := load.finish()
+	for _, violation := range violations {
+		t.Error(violation)
+	}
+	if t.Failed() {
+		f.saveLogs(run)
+	}
+}
+
+// waitForRun waits until an endpoint runs a request.
+func (f *fleet) waitForRun(timeout time.Duration) {
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if f.endpoints.Total() > 0 {
+			return
+		}
+	}
+	f.t.Error("no endpoint ran a request")
+}
