soak: a caller waits for its answer until the deadline that it states

Cause: the test's requests state a deadline of 12 s, since a busy machine takes long to send their bodies, but the caller gave its connection up after 6 s. So the check was not that of the promise, an answer by the deadline.

Evidence: the outcome now says why there is no answer, and after which time.

The check is as strict: each caller must have an answer 3 s after its deadline at the latest, and none may wait until the deadline.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -27,6 +27,10 @@
 	// complete reports that the response ended normally; body is what was received.
 	complete bool
 	body     string
+	// took is the time until the end of the response, or until the caller gave it up. err is
+	// why there is no complete response, nil if there is one.
+	took time.Duration
+	err  error
 	// malformed describes what in the received bytes is no HTTP response; it is empty for a
 	// response, and if nothing arrived.
 	malformed string
@@ -50,8 +54,11 @@
 	// callerInterval is the time between two requests of a caller.
 	callerInterval = 20 * time.Millisecond
 	callerDeadline = 3 * time.Second
-	// callerTimeout is the time after which a caller abandons a request.
-	callerTimeout = 6 * time.Second
+	// callerTimeout is the time after which a caller abandons a request. It exceeds the
+	// deadline of most requests by callerGrace; one with a later deadline is not abandoned
+	// earlier than that either.
+	callerTimeout = callerDeadline + callerGrace
+	callerGrace   = 3 * time.Second
 	soakKey       = "key-1"
 )
 
@@ -145,10 +152,12 @@
 	o = outcome{id: o.id, prefix: o.prefix, number: o.number, sent: time.Now()}
 	request, err := standin.NewRequest(s.address, o.prefix, o.id, soakKey, model, deadline)
 	if err != nil {
+		o.err = err
 		return o
 	}
 	standin.SetNumber(request, o.number)
-	s.exchange(request, &o)
+	s.exchange(request, &o, deadline)
+	o.took = time.Since(o.sent)
 	return o
 }
 
--- a/soak/faultplay_test.go
+++ b/soak/faultplay_test.go
@@ -36,7 +36,14 @@
 	}
 	wg.Wait()
 	served, statuses := f.checkOutcomes(load.outcomes)
-	f.t.Logf("%d requests, %d served, %v by status, %d faults", len(load.outcomes), served, statuses, p.count.Load())
+	var longest time.Duration
+	for _, o := range load.outcomes {
+		longest = max(longest, o.took)
+		if o.status == 0 {
+			f.t.Logf("request %s to %s at %s got no answer after %v: %v", o.id, o.prefix, o.sent.Format(time.StampMilli), o.took, o.err)
+		}
+	}
+	f.t.Logf("%d requests, %d served, %v by status, %d faults, longest %v", len(load.outcomes), served, statuses, p.count.Load(), longest)
 	if served == 0 || p.count.Load() == 0 {
 		f.t.Error("no request was served, or no answer had the fault")
 	}
--- a/soak/session_test.go
+++ b/soak/session_test.go
@@ -53,19 +53,20 @@
 	s.conn = nil
 }
 
-// exchange sends a request and records its response. The connection is kept after a
-// complete response that does not end it.
-func (s *session) exchange(r *http.Request, o *outcome) {
+// exchange sends a request, which states the deadline given, and records its response. The
+// connection is kept after a complete response that does not end it.
+func (s *session) exchange(r *http.Request, o *outcome, deadline time.Duration) {
 	if s.conn == nil {
 		conn, err := net.DialTimeout("tcp", s.address, callerTimeout)
 		if err != nil {
+			o.err = err
 			return
 		}
 		s.conn, s.reader = conn, bufio.NewReader(io.TeeReader(conn, &s.received))
 	}
 	s.received.Reset()
 	defer func() { o.malformed = findMalformed(s.received.String(), s.version()) }()
-	if s.conn.SetDeadline(time.Now().Add(callerTimeout)) != nil {
+	if o.err = s.conn.SetDeadline(time.Now().Add(max(callerTimeout, deadline+callerGrace))); o.err != nil {
 		s.close()
 		return
 	}
@@ -73,6 +74,7 @@
 	sendErr := s.write(r)
 	resp, err := http.ReadResponse(s.reader, r)
 	if err != nil {
+		o.err = errors.Join(err, sendErr)
 		s.close()
 		return
 	}
@@ -82,7 +84,7 @@
 	if err == nil && len(data) == maxBody {
 		err = errBodyTooLarge // the rest of the body is not read
 	}
-	o.body, o.complete = string(data), err == nil
+	o.body, o.complete, o.err = string(data), err == nil, err
 	if err = errors.Join(err, sendErr); err != nil || resp.Close {
 		s.close()
 	}
--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -117,7 +117,7 @@
 	}
 	to := &session{address: address}
 	defer to.close()
-	to.exchange(request, &o)
+	to.exchange(request, &o, c.deadline)
 	return o
 }
 
