--- a/internal/coordination/forward/takeup.go
+++ b/internal/coordination/forward/takeup.go
@@ -85,6 +85,8 @@
 	return s.lookUpStream(c.ctx, key), takeUpLeader
 }
 
+// lookupKeyLocked returns the question for the origin of the stream that a request takes up.
+// It names the present catalog, which may be later than that of the request.
 func (s *Server) lookupKeyLocked(c *call) lookupKey {
 	now, history := s.now(), &s.mu.routeHistory
 	key := lookupKey{stream: c.stream, catalogVersion: s.index.Load().Version(), earlierRoutesUnknown: history.young(now)}
