enginehttp: the fuzz test loses the engine before a resume

Cause, by the code: the variant shows only if an attempt to resume fails with "not run" after events have arrived. Only an engine that refuses connections does that, so a crash had to fall between the cut of a stream and its resume. The only action that could do so crashed the engine 0 to 3 ms after a batch began, which a busy machine makes too early or too late.

Why it works: the new action crashes the engine between the cut and the resume, in the order of the client and without a timer. The other actions and the number of cases are as before.

--- a/internal/protocol/enginehttp/fuzz_test.go
+++ b/internal/protocol/enginehttp/fuzz_test.go
@@ -27,6 +27,8 @@
 	*fixture
 	count    int
 	outcomes []outcome
+	// lose, if set, is called before a broken stream is resumed.
+	lose func()
 }
 
 func drawFaults(t *rapid.T) standin.Faults {
@@ -110,9 +112,21 @@
 		if events == 0 || try == 2 {
 			return err
 		}
+		if m.lose != nil {
+			m.lose()
+		}
 	}
 }
 
+// lost sends requests whose streams break, and crashes the engine before it resumes the
+// first of them: the attempt to resume can be said not to have run, the request cannot.
+func (m *machine) lost(t *rapid.T) {
+	m.standin.SetFaults(standin.Faults{CutAt: rapid.IntRange(2, 5).Draw(t, "at")})
+	m.lose = sync.OnceFunc(m.standin.Crash)
+	m.batch(t)
+	m.lose = nil
+}
+
 // verify compares every outcome so far with the runs that the engine counted.
 func (m *machine) verify(t *rapid.T) {
 	for _, o := range m.outcomes {
@@ -157,6 +171,7 @@
 			"sound":   func(t *rapid.T) { m.standin.SetFaults(standin.Faults{}); m.batch(t) },
 			"silence": func(t *rapid.T) { m.standin.SilenceOpenConnections(); m.batch(t) },
 			"crash":   func(t *rapid.T) { m.standin.Crash(); m.batch(t) },
+			"lost":    m.lost,
 			"dying": func(t *rapid.T) {
 				m.standin.SetFaults(standin.Faults{CutAt: 3, Times: 1})
 				pause := rapid.IntRange(0, 3).Draw(t, "ms")
