soak: the play of lost entries waits for half of its streams

On a busy machine no caller may have its first event 60 ms after the first run, and the play would fail with "no stream had begun". That was not seen.

--- a/soak/takeup_test.go
+++ b/soak/takeup_test.go
@@ -352,7 +352,7 @@
 		streams = append(streams, s)
 		begin.Go(func() { load.judge(s, load.try(s, f.entries[i%len(f.entries)].callerAddress())) })
 	}
-	f.waitForRun(startTimeout)
+	f.waitForRuns(takeUpStreams/2, startTimeout)
 	time.Sleep(unreported)
 	for _, p := range f.entries {
 		p.kill()
@@ -385,12 +385,12 @@
 	}
 }
 
-// waitForRun waits until an endpoint runs a request.
-func (f *fleet) waitForRun(timeout time.Duration) {
+// waitForRuns waits until endpoints have begun to run n requests.
+func (f *fleet) waitForRuns(n int, timeout time.Duration) {
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if f.endpoints.Total() > 0 {
+		if f.endpoints.Total() >= n {
 			return
 		}
 	}
-	f.t.Error("no endpoint ran a request")
+	f.t.Errorf("endpoints ran %d requests, want %d", f.endpoints.Total(), n)
 }
