forward: the test of lookups does not race with the entry

It now empties the register under the lock, and takes the locks of its stand-ins. The test had not been run with the race detector.

--- a/internal/coordination/forward/streams_test.go
+++ b/internal/coordination/forward/streams_test.go
@@ -126,10 +126,25 @@
 // startLate makes the entry one that has just got its first catalog, after others may have
 // been replaced.
 func (e *ledEntry) startLate() {
+	e.server.mu.Lock()
 	e.server.mu.routeHistory = routeHistory{}
+	e.server.mu.Unlock()
 	e.server.SetCatalog(catalogOf(2, resumableRoute("/resumed/", "models")))
 }
 
+// forget makes the entry one that knows no stream, and the leader one that was not called.
+func (e *ledEntry) forget() {
+	e.server.mu.Lock()
+	clear(e.server.mu.streams.byKey)
+	e.server.mu.Unlock()
+	e.leader.mu.Lock()
+	e.leader.requests = nil
+	e.leader.mu.Unlock()
+	e.endpoints.mu.Lock()
+	e.endpoints.replies = nil
+	e.endpoints.mu.Unlock()
+}
+
 // watched passes the answer of a control VM to the entry that names the term of a leader.
 func (e *ledEntry) watched(t *testing.T, term uint64) {
 	t.Helper()
--- a/internal/coordination/forward/takeup_test.go
+++ b/internal/coordination/forward/takeup_test.go
@@ -423,8 +423,7 @@
 	withLeader(t, leader, versionedEndpoints("v1"), func(t *testing.T, e *ledEntry) {
 		want := func(earlierUnknown bool, service string) {
 			t.Helper()
-			e.leader.requests, e.endpoints.replies = nil, nil
-			e.server.mu.streams = NewStreamRegister()
+			e.forget()
 			e.do("/resumed/x", takeUp(), restOfStream())
 			q := e.leader.firstQuery()
 			if q.GetCatalogVersion() != e.server.Index().Version() || q.GetEarlierRoutesUnknown() != earlierUnknown || q.GetService() != service {
