catalog: an index alone puts the routes of a host in order

The table of resumable routes sorted once more what the index had sorted, to make its digest independent of the document. The index now compares equally long prefixes as well, which never match the same path, so the tables, digests and the choice of a route are as before.

--- a/internal/state/catalog/index.go
+++ b/internal/state/catalog/index.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"net"
 	"slices"
 	"strings"
@@ -36,7 +37,7 @@
 		x.routes[host] = append(x.routes[host], r)
 	}
 	for _, list := range x.routes {
-		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+		slices.SortStableFunc(list, comparePrefixes)
 	}
 	for i := range c.Services {
 		x.addService(&c.Services[i])
@@ -51,6 +52,12 @@
 	return x
 }
 
+// comparePrefixes orders routes of one host by the length of their prefixes, the longest
+// first, and then by the prefixes, so that the order does not depend on the document.
+func comparePrefixes(a, b *Route) int {
+	return cmp.Or(len(b.Prefix)-len(a.Prefix), strings.Compare(a.Prefix, b.Prefix))
+}
+
 func (x *Index) addService(s *Service) {
 	x.services[s.Name] = s
 	if s.Engine == nil {
--- a/internal/state/catalog/streamroutes.go
+++ b/internal/state/catalog/streamroutes.go
@@ -34,11 +34,6 @@
 			}
 		}
 	}
-	for _, routes := range out {
-		slices.SortFunc(routes, func(a, b streamRoute) int {
-			return cmp.Or(len(b.prefix)-len(a.prefix), strings.Compare(a.prefix, b.prefix))
-		})
-	}
 	return out
 }
 
