--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -157,7 +157,6 @@
 	}
 	standin.SetNumber(request, o.number)
 	s.exchange(request, &o, deadline)
-	o.took = time.Since(o.sent)
 	return o
 }
 
--- a/soak/session_test.go
+++ b/soak/session_test.go
@@ -56,6 +56,7 @@
 // exchange sends a request, which states the deadline given, and records its response. The
 // connection is kept after a complete response that does not end it.
 func (s *session) exchange(r *http.Request, o *outcome, deadline time.Duration) {
+	defer func() { o.took = time.Since(o.sent) }()
 	if s.conn == nil {
 		conn, err := net.DialTimeout("tcp", s.address, callerTimeout)
 		if err != nil {
